--- /dev/null
+++ b/faker/engine_answer.go
@@ -0,0 +1,89 @@
+package faker
+
+// completionUsage is OpenAI's count of tokens.
+type completionUsage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type completionAnswer struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   completionUsage    `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int            `json:"index"`
+	Message      *answerMessage `json:"message,omitempty"`
+	Delta        *answerMessage `json:"delta,omitempty"`
+	Text         *string        `json:"text,omitempty"`
+	FinishReason *string        `json:"finish_reason"`
+}
+
+type answerMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// finishLength is the reason of each end: the stand-in generates as many tokens as it may.
+const finishLength = "length"
+
+// answer returns an answer without its choice, after a number of the answer's tokens in all.
+func (ru *run) answer(object string, generated int) completionAnswer {
+	prompt := CountTokens(ru.prompt)
+	return completionAnswer{
+		ID: ru.id, Object: object, Model: ru.named,
+		Usage: completionUsage{
+			PromptTokens: prompt, CompletionTokens: generated, TotalTokens: prompt + generated,
+			Details: promptDetails{ru.cached},
+		},
+	}
+}
+
+// whole returns the answer that is sent at once.
+func (ru *run) whole(content string) completionAnswer {
+	reason := finishLength
+	choice := completionChoice{FinishReason: &reason}
+	object := "text_completion"
+	if ru.chat {
+		object = "chat.completion"
+		choice.Message = &answerMessage{Role: "assistant", Content: content}
+	} else {
+		choice.Text = &content
+	}
+	answer := ru.answer(object, ru.length)
+	answer.Choices = []completionChoice{choice}
+	return answer
+}
+
+// chunk returns one token of a streamed answer.
+func (ru *run) chunk(index int) completionAnswer {
+	token := Token(ru.model, ru.prompt, index)
+	choice := completionChoice{}
+	if index == ru.length-1 {
+		reason := finishLength
+		choice.FinishReason = &reason
+	}
+	object := "text_completion"
+	if ru.chat {
+		object = "chat.completion.chunk"
+		choice.Delta = &answerMessage{Content: token}
+		if index == 0 {
+			choice.Delta.Role = "assistant"
+		}
+	} else {
+		choice.Text = &token
+	}
+	answer := ru.answer(object, index+1)
+	answer.Choices = []completionChoice{choice}
+	return answer
+}
