Read settings and the operators' lists, and check callers' keys

Change: configurer reads INI section by section through ini.v1, since the library tells no line numbers and 35,000 sections at once would not fit an instance; every fault is collected with document, line, section and key, and secrets stay out of messages. Adapters lie in a sorted table with shared strings.

--- /dev/null
+++ b/configurer/build.go
@@ -0,0 +1,184 @@
+package configurer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// NewSnapshot parses and checks the operators' documents. The error is of type Faults and names every mistake.
+func NewSnapshot(revision uint64, do Documents) (*Snapshot, error) {
+	sb := &snapshotBuilder{
+		sn: &Snapshot{
+			revision:      revision,
+			organisations: make(map[string]Organisation),
+			plans:         make(map[string]Plan),
+			services:      make(map[string]Service),
+			keys:          make(map[[32]byte]Key),
+			keyIDs:        make(map[string][32]byte),
+		},
+		tb:    newTableBuilder(),
+		lines: make(map[string]int),
+	}
+	sb.readPlans(do.plans)
+	sb.readUses(do.uses)
+	sb.readKeys(do.keys)
+	sb.check()
+	if err := sb.fl.err(); err != nil {
+		return nil, err
+	}
+	return sb.sn, nil
+}
+
+// snapshotBuilder gathers a snapshot and its faults.
+type snapshotBuilder struct {
+	sn *Snapshot
+	tb *tableBuilder
+	fl faultList
+	// lines holds the line of each section but the adapters', for checks across sections.
+	lines map[string]int
+}
+
+func (sb *snapshotBuilder) readPlans(text string) {
+	readBlocks(DocumentPlans, text, &sb.fl, func(bl *block) {
+		if !sb.admit(bl, "organisation") {
+			return
+		}
+		og := Organisation{name: strings.Clone(bl.name())}
+		apply(organisationFields, &og, bl, &sb.fl)
+		og.plan = strings.Clone(og.plan)
+		sb.sn.organisations[og.name] = og
+	})
+}
+
+func (sb *snapshotBuilder) readUses(text string) {
+	readBlocks(DocumentUses, text, &sb.fl, func(bl *block) {
+		if !sb.admit(bl, "plan", "adapter", "service") {
+			return
+		}
+		switch bl.kind() {
+		case "plan":
+			sb.readPlan(bl)
+		case "adapter":
+			sb.readAdapter(bl)
+		case "service":
+			sv := Service{name: strings.Clone(bl.name())}
+			apply(serviceFields, &sv, bl, &sb.fl)
+			sb.sn.services[sv.name] = sv
+		}
+	})
+	sb.sn.adapters = sb.tb.table(func(name string, line, earlier int) {
+		sb.fl.add(Fault{
+			document: DocumentUses, line: line, section: "adapter " + name,
+			message: fmt.Sprintf("stands twice, first in line %d", earlier),
+		})
+	})
+}
+
+func (sb *snapshotBuilder) readPlan(bl *block) {
+	pl := Plan{name: strings.Clone(bl.name())}
+	apply(planFields, &pl, bl, &sb.fl)
+	pl.compile()
+	sb.sn.plans[pl.name] = pl
+}
+
+func (sb *snapshotBuilder) readAdapter(bl *block) {
+	ad := Adapter{name: bl.name()}
+	apply(adapterFields, &ad, bl, &sb.fl)
+	if len(ad.versions) == 0 {
+		ad.versions = []string{ad.current}
+	}
+	if !slices.Contains(ad.versions, ad.current) {
+		sb.fl.add(bl.fault(bl.entryLine("versions"), "versions", "must include the current version "+ad.current))
+	}
+	if ad.organisation != "" {
+		if _, ok := sb.sn.organisations[ad.organisation]; !ok {
+			message := fmt.Sprintf("the plans list has no organisation %q", ad.organisation)
+			sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
+		}
+	}
+	sb.tb.add(ad, bl.line)
+}
+
+func (sb *snapshotBuilder) readKeys(text string) {
+	readBlocks(DocumentKeys, text, &sb.fl, func(bl *block) {
+		if !sb.admit(bl, "key") {
+			return
+		}
+		ke := Key{id: strings.Clone(bl.name())}
+		apply(keyFields, &ke, bl, &sb.fl)
+		ke.organisation = strings.Clone(ke.organisation)
+		if earlier, ok := sb.sn.keys[ke.hash]; ok {
+			sb.fl.add(bl.fault(bl.entryLine("hash"), "hash", "is also the hash of key "+earlier.id))
+		}
+		if _, ok := sb.sn.organisations[ke.organisation]; !ok && !ke.withdrawn {
+			message := fmt.Sprintf("the plans list has no organisation %q; withdraw the key first", ke.organisation)
+			sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
+		}
+		sb.sn.keys[ke.hash] = ke
+		sb.sn.keyIDs[ke.id] = ke.hash
+	})
+}
+
+// admit checks a section's header and notes its line. Adapters are checked for repeats when they are sorted.
+func (sb *snapshotBuilder) admit(bl *block, kinds ...string) bool {
+	if !slices.Contains(kinds, bl.kind()) {
+		allowed := make([]string, len(kinds))
+		for at, kind := range kinds {
+			allowed[at] = "[" + kind + " name]"
+		}
+		sb.fl.add(bl.fault(bl.line, "", "unknown section; allowed: "+strings.Join(allowed, ", ")))
+		return false
+	}
+	if !validName(bl.name()) {
+		sb.fl.add(bl.fault(bl.line, "", fmt.Sprintf("bad name %q; allowed: %s", bl.name(), nameAllowed)))
+		return false
+	}
+	if bl.kind() == "adapter" {
+		return true
+	}
+	if earlier, ok := sb.lines[bl.header]; ok {
+		sb.fl.add(bl.fault(bl.line, "", fmt.Sprintf("stands twice, first in line %d", earlier)))
+		return false
+	}
+	sb.lines[strings.Clone(bl.header)] = bl.line
+	return true
+}
+
+// check finds names that are used but defined nowhere.
+func (sb *snapshotBuilder) check() {
+	for _, name := range slices.Sorted(maps.Keys(sb.sn.organisations)) {
+		og := sb.sn.organisations[name]
+		if _, ok := sb.sn.plans[og.plan]; !ok && og.plan != "" {
+			sb.missing(DocumentPlans, "organisation "+name, "plan", fmt.Sprintf("the uses list has no plan %q", og.plan))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sb.sn.plans)) {
+		pl := sb.sn.plans[name]
+		for _, service := range pl.services {
+			if _, ok := sb.sn.services[service]; !ok {
+				sb.missing(DocumentUses, "plan "+name, "services", fmt.Sprintf("there is no service %q", service))
+			}
+		}
+		for _, adapter := range pl.exact {
+			if _, ok := sb.sn.adapters.find(adapter); !ok {
+				sb.missing(DocumentUses, "plan "+name, "adapters", fmt.Sprintf("there is no adapter %q", adapter))
+			}
+		}
+	}
+}
+
+func (sb *snapshotBuilder) missing(document, section, key, message string) {
+	sb.fl.add(Fault{document: document, line: sb.lines[section], section: section, key: key, message: message})
+}
+
+// entryLine returns the line of a key, or of the header if the key is absent.
+func (bl *block) entryLine(key string) int {
+	for _, en := range bl.entries {
+		if en.key == key {
+			return en.line
+		}
+	}
+	return bl.line
+}
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -2,11 +2,106 @@
 package configurer
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"lovagebank/requester"
 )
 
+// Snapshot is the operators' configuration at one revision. It never changes, and may be read by many goroutines.
+type Snapshot struct {
+	revision      uint64
+	organisations map[string]Organisation
+	plans         map[string]Plan
+	services      map[string]Service
+	keys          map[[32]byte]Key
+	keyIDs        map[string][32]byte
+	adapters      *adapterTable
+}
+
+// Revision returns the number of the accepted change that made this configuration.
+func (sn *Snapshot) Revision() uint64 { return sn.revision }
+
+// Organisation returns an organisation by name.
+func (sn *Snapshot) Organisation(name string) (Organisation, bool) {
+	og, ok := sn.organisations[name]
+	return og, ok
+}
+
+// Organisations returns the names of all organisations, sorted.
+func (sn *Snapshot) Organisations() []string { return slices.Sorted(maps.Keys(sn.organisations)) }
+
+// Plan returns a plan by name.
+func (sn *Snapshot) Plan(name string) (Plan, bool) {
+	pl, ok := sn.plans[name]
+	return pl, ok
+}
+
+// PlanOf returns the plan that an organisation is on.
+func (sn *Snapshot) PlanOf(organisation string) (Plan, bool) {
+	og, ok := sn.organisations[organisation]
+	if !ok {
+		return Plan{}, false
+	}
+	return sn.Plan(og.plan)
+}
+
+// Adapter returns an adapter by name.
+func (sn *Snapshot) Adapter(name string) (Adapter, bool) { return sn.adapters.find(name) }
+
+// AdapterCount returns the number of adapters.
+func (sn *Snapshot) AdapterCount() int { return len(sn.adapters.rows) }
+
+// Adapters returns the adapters that an organisation may use, sorted by name.
+func (sn *Snapshot) Adapters(organisation string) []Adapter {
+	pl, ok := sn.PlanOf(organisation)
+	if !ok {
+		return nil
+	}
+	var usable []Adapter
+	for row := range sn.adapters.rows {
+		ad := sn.adapters.adapter(row)
+		if (ad.organisation == "" || ad.organisation == organisation) && pl.includes(ad.name) {
+			usable = append(usable, ad)
+		}
+	}
+	return usable
+}
+
+// Allows tells whether a plan includes an adapter. The adapter's owner is another question.
+func (sn *Snapshot) Allows(plan, adapter string) bool {
+	pl, ok := sn.plans[plan]
+	return ok && pl.includes(adapter)
+}
+
+// Service returns a plain service by name.
+func (sn *Snapshot) Service(name string) (Service, bool) {
+	sv, ok := sn.services[name]
+	return sv, ok
+}
+
+// Services returns the names of all plain services, sorted.
+func (sn *Snapshot) Services() []string { return slices.Sorted(maps.Keys(sn.services)) }
+
+// Key returns a caller's key by its SHA-256.
+func (sn *Snapshot) Key(hash [32]byte) (Key, bool) {
+	ke, ok := sn.keys[hash]
+	return ke, ok
+}
+
+// KeyByID returns a caller's key by the identifier that operators use.
+func (sn *Snapshot) KeyByID(id string) (Key, bool) {
+	hash, ok := sn.keyIDs[id]
+	return sn.keys[hash], ok
+}
+
+// Keys returns all keys, sorted by identifier.
+func (sn *Snapshot) Keys() []Key {
+	return slices.SortedFunc(maps.Values(sn.keys), func(left, right Key) int { return strings.Compare(left.id, right.id) })
+}
+
 // Plan is what an organisation on it may use.
 type Plan struct {
 	name     string
@@ -17,6 +112,30 @@
 	deadline time.Duration
 	adapters []string
 	services []string
+
+	// exact and prefixes are the adapters' patterns, sorted for lookup.
+	exact    []string
+	prefixes []string
+}
+
+// compile sorts the adapters' patterns by kind.
+func (pl *Plan) compile() {
+	for _, pattern := range pl.adapters {
+		if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+			pl.prefixes = append(pl.prefixes, prefix)
+		} else {
+			pl.exact = append(pl.exact, pattern)
+		}
+	}
+	slices.Sort(pl.exact)
+}
+
+// includes tells whether an adapter's name matches one of the plan's patterns.
+func (pl *Plan) includes(adapter string) bool {
+	if _, found := slices.BinarySearch(pl.exact, adapter); found {
+		return true
+	}
+	return slices.ContainsFunc(pl.prefixes, func(prefix string) bool { return strings.HasPrefix(adapter, prefix) })
 }
 
 // Name returns the plan's name.
