--- /dev/null
+++ b/invoker/load.go
@@ -0,0 +1,53 @@
+package invoker
+
+import "time"
+
+// The states of an adapter in a load report.
+const (
+	StateLoading = "loading"
+	StateLoaded  = "loaded"
+)
+
+// AdapterReport is one adapter in a load report, named "adapter@version".
+type AdapterReport struct {
+	Name    string `json:"name"`
+	Running int    `json:"running"`
+	State   string `json:"state"`
+}
+
+// Load is what a target reports about itself.
+type Load struct {
+	boot     string
+	slots    int
+	batch    int
+	running  int
+	waiting  int
+	adapters []AdapterReport
+	at       time.Time
+}
+
+// NewLoad makes a load report as of a time.
+func NewLoad(boot string, slots, batch, running, waiting int, adapters []AdapterReport, at time.Time) Load {
+	return Load{boot, slots, batch, running, waiting, adapters, at}
+}
+
+// Boot identifies the target's life; it changes when the target restarts empty.
+func (ld Load) Boot() string { return ld.boot }
+
+// Slots returns the number of adapter slots.
+func (ld Load) Slots() int { return ld.slots }
+
+// Batch returns the most requests that run at once.
+func (ld Load) Batch() int { return ld.batch }
+
+// Running returns the requests in the batch.
+func (ld Load) Running() int { return ld.running }
+
+// Waiting returns the requests that wait for the batch.
+func (ld Load) Waiting() int { return ld.waiting }
+
+// Adapters returns the adapters that the target has or loads.
+func (ld Load) Adapters() []AdapterReport { return ld.adapters }
+
+// At returns the latest time for which the report can stand.
+func (ld Load) At() time.Time { return ld.at }
