Switch the stand-ins' faults by methods and a control interface

Change: store, list, engines, workers and the weight store take faults; a link forwards TCP and can be cut, delayed or go silent. Control maps them to JSON.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -16,7 +16,8 @@
 
 // Execute runs the store.
 func (sc *storeCommand) Execute([]string) error {
-	return sc.serve(faker.NewStore(faker.StoreOptions{Rate: sc.Rate, Latency: sc.Latency}))
+	st := faker.NewStore(faker.StoreOptions{Rate: sc.Rate, Latency: sc.Latency})
+	return sc.serve("store", st, st.Controlled())
 }
 
 type listCommand struct {
@@ -41,7 +42,7 @@
 			li.Register(listing)
 		}
 	}
-	return lc.serve(li)
+	return lc.serve("list", li, li.Controlled())
 }
 
 type engineCommand struct {
@@ -62,11 +63,12 @@
 
 // Execute runs the engine.
 func (ec *engineCommand) Execute([]string) error {
-	return ec.serve(faker.NewEngine(faker.EngineOptions{
+	en := faker.NewEngine(faker.EngineOptions{
 		ID: ec.ID, Domain: ec.Domain, Base: ec.Base, Slots: ec.Slots, Batch: ec.Batch, TokenTime: ec.TokenTime,
 		PrefillTime: ec.PrefillTime, CacheBlocks: ec.CacheBlocks, ReportLag: ec.ReportLag, EventLag: ec.EventLag,
 		RestartTime: ec.RestartTime, ChecksFencing: ec.ChecksFencing,
-	}))
+	})
+	return ec.serve(ec.ID, en, en.Controlled())
 }
 
 type workerCommand struct {
@@ -79,5 +81,6 @@
 
 // Execute runs the worker.
 func (wc *workerCommand) Execute([]string) error {
-	return wc.serve(faker.NewWorker(faker.WorkerOptions{ID: wc.ID, Domain: wc.Domain, Service: wc.Service, Time: wc.Time}))
+	wo := faker.NewWorker(faker.WorkerOptions{ID: wc.ID, Domain: wc.Domain, Service: wc.Service, Time: wc.Time})
+	return wc.serve(wc.ID, wo, wo.Controlled())
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+
+	"lovagebank/faker"
 )
 
 // readHeaderTimeout bounds how long a connection may take to send a call's header.
@@ -31,26 +33,41 @@
 	Control string `long:"control" description:"Address of the control interface; none when empty"`
 }
 
-// serve listens and answers until SIGINT or SIGTERM.
-func (li listener) serve(handler http.Handler) error {
-	socket, err := net.Listen("tcp", li.Listen)
+// serve listens and answers until SIGINT or SIGTERM. The first line printed is the address, the second the control
+// interface's, if there is one.
+func (li listener) serve(id string, handler http.Handler, controlled faker.Controlled) error {
+	main, err := listen(li.Listen, handler)
 	if err != nil {
 		return err
 	}
-	fmt.Println(socket.Addr())
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	defer func() { _ = main.Close() }()
+	if li.Control != "" {
+		co := faker.NewControl()
+		co.Add(id, controlled)
+		control, err := listen(li.Control, co)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = control.Close() }()
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-signals
-		_ = server.Close()
-	}()
-	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
+	<-signals
 	return nil
 }
 
+// listen starts a server and prints its address.
+func listen(address string, handler http.Handler) (*http.Server, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	fmt.Println(socket.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(socket) }()
+	return server, nil
+}
+
 func main() {
 	parser := flags.NewParser(&commands{}, flags.Default)
 	if _, err := parser.Parse(); err != nil {
--- a/faker/engine_adapters.go
+++ b/faker/engine_adapters.go
@@ -57,13 +57,10 @@
 	}
 	slot := &engineSlot{state: slotLoading}
 	en.adapters[order.Name] = slot
-	fails := en.faults.failsLoad(order.Name)
+	fails := en.faults.failsLoad()
 	en.stats.Loads++
 	en.noteReport()
-	en.mu.Unlock()
-
 	// As in vLLM, a caller that goes away does not stop the load; the end of the engine does.
-	en.mu.Lock()
 	life := en.life
 	en.mu.Unlock()
 	err := en.options.Weights.Load(life)
--- a/faker/engine_cache.go
+++ b/faker/engine_cache.go
@@ -111,6 +111,18 @@
 	pc.events = append(pc.events, event)
 }
 
+func (pc *prefixCache) setLag(lag time.Duration) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.lag = lag
+}
+
+func (pc *prefixCache) setLoss(every uint64) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.lose = every
+}
+
 // serve answers GET /cache-events?after=N with the events after a number that are old enough to show.
 func (pc *prefixCache) serve(wr http.ResponseWriter, rq *http.Request) {
 	after, _ := strconv.ParseUint(rq.URL.Query().Get("after"), 10, 64)
--- a/faker/engine_faults.go
+++ b/faker/engine_faults.go
@@ -15,7 +15,7 @@
 }
 
 // failsLoad tells whether a load is to fail, and counts it.
-func (ef *engineFaults) failsLoad(string) bool {
+func (ef *engineFaults) failsLoad() bool {
 	if ef.failingLoads > 0 {
 		ef.failingLoads--
 		return true
@@ -88,13 +88,6 @@
 	en.options.ReportLag = lag
 }
 
-// SetEventLoss loses every n-th cache event; 0 for none.
-func (en *Engine) SetEventLoss(every uint64) {
-	en.cache.mu.Lock()
-	defer en.cache.mu.Unlock()
-	en.cache.lose = every
-}
-
 // SetDown makes the engine drop all calls in progress and new ones, or come back empty.
 func (en *Engine) SetDown(down bool) {
 	en.mu.Lock()
--- /dev/null
+++ b/faker/link.go
@@ -0,0 +1,208 @@
+package faker
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// linkChunk is the most bytes that a link forwards at once, and linkRing the chunks that wait for a delay in each
+// direction; when the ring is full the link reads no more.
+const (
+	linkChunk = 16 << 10
+	linkRing  = 64
+)
+
+// Link forwards TCP connections to an address. It can be cut, delayed, and its open connections can go silent for good
+// while new ones work.
+type Link struct {
+	socket net.Listener
+	target string
+	done   chan struct{}
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	cut   bool
+	delay time.Duration
+	open  map[*linkConnection]bool
+}
+
+// linkConnection is one forwarded connection.
+type linkConnection struct {
+	near, far net.Conn
+	// frozen is closed when the connection goes silent, and ended when it is over.
+	frozen, ended chan struct{}
+	freeze, end   sync.Once
+}
+
+// NewLink listens on an address and forwards what comes to a target address until Close.
+func NewLink(listen, target string) (*Link, error) {
+	socket, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	lk := &Link{socket: socket, target: target, done: make(chan struct{}), open: map[*linkConnection]bool{}}
+	lk.wait.Go(lk.accept)
+	return lk, nil
+}
+
+// Address returns the address that the link listens on.
+func (lk *Link) Address() string { return lk.socket.Addr().String() }
+
+// SetCut closes all connections and every new one, or lets them through again.
+func (lk *Link) SetCut(cut bool) {
+	lk.mu.Lock()
+	lk.cut = cut
+	open := lk.connections()
+	lk.mu.Unlock()
+	if !cut {
+		return
+	}
+	for _, lc := range open {
+		lc.close()
+	}
+}
+
+// Freeze makes the open connections silent: nothing passes and neither end is told. New connections work.
+func (lk *Link) Freeze() {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	for _, lc := range lk.connections() {
+		lc.freeze.Do(func() { close(lc.frozen) })
+	}
+}
+
+// SetDelay sets the time that bytes take in one direction.
+func (lk *Link) SetDelay(delay time.Duration) {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	lk.delay = delay
+}
+
+// Close stops listening, closes all connections and waits for their ends.
+func (lk *Link) Close() error {
+	close(lk.done)
+	err := lk.socket.Close()
+	lk.SetCut(true)
+	lk.wait.Wait()
+	return err
+}
+
+// connections returns the open connections; the caller locks.
+func (lk *Link) connections() []*linkConnection {
+	open := make([]*linkConnection, 0, len(lk.open))
+	for lc := range lk.open {
+		open = append(open, lc)
+	}
+	return open
+}
+
+func (lk *Link) accept() {
+	for {
+		near, err := lk.socket.Accept()
+		if err != nil {
+			select {
+			case <-lk.done:
+				return
+			case <-time.After(time.Millisecond):
+				continue
+			}
+		}
+		lk.wait.Go(func() { lk.forward(near) })
+	}
+}
+
+// forward joins an accepted connection with the target until either end closes.
+func (lk *Link) forward(near net.Conn) {
+	lk.mu.Lock()
+	cut := lk.cut
+	lk.mu.Unlock()
+	if cut {
+		_ = near.Close()
+		return
+	}
+	far, err := net.Dial("tcp", lk.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	lc := &linkConnection{near: near, far: far, frozen: make(chan struct{}), ended: make(chan struct{})}
+	lk.mu.Lock()
+	lk.open[lc] = true
+	cut = lk.cut
+	lk.mu.Unlock()
+	if cut {
+		lc.close()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { lk.pump(lc, near, far) })
+	both.Go(func() { lk.pump(lc, far, near) })
+	both.Wait()
+	lk.mu.Lock()
+	delete(lk.open, lc)
+	lk.mu.Unlock()
+}
+
+func (lc *linkConnection) close() {
+	lc.end.Do(func() {
+		close(lc.ended)
+		_ = lc.near.Close()
+		_ = lc.far.Close()
+	})
+}
+
+// delayed is a chunk with the time at which it arrives.
+type delayed struct {
+	bytes []byte
+	due   time.Time
+}
+
+// pump forwards one direction. The end of the stream is forwarded too, unless the connection is frozen.
+func (lk *Link) pump(lc *linkConnection, from, to net.Conn) {
+	ring := make(chan delayed, linkRing)
+	var writer sync.WaitGroup
+	writer.Go(func() { lc.write(ring, to) })
+	for {
+		buffer := make([]byte, linkChunk)
+		count, err := from.Read(buffer)
+		lk.mu.Lock()
+		due := time.Now().Add(lk.delay)
+		lk.mu.Unlock()
+		if count > 0 {
+			select {
+			case ring <- delayed{buffer[:count], due}:
+			case <-lc.ended:
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	close(ring)
+	writer.Wait()
+	select {
+	case <-lc.frozen:
+		// The other end of a silent connection is never told.
+		<-lc.ended
+	default:
+	}
+	lc.close()
+}
+
+// write sends the chunks of one direction when they are due, and none once the connection is frozen.
+func (lc *linkConnection) write(ring <-chan delayed, to net.Conn) {
+	for chunk := range ring {
+		select {
+		case <-time.After(time.Until(chunk.due)):
+		case <-lc.ended:
+		}
+		select {
+		case <-lc.frozen:
+			continue
+		default:
+		}
+		if _, err := to.Write(chunk.bytes); err != nil {
+			lc.close()
+		}
+	}
+}
--- /dev/null
+++ b/faker/link_test.go
@@ -0,0 +1,79 @@
+package faker
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// echoServer sends back what it gets, until the test ends.
+func echoServer(t *testing.T) string {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		for {
+			connection, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(connection, connection) }()
+		}
+	}()
+	return socket.Addr().String()
+}
+
+// say sends a line and waits a while for it to come back.
+func say(connection net.Conn, wait time.Duration) error {
+	if _, err := connection.Write([]byte("hello\n")); err != nil {
+		return err
+	}
+	if err := connection.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	_, err := bufio.NewReader(connection).ReadString('\n')
+	return err
+}
+
+func TestLink(t *testing.T) {
+	const soon, long = 50 * time.Millisecond, time.Minute
+	lk, err := NewLink("127.0.0.1:0", echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lk.Close() })
+	dial := func() net.Conn {
+		connection, err := net.Dial("tcp", lk.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+		return connection
+	}
+	old := dial()
+	if err := say(old, long); err != nil {
+		t.Fatal(err)
+	}
+	lk.Freeze()
+	if err := say(old, soon); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a frozen connection gave %v", err)
+	}
+	fresh := dial()
+	if err := say(fresh, long); err != nil {
+		t.Errorf("a new connection gave %v", err)
+	}
+	lk.SetCut(true)
+	if err := say(fresh, long); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a cut connection gave %v", err)
+	}
+	lk.SetCut(false)
+	if err := say(dial(), long); err != nil {
+		t.Errorf("a connection after the cut gave %v", err)
+	}
+}
--- a/faker/weights.go
+++ b/faker/weights.go
@@ -22,9 +22,7 @@
 // flight of a quarter second each are 96 loads a second, far above the 6 to 8 a second of today.
 type WeightStore struct {
 	mu       sync.Mutex
-	inFlight int
-	peak     int
-	total    int
+	stats    WeightStats
 	slowdown float64
 }
 
@@ -38,24 +36,31 @@
 	ws.slowdown = factor
 }
 
-// InFlight returns the loads in flight now, the most that ever were, and all that were started.
-func (ws *WeightStore) InFlight() (now, peak, total int) {
+// WeightStats counts the loads in flight now, the most that ever were, and all that were started.
+type WeightStats struct {
+	InFlight int `json:"in-flight"`
+	Peak     int `json:"peak"`
+	Total    int `json:"total"`
+}
+
+// Stats returns the counts so far.
+func (ws *WeightStore) Stats() WeightStats {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	return ws.inFlight, ws.peak, ws.total
+	return ws.stats
 }
 
 // Load takes the time of one load, which is set when it starts.
 func (ws *WeightStore) Load(ctx context.Context) error {
 	ws.mu.Lock()
-	ws.inFlight++
-	ws.total++
-	ws.peak = max(ws.peak, ws.inFlight)
-	duration := time.Duration(float64(loadTime) * max(1, float64(ws.inFlight)/loadsAtFullSpeed) * ws.slowdown)
+	ws.stats.InFlight++
+	ws.stats.Total++
+	ws.stats.Peak = max(ws.stats.Peak, ws.stats.InFlight)
+	duration := time.Duration(float64(loadTime) * max(1, float64(ws.stats.InFlight)/loadsAtFullSpeed) * ws.slowdown)
 	ws.mu.Unlock()
 	defer func() {
 		ws.mu.Lock()
-		ws.inFlight--
+		ws.stats.InFlight--
 		ws.mu.Unlock()
 	}()
 	return sleep(ctx, duration)
