--- a/faker/worker.go
+++ b/faker/worker.go
@@ -132,3 +132,11 @@
 	defer wo.mu.Unlock()
 	wo.options.Time = duration
 }
+
+// WorkerKeysSeen returns the calls to a worker that carried a caller's key; 0 for other stand-ins.
+func (sa Stats) WorkerKeysSeen() int {
+	if sa.Worker == nil {
+		return 0
+	}
+	return sa.Worker.KeysSeen
+}
