--- a/configurer/blocks.go
+++ b/configurer/blocks.go
@@ -6,6 +6,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"github.com/cespare/xxhash/v2"
 	"gopkg.in/ini.v1"
 )
 
@@ -14,7 +15,9 @@
 	document string
 	header   string
 	line     int
-	entries  []entry
+	// hash is of the section's lines with keys, to know an unchanged section again.
+	hash    uint64
+	entries []entry
 }
 
 // entry is one key of a section.
@@ -56,12 +59,15 @@
 	document string
 	fl       *faultList
 	visit    func(*block)
+	// skip, where set, is asked before a section's keys are read; a section that it knows is not visited.
+	skip func(header string, hash uint64, line int) bool
 
 	header  string
 	line    int
 	started bool
 	lines   []sourceLine
 	buffer  bytes.Buffer
+	digest  xxhash.Digest
 }
 
 // sourceLine is a line that holds a key.
@@ -73,6 +79,10 @@
 // readBlocks visits each section of a document in order. Mistakes of form go to the fault list.
 func readBlocks(document, text string, fl *faultList, visit func(*block)) {
 	br := &blockReader{document: document, fl: fl, visit: visit}
+	br.read(text)
+}
+
+func (br *blockReader) read(text string) {
 	if !utf8.ValidString(text) {
 		br.fault(0, "the text is not UTF-8")
 		return
@@ -122,7 +132,15 @@
 	if !br.started {
 		return
 	}
-	bl := &block{document: br.document, header: br.header, line: br.line, entries: br.readEntries(br.lines)}
+	hash := br.hash()
+	if br.skip != nil && br.skip(br.header, hash, br.line) {
+		br.lines = br.lines[:0]
+		return
+	}
+	bl := &block{
+		document: br.document, header: br.header, line: br.line, hash: hash,
+		entries: br.readEntries(br.lines),
+	}
 	if bl.entries == nil {
 		bl.entries = br.readEach()
 	}
@@ -133,6 +151,16 @@
 	}
 }
 
+func (br *blockReader) hash() uint64 {
+	br.digest.Reset()
+	for _, sl := range br.lines {
+		// A digest's writes never fail.
+		_, _ = br.digest.WriteString(sl.text)
+		_, _ = br.digest.WriteString("\n")
+	}
+	return br.digest.Sum64()
+}
+
 // readEntries reads lines with the INI library. It returns nil when they hold a mistake or a key twice.
 func (br *blockReader) readEntries(lines []sourceLine) []entry {
 	br.buffer.Reset()
--- a/configurer/build.go
+++ b/configurer/build.go
@@ -9,6 +9,19 @@
 
 // NewSnapshot parses and checks the operators' documents. The error is of type Faults and names every mistake.
 func NewSnapshot(revision uint64, do Documents) (*Snapshot, error) {
+	return build(revision, do, Empty())
+}
+
+// Empty returns the configuration before the first change, of revision 0.
+func Empty() *Snapshot { return &Snapshot{adapters: &adapterTable{}} }
+
+// Next is NewSnapshot for documents of which most stayed the same: adapters whose text stands in the snapshot already
+// are not parsed again.
+func (sn *Snapshot) Next(revision uint64, do Documents) (*Snapshot, error) {
+	return build(revision, do, sn)
+}
+
+func build(revision uint64, do Documents, previous *Snapshot) (*Snapshot, error) {
 	sb := &snapshotBuilder{
 		sn: &Snapshot{
 			revision:      revision,
@@ -18,8 +31,9 @@
 			keys:          make(map[[32]byte]Key),
 			keyIDs:        make(map[string][32]byte),
 		},
-		tb:    newTableBuilder(),
-		lines: make(map[string]int),
+		previous: previous.adapters,
+		tb:       newTableBuilder(),
+		lines:    make(map[string]int),
 	}
 	sb.readPlans(do.plans)
 	sb.readUses(do.uses)
@@ -34,8 +48,10 @@
 // snapshotBuilder gathers a snapshot and its faults.
 type snapshotBuilder struct {
 	sn *Snapshot
-	tb *tableBuilder
-	fl faultList
+	// previous holds adapters that need not be parsed again.
+	previous *adapterTable
+	tb       *tableBuilder
+	fl       faultList
 	// lines holds the line of each section but the adapters', for checks across sections.
 	lines map[string]int
 }
@@ -53,21 +69,8 @@
 }
 
 func (sb *snapshotBuilder) readUses(text string) {
-	readBlocks(DocumentUses, text, &sb.fl, func(bl *block) {
-		if !sb.admit(bl, "plan", "adapter", "service") {
-			return
-		}
-		switch bl.kind() {
-		case "plan":
-			sb.readPlan(bl)
-		case "adapter":
-			sb.readAdapter(bl)
-		case "service":
-			sv := Service{name: strings.Clone(bl.name())}
-			apply(serviceFields, &sv, bl, &sb.fl)
-			sb.sn.services[sv.name] = sv
-		}
-	})
+	br := &blockReader{document: DocumentUses, fl: &sb.fl, visit: sb.readUse, skip: sb.reuse}
+	br.read(text)
 	sb.sn.adapters = sb.tb.table(func(name string, line, earlier int) {
 		sb.fl.add(Fault{
 			document: DocumentUses, line: line, section: "adapter " + name,
@@ -76,6 +79,40 @@
 	})
 }
 
+func (sb *snapshotBuilder) readUse(bl *block) {
+	if !sb.admit(bl, "plan", "adapter", "service") {
+		return
+	}
+	switch bl.kind() {
+	case "plan":
+		sb.readPlan(bl)
+	case "adapter":
+		sb.readAdapter(bl)
+	case "service":
+		sv := Service{name: strings.Clone(bl.name())}
+		apply(serviceFields, &sv, bl, &sb.fl)
+		sb.sn.services[sv.name] = sv
+	}
+}
+
+// reuse takes over an adapter whose text did not change. Its owner may have gone, which parsing reports.
+func (sb *snapshotBuilder) reuse(header string, hash uint64, line int) bool {
+	name, isAdapter := strings.CutPrefix(header, "adapter ")
+	if !isAdapter {
+		return false
+	}
+	row := sb.previous.from(name)
+	if row == len(sb.previous.rows) || sb.previous.rows[row].hash != hash || sb.previous.name(row) != name {
+		return false
+	}
+	ad := sb.previous.adapter(row)
+	if _, ok := sb.sn.organisations[ad.organisation]; !ok && ad.organisation != "" {
+		return false
+	}
+	sb.tb.add(ad, hash, line)
+	return true
+}
+
 func (sb *snapshotBuilder) readPlan(bl *block) {
 	pl := Plan{name: strings.Clone(bl.name())}
 	apply(planFields, &pl, bl, &sb.fl)
@@ -98,7 +135,7 @@
 			sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
 		}
 	}
-	sb.tb.add(ad, bl.line)
+	sb.tb.add(ad, bl.hash, bl.line)
 }
 
 func (sb *snapshotBuilder) readKeys(text string) {
--- a/configurer/snapshot_test.go
+++ b/configurer/snapshot_test.go
@@ -102,6 +102,68 @@
 	}
 }
 
+// TestNextEqualsNew edits lists and expects the same snapshot, or the same faults, as from parsing them whole.
+func TestNextEqualsNew(t *testing.T) {
+	tests := map[string]struct{ document, replace, with string }{
+		"same":           {},
+		"version":        {DocumentUses, "current = v2", "current = v1"},
+		"plan":           {DocumentUses, "rate = 10\n", "rate = 20\n"},
+		"adapter gone":   {DocumentUses, "[adapter shared]\nbase = base-1\ncurrent = v1\n", ""},
+		"adapter moved":  {DocumentUses, "[service orders]", "[adapter castaneda-z]\nbase = base-2\ncurrent = v9\n[service orders]"},
+		"owner gone":     {DocumentPlans, "[organisation indus]\nplan = branch\n", ""},
+		"key withdrawn":  {DocumentKeys, "expires", "withdrawn = true\nexpires"},
+		"adapter twice":  {DocumentUses, "[adapter shared]", "[adapter indus-notes]"},
+		"unknown key":    {DocumentUses, "versions =", "version ="},
+		"not understood": {DocumentUses, "organisation = indus", "organisation"},
+	}
+	before := NewDocuments(goodPlans, goodUses, goodKeys)
+	first, err := NewSnapshot(1, before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			text, _ := before.Text(tc.document)
+			do := before.With(tc.document, strings.Replace(text, tc.replace, tc.with, 1))
+			want, wantErr := NewSnapshot(2, do)
+			got, gotErr := first.Next(2, do)
+			if fmt.Sprint(wantErr) != fmt.Sprint(gotErr) {
+				t.Fatalf("got %v, want %v", gotErr, wantErr)
+			}
+			if wantErr != nil {
+				return
+			}
+			if cp := Compare(want, got); len(cp.Differences()) != 0 {
+				t.Errorf("differs: %v", cp.Differences())
+			}
+			if changed := len(Compare(first, got).Differences()) != 0; changed != (name != "same") {
+				t.Errorf("against the first snapshot: changed is %v", changed)
+			}
+		})
+	}
+}
+
+func TestCompareNamesOrganisations(t *testing.T) {
+	before := NewDocuments(goodPlans, goodUses, goodKeys)
+	first, err := NewSnapshot(1, before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	uses := strings.Replace(strings.Replace(goodUses, "rate = 10\n", "rate = 20\n", 1), "current = v2", "current = v1", 1)
+	second, err := first.Next(2, before.With(DocumentUses, uses))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cp := Compare(first, second)
+	names, all := cp.Organisations()
+	if got := cp.Summary(200); got != "plan branch changed, adapter castaneda-parts changed" || len(names) != 2 || all {
+		t.Errorf("%s; %v %v", got, names, all)
+	}
+	if got := cp.Summary(32); got != "plan branch changed and 1 more" {
+		t.Errorf("short summary: %s", got)
+	}
+}
+
 // manyUses makes a uses list with the given number of adapters.
 func manyUses(adapters int) string {
 	var text strings.Builder
@@ -133,6 +195,22 @@
 	runtime.KeepAlive(do)
 }
 
+// BenchmarkNextSnapshot is a change of one key with 35,000 adapters.
+func BenchmarkNextSnapshot(b *testing.B) {
+	do := NewDocuments(goodPlans, manyUses(35000), goodKeys)
+	sn, err := NewSnapshot(1, do)
+	if err != nil {
+		b.Fatal(err)
+	}
+	do = do.With(DocumentKeys, goodKeys+"withdrawn = true\n")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := sn.Next(2, do); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkAdapter(b *testing.B) {
 	sn, err := NewSnapshot(1, NewDocuments(goodPlans, manyUses(35000), goodKeys))
 	if err != nil {
--- a/configurer/table.go
+++ b/configurer/table.go
@@ -17,6 +17,8 @@
 
 // adapterRow is one adapter; rows are sorted by name.
 type adapterRow struct {
+	// hash is of the section's text.
+	hash         uint64
 	nameAt       uint32
 	organisation uint32
 	base         uint32
@@ -70,8 +72,9 @@
 	return &tableBuilder{textNumber: make(map[string]uint32), listNumber: make(map[string]uint32)}
 }
 
-func (tb *tableBuilder) add(ad Adapter, line int) {
+func (tb *tableBuilder) add(ad Adapter, hash uint64, line int) {
 	row := adapterRow{
+		hash:         hash,
 		nameAt:       uint32(tb.names.Len()),
 		nameLength:   uint16(len(ad.name)),
 		organisation: tb.text(ad.organisation),
--- /dev/null
+++ b/publisher/fake_test.go
@@ -0,0 +1,253 @@
+package publisher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lovagebank/auditor"
+	"lovagebank/configurer"
+	"lovagebank/storer"
+	"lovagebank/wire"
+)
+
+// fakeStore is a store in memory with seeded faults. It runs in fake time.
+type fakeStore struct {
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	index   uint64
+	away    bool
+	random  *rand.Rand
+	// faults is the share of calls that fail in some way.
+	faults float64
+	calls  int
+}
+
+func newFakeStore(seed uint64, faults float64) *fakeStore {
+	return &fakeStore{
+		entries: make(map[string]storer.Entry), random: rand.New(rand.NewPCG(seed, seed)), faults: faults,
+	}
+}
+
+func (fs *fakeStore) setAway(away bool) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.away = away
+}
+
+// fate is what happens to one call.
+type fate int
+
+const (
+	fateGood fate = iota
+	fateUnsent
+	fateLostAnswer
+	fateLate
+)
+
+func (fs *fakeStore) draw() (fate, time.Duration) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.calls++
+	delay := time.Duration(1+fs.random.IntN(20)) * time.Millisecond
+	if fs.away {
+		return fateUnsent, delay
+	}
+	if fs.random.Float64() >= fs.faults {
+		return fateGood, delay
+	}
+	return fate(1 + fs.random.IntN(3)), delay
+}
+
+func (fs *fakeStore) get(_ context.Context, key string) (storer.Entry, error) {
+	ft, delay := fs.draw()
+	time.Sleep(delay)
+	if ft != fateGood {
+		return storer.Entry{}, storer.ErrUnavailable
+	}
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	en, ok := fs.entries[key]
+	if !ok {
+		return en, storer.ErrNotFound
+	}
+	return en, nil
+}
+
+func (fs *fakeStore) transact(_ context.Context, steps []storer.Step) ([]storer.Entry, error) {
+	ft, delay := fs.draw()
+	time.Sleep(delay)
+	switch ft {
+	case fateUnsent:
+		return nil, storer.ErrUnavailable
+	case fateLostAnswer:
+		_, _ = fs.apply(steps)
+		return nil, storer.ErrUnknown
+	case fateLate:
+		// The write arrives after its sender has given up waiting.
+		time.AfterFunc(300*time.Millisecond, func() { _, _ = fs.apply(steps) })
+		return nil, storer.ErrUnknown
+	default:
+		return fs.apply(steps)
+	}
+}
+
+func (fs *fakeStore) apply(steps []storer.Step) ([]storer.Entry, error) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	for at, st := range steps {
+		if fs.entries[st.Key()].Index() != st.Index() {
+			return nil, storer.NewConflict(at)
+		}
+	}
+	fs.index++
+	var written []storer.Entry
+	for _, st := range steps {
+		switch st.Verb() {
+		case storer.VerbDeleteIfIndex:
+			delete(fs.entries, st.Key())
+		case storer.VerbCompareAndSwap:
+			fs.entries[st.Key()] = storer.NewEntry(st.Key(), st.Value(), fs.index, "")
+			written = append(written, fs.entries[st.Key()])
+		}
+	}
+	return written, nil
+}
+
+func (fs *fakeStore) watch(ctx context.Context, prefix string, index uint64, wait time.Duration) (storer.Listing, error) {
+	ft, delay := fs.draw()
+	time.Sleep(delay)
+	if ft != fateGood {
+		return storer.Listing{}, storer.ErrUnavailable
+	}
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		if ls := fs.list(prefix); ls.Index() > index || index == 0 || time.Now().After(end) {
+			return ls, nil
+		}
+		if ctx.Err() != nil || fs.isAway() {
+			return storer.Listing{}, storer.ErrUnavailable
+		}
+	}
+}
+
+func (fs *fakeStore) isAway() bool {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return fs.away
+}
+
+func (fs *fakeStore) list(prefix string) storer.Listing {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	var entries []storer.Entry
+	last := uint64(1)
+	for key, en := range fs.entries {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, en)
+			last = max(last, en.Index())
+		}
+	}
+	return storer.NewListing(entries, last)
+}
+
+// fleet is publishers joined by one store and by direct calls.
+type fleet struct {
+	store *fakeStore
+	mu    sync.Mutex
+	pubs  map[string]*Publisher
+	// cut holds the instances that reach neither store nor peers.
+	cut map[string]bool
+}
+
+func newFleet(store *fakeStore) *fleet {
+	return &fleet{store: store, pubs: make(map[string]*Publisher), cut: make(map[string]bool)}
+}
+
+// add makes an instance. Run is up to the caller.
+func (fl *fleet) add(name string, watches bool) *Publisher {
+	au := auditor.New(auditor.Options{Get: fl.store.get, Transact: fl.store.transact})
+	pu := New(Options{
+		Get: fl.store.get, Watch: fl.store.watch, Transact: fl.store.transact,
+		Audit: au.Step, Sweep: au.Sweep, FindEntry: au.Entry,
+		Fetch: func(_ context.Context, peer string, rq *wire.FetchRequest) (*wire.FetchResponse, error) {
+			time.Sleep(2 * time.Millisecond)
+			other := fl.get(peer)
+			if other == nil || fl.get(name) == nil {
+				return nil, fmt.Errorf("no connection to %s", peer)
+			}
+			return other.Serve(rq)
+		},
+		Peers:   fl.names,
+		Watches: func() bool { return watches },
+	})
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.pubs[name] = pu
+	return pu
+}
+
+func (fl *fleet) get(name string) *Publisher {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.cut[name] {
+		return nil
+	}
+	return fl.pubs[name]
+}
+
+func (fl *fleet) names() []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var names []string
+	for name := range fl.pubs {
+		names = append(names, name)
+	}
+	return names
+}
+
+// gossip tells each instance, every second, the revision of each other one, until the context ends.
+func (fl *fleet) gossip(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		for _, from := range fl.names() {
+			for _, to := range fl.names() {
+				if source, target := fl.get(from), fl.get(to); source != nil && target != nil {
+					target.Observe(from, source.Revision())
+				}
+			}
+		}
+	}
+}
+
+// run starts publishers and gossip; stop ends them.
+func (fl *fleet) run(t *testing.T, pubs ...*Publisher) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, pu := range pubs {
+		go pu.Run(ctx)
+	}
+	go fl.gossip(ctx)
+	return func() {
+		cancel()
+		for _, pu := range pubs {
+			<-pu.Done()
+		}
+	}
+}
+
+const plansText = "[organisation castaneda]\nplan = dealer\n"
+
+func usesText(rate int) string {
+	return fmt.Sprintf("[plan dealer]\nrate = %d\nburst = 100\n", rate)
+}
+
+// change makes a change of the uses list.
+func change(id string, base uint64, rate int) Change {
+	return Change{
+		ID: id, Author: "author-of-" + id, Kind: KindUses, Base: base,
+		Texts: []Text{{Name: configurer.DocumentPlans, Text: plansText}, {Name: configurer.DocumentUses, Text: usesText(rate)}},
+	}
+}
--- /dev/null
+++ b/publisher/history_test.go
@@ -0,0 +1,176 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lovagebank/configurer"
+)
+
+// register is the configuration as one value that proposals swap: the revision and the change that made it.
+type register struct {
+	revision uint64
+	changeID string
+}
+
+type historyInput struct {
+	// changeID is empty for a read.
+	changeID string
+	base     uint64
+}
+
+type result int
+
+const (
+	resultRead result = iota
+	resultAccepted
+	resultLost
+	resultNothing
+	resultUnknown
+)
+
+type historyOutput struct {
+	result result
+	// state is what a read saw, what an accepted change made, or what a lost one lost to.
+	state register
+}
+
+func nextStates(state, input, output any) []any {
+	rg, in, out := state.(register), input.(historyInput), output.(historyOutput)
+	made := register{revision: in.base + 1, changeID: in.changeID}
+	switch out.result {
+	case resultRead:
+		if rg.revision == out.state.revision {
+			return []any{rg}
+		}
+	case resultAccepted:
+		if rg.revision == in.base && out.state == made {
+			return []any{made}
+		}
+	case resultLost:
+		if rg.revision != in.base && rg == out.state {
+			return []any{rg}
+		}
+	case resultNothing:
+		return []any{rg}
+	case resultUnknown:
+		if rg.revision == in.base {
+			return []any{rg, made}
+		}
+		return []any{rg}
+	}
+	return nil
+}
+
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{register{}} },
+	Step: nextStates,
+}
+
+// recorder gathers a history in fake time.
+type recorder struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	start      time.Time
+	// texts holds the rate that each instance saw at each revision.
+	rates map[uint64]float64
+}
+
+func (rc *recorder) add(client int, in historyInput, out historyOutput, called time.Duration) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	returned := int64(time.Since(rc.start))
+	if out.result == resultUnknown {
+		// The change may take effect at any later time.
+		returned = int64(time.Hour)
+	}
+	rc.operations = append(rc.operations, porcupine.Operation{
+		ClientId: client, Input: in, Call: int64(called), Output: out, Return: returned,
+	})
+}
+
+// sawRate expects one text for each revision, whoever saw it.
+func (rc *recorder) sawRate(t *testing.T, sn *configurer.Snapshot) {
+	if sn == nil {
+		return
+	}
+	pl, _ := sn.PlanOf("castaneda")
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rate, seen := rc.rates[sn.Revision()]; seen && rate != pl.Rate() {
+		t.Errorf("revision %d has rates %v and %v", sn.Revision(), rate, pl.Rate())
+	}
+	rc.rates[sn.Revision()] = pl.Rate()
+}
+
+func proposeOutput(in historyInput, revision uint64, err error) historyOutput {
+	var cf *Conflict
+	switch {
+	case err == nil:
+		return historyOutput{result: resultAccepted, state: register{revision: revision, changeID: in.changeID}}
+	case errors.As(err, &cf):
+		return historyOutput{result: resultLost, state: register{revision: cf.Revision(), changeID: cf.ChangeID()}}
+	case errors.Is(err, ErrUnknown):
+		return historyOutput{result: resultUnknown}
+	default:
+		return historyOutput{result: resultNothing}
+	}
+}
+
+// operate reads and proposes as one client of one instance.
+func (rc *recorder) operate(t *testing.T, pu *Publisher, client int, random *rand.Rand) {
+	last := uint64(0)
+	for step := range 12 {
+		called := time.Since(rc.start)
+		_, base, err := pu.Latest(context.Background())
+		if err == nil {
+			rc.add(client, historyInput{}, historyOutput{result: resultRead, state: register{revision: base}}, called)
+			in := historyInput{changeID: fmt.Sprintf("c-%d-%d", client, step), base: base}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(100+random.IntN(900))*time.Millisecond)
+			called = time.Since(rc.start)
+			revision, err := pu.Propose(ctx, change(in.changeID, base, 1+client*1000+step))
+			cancel()
+			rc.add(client, in, proposeOutput(in, revision, err), called)
+		}
+		if pu.Revision() < last {
+			t.Errorf("revision went down from %d to %d", last, pu.Revision())
+		}
+		last = pu.Revision()
+		rc.sawRate(t, pu.Current())
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+}
+
+// TestHistoriesAreLinearizable races edits of four instances over a store that loses calls, loses answers after the
+// effect, and lets writes arrive late.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(newFakeStore(seed, 0.15))
+			rc := &recorder{start: time.Now(), rates: make(map[uint64]float64)}
+			var clients sync.WaitGroup
+			var pubs []*Publisher
+			for client := range 4 {
+				pubs = append(pubs, fl.add(fmt.Sprint(client), client < 2))
+			}
+			stop := fl.run(t, pubs...)
+			for client, pu := range pubs {
+				random := rand.New(rand.NewPCG(seed, uint64(client)))
+				clients.Go(func() { rc.operate(t, pu, client, random) })
+			}
+			clients.Wait()
+			stop()
+			if !porcupine.CheckOperations(registerModel.ToModel(), rc.operations) {
+				t.Errorf("seed %d: history of %d operations is not linearizable", seed, len(rc.operations))
+			}
+		})
+	}
+}
