--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,136 @@
+// Package dispatcher takes one request from its entry instance to a target and the answer back: attempts, resumes,
+// retries within a budget, claims of requests that may not be repeated, and the quarantine of those that crash targets.
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"lovagebank/requester"
+	"lovagebank/wire"
+)
+
+// Options joins a dispatcher to its neighbours and sets its limits. Zero limits mean defaults.
+type Options struct {
+	// Choose picks a target for a model request; Chosen ends each choice.
+	Choose func(rq *requester.Request, exclude []string) (*wire.Target, error)
+	Chosen func(tg *wire.Target, rq *requester.Request, us requester.Usage, took time.Duration, err error)
+	// Execute runs a model request at the holder of a target: the local scheduler or a peer.
+	Execute func(ctx context.Context, tg *wire.Target, rq *requester.Request, sink requester.Sink) (requester.Usage, error)
+
+	// Services returns the live targets of a plain service.
+	Services func(service string) []*wire.Target
+	// Invoke calls a plain service.
+	Invoke func(ctx context.Context, tg *wire.Target, rq *requester.Request, sink requester.Sink) (requester.Usage, error)
+	// Reachable tells whether a target accepts connections.
+	Reachable func(ctx context.Context, tg *wire.Target) bool
+
+	// Claim is asked just before a request that may not be repeated is sent. It returns the stored answer of an earlier
+	// run, or nil when the request is to run now.
+	Claim func(ctx context.Context, rq *requester.Request) (*wire.Answer, error)
+	// Finish records the end of a claimed request: done with its answer, or unknown.
+	Finish func(ctx context.Context, rq *requester.Request, state wire.ClaimState, answer *wire.Answer) error
+	// Release gives a claim back whose request was never sent.
+	Release func(ctx context.Context, rq *requester.Request) error
+
+	// MaxAttempts bounds how often a request is sent or refused by targets before it is given up.
+	MaxAttempts int
+	// RetryShare is the retries allowed for each success, and RetryBurst the retries that can be saved up.
+	RetryShare float64
+	RetryBurst float64
+	// RunLimit bounds a request that may not be repeated, whose caller may be gone.
+	RunLimit time.Duration
+	// QuarantineTime is how long a request that ran at a target's death is remembered.
+	QuarantineTime time.Duration
+	// MaxStoredAnswer bounds the bytes of an answer that is recorded.
+	MaxStoredAnswer int
+}
+
+// The defaults of Options.
+const (
+	defaultMaxAttempts     = 5
+	defaultRetryShare      = 0.1
+	defaultRetryBurst      = 50
+	defaultRunLimit        = 2 * time.Minute
+	defaultQuarantineTime  = 10 * time.Minute
+	defaultMaxStoredAnswer = 64 << 10
+
+	giveUpRetryAfter = 2 * time.Second
+	// recordTimeout bounds the recording of an answer after its request.
+	recordTimeout = 30 * time.Second
+)
+
+func (op *Options) setDefaults() {
+	if op.MaxAttempts == 0 {
+		op.MaxAttempts = defaultMaxAttempts
+	}
+	if op.RetryShare == 0 {
+		op.RetryShare = defaultRetryShare
+	}
+	if op.RetryBurst == 0 {
+		op.RetryBurst = defaultRetryBurst
+	}
+	if op.RunLimit == 0 {
+		op.RunLimit = defaultRunLimit
+	}
+	if op.QuarantineTime == 0 {
+		op.QuarantineTime = defaultQuarantineTime
+	}
+	if op.MaxStoredAnswer == 0 {
+		op.MaxStoredAnswer = defaultMaxStoredAnswer
+	}
+	if op.Chosen == nil {
+		op.Chosen = func(*wire.Target, *requester.Request, requester.Usage, time.Duration, error) {}
+	}
+	if op.Reachable == nil {
+		op.Reachable = func(context.Context, *wire.Target) bool { return true }
+	}
+	if op.Release == nil {
+		op.Release = func(context.Context, *requester.Request) error { return nil }
+	}
+}
+
+// Dispatcher runs requests. Its methods may be called from any goroutine.
+type Dispatcher struct {
+	options    Options
+	budget     *retryBudget
+	quarantine *quarantine
+	services   *serviceLoads
+}
+
+// New makes a dispatcher.
+func New(options Options) *Dispatcher {
+	options.setDefaults()
+	return &Dispatcher{
+		options:    options,
+		budget:     newRetryBudget(options.RetryShare, options.RetryBurst),
+		quarantine: newQuarantine(options.QuarantineTime),
+		services:   newServiceLoads(),
+	}
+}
+
+// Dispatch runs a request and passes one whole answer to the sink. An error is a *requester.Refusal; when it comes
+// after parts of the answer, the answer is not whole.
+func (di *Dispatcher) Dispatch(ctx context.Context, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+	if rf := di.quarantine.enter(rq.Fingerprint(), time.Now()); rf != nil {
+		return requester.Usage{}, rf
+	}
+	defer di.quarantine.leave(rq.Fingerprint())
+	if !rq.Repeatable() {
+		return di.runOnce(ctx, rq, sink)
+	}
+	return di.newRun(rq, sink).attempts(ctx)
+}
+
+// Suspect tells whether a request ran on a target when it died, so that it should run apart from other suspects.
+func (di *Dispatcher) Suspect(fingerprint string) bool {
+	return di.quarantine.suspect(fingerprint, time.Now())
+}
+
+// Quarantines returns what gossip tells other instances.
+func (di *Dispatcher) Quarantines() []*wire.Quarantine { return di.quarantine.entries(time.Now()) }
+
+// MergeQuarantines takes what gossip brought.
+func (di *Dispatcher) MergeQuarantines(entries []*wire.Quarantine) {
+	di.quarantine.merge(entries, time.Now())
+}
--- a/invoker/call.go
+++ b/invoker/call.go
@@ -123,7 +123,7 @@
 	case errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
 		return requester.Unknown(requester.CodeDeadline, "the deadline passed while the request ran", 0)
 	case errors.Is(cause, errSilent):
-		return requester.Lost(fmt.Sprintf("target %s went silent", ca.tg.GetId()))
+		return requester.Unknown(requester.CodeTargetLost, fmt.Sprintf("target %s went silent", ca.tg.GetId()), 0)
 	case cause != nil:
 		return requester.Unknown(requester.CodeCancelled, "the request was cancelled while it ran", 0)
 	default:
--- a/invoker/orders.go
+++ b/invoker/orders.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -134,3 +135,14 @@
 	at := asked.Add(-time.Duration(body.AgeMs) * time.Millisecond)
 	return NewLoad(body.Boot, body.Slots, body.Batch, body.Running, body.Waiting, body.Adapters, at), nil
 }
+
+// Reachable tells whether a target accepts connections.
+func (iv *Invoker) Reachable(ctx context.Context, tg *wire.Target) bool {
+	dialer := net.Dialer{Timeout: iv.options.DialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", tg.GetAddress())
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
--- /dev/null
+++ b/placer/demand.go
@@ -0,0 +1,93 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+type adapterKey struct {
+	adapter string
+	version string
+}
+
+// demand is the measured use of one adapter by this instance.
+type demand struct {
+	inFlight int
+	// mean is the running mean of requests in flight.
+	mean     float64
+	at       time.Time
+	replicas int
+}
+
+// demands holds the adapters in use; those long idle are forgotten.
+type demands struct {
+	active  map[adapterKey]*demand
+	sweepAt time.Time
+}
+
+const (
+	// demandTime is the time constant of an adapter's mean use.
+	demandTime = 20 * time.Second
+	// idleDemand is the mean below which an adapter without requests is forgotten.
+	idleDemand    = 0.01
+	sweepInterval = 10 * time.Second
+	// growShare and shrinkShare are the parts of a target's batch that an adapter uses before it gets a replica more,
+	// and below which it loses one again.
+	growShare   = 0.5
+	shrinkShare = 0.3
+)
+
+func newDemands() demands { return demands{active: map[adapterKey]*demand{}} }
+
+func (de *demand) decay(now time.Time) {
+	passed := now.Sub(de.at).Seconds() / demandTime.Seconds()
+	de.mean += (float64(de.inFlight) - de.mean) * (1 - math.Exp(-passed))
+	de.at = now
+}
+
+func (ds *demands) started(key adapterKey, now time.Time) {
+	de := ds.active[key]
+	if de == nil {
+		ds.sweep(now)
+		de = &demand{at: now, replicas: 1}
+		ds.active[key] = de
+	}
+	de.decay(now)
+	de.inFlight++
+}
+
+func (ds *demands) finished(key adapterKey, now time.Time) {
+	if de := ds.active[key]; de != nil {
+		de.decay(now)
+		de.inFlight = max(de.inFlight-1, 0)
+	}
+}
+
+// replicas returns the number of targets that an adapter is spread over, with hysteresis.
+func (ds *demands) replicas(key adapterKey, now time.Time, op Options) int {
+	de := ds.active[key]
+	if de == nil {
+		return 1
+	}
+	de.decay(now)
+	use := de.mean * float64(op.Instances()) / defaultBatch
+	for de.replicas < op.MaxReplicas && use > growShare*float64(de.replicas) {
+		de.replicas++
+	}
+	for de.replicas > 1 && use < shrinkShare*float64(de.replicas-1) {
+		de.replicas--
+	}
+	return de.replicas
+}
+
+func (ds *demands) sweep(now time.Time) {
+	if now.Before(ds.sweepAt) {
+		return
+	}
+	ds.sweepAt = now.Add(sweepInterval)
+	for key, de := range ds.active {
+		if de.decay(now); de.inFlight == 0 && de.mean < idleDemand {
+			delete(ds.active, key)
+		}
+	}
+}
--- /dev/null
+++ b/placer/pick.go
@@ -0,0 +1,107 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagebank/requester"
+)
+
+const (
+	// spillPicks is the number of preferred targets that are weighed beyond an adapter's replicas.
+	spillPicks = 3
+	// overloadLoad is the load from which another failure domain is weighed.
+	overloadLoad = 1.5
+
+	// The costs that are weighed against each other, in units of a target's full batch.
+	costNotResident = 0.6
+	costRank        = 0.1
+	costQueued      = 2.0
+	costRemote      = 0.5
+)
+
+// pick returns the cheapest of an adapter's preferred targets; nil when there is none.
+func (pl *Placer) pick(rq *requester.Request, key adapterKey, replicas int, exclude []string, now time.Time) *targetState {
+	po := pl.table[rq.Base()]
+	if po == nil {
+		return nil
+	}
+	ch := chooser{pl: pl, key: key, replicas: replicas, exclude: exclude, now: now}
+	ch.hash = xxhash.Sum64String(rq.Adapter())
+	best, cost := ch.cheapest(po.local)
+	if best != nil && best.load(now) < overloadLoad {
+		return best
+	}
+	other, otherCost := ch.cheapest(po.remote)
+	if other != nil && (best == nil || otherCost+costRemote < cost) {
+		return other
+	}
+	return best
+}
+
+// chooser weighs targets for one request.
+type chooser struct {
+	pl       *Placer
+	key      adapterKey
+	hash     uint64
+	replicas int
+	exclude  []string
+	now      time.Time
+}
+
+func (ch *chooser) cheapest(candidates []candidate) (*targetState, float64) {
+	best, cost := ch.weigh(candidates, false)
+	if best == nil {
+		return ch.weigh(candidates, true)
+	}
+	return best, cost
+}
+
+// weigh scores all candidates by hash and compares the costs of the first few. Ejected targets are left out unless
+// that leaves fewer than the floor.
+func (ch *chooser) weigh(candidates []candidate, ejected bool) (*targetState, float64) {
+	pi := &ch.pl.scratch
+	pi.reset(ch.replicas + spillPicks)
+	left := 0
+	for index := range candidates {
+		ca := &candidates[index]
+		if !ejected && ch.now.Before(ca.state.ejectedUntil) {
+			left++
+			continue
+		}
+		if len(ch.exclude) > 0 && slices.Contains(ch.exclude, ca.state.target.GetId()) {
+			continue
+		}
+		pi.add(mix(ch.hash, ca.hash), ca.state)
+	}
+	if !ejected && float64(left) > (1-ch.pl.options.EjectionFloor)*float64(len(candidates)) {
+		return ch.weigh(candidates, true)
+	}
+	var best *targetState
+	least := math.Inf(1)
+	for rank, sc := range pi.list[:pi.count] {
+		if ch.pl.backoff.active(backoffKey{sc.state.target.GetId(), ch.key}, ch.now) {
+			continue
+		}
+		if cost := ch.cost(rank, sc.state); cost < least {
+			best, least = sc.state, cost
+		}
+	}
+	return best, least
+}
+
+// cost weighs a target's load, its queue, whether the adapter is there, and how far down the order it is.
+func (ch *chooser) cost(rank int, ts *targetState) float64 {
+	load := ts.load(ch.now)
+	cost := load + costQueued*max(load-1, 0)
+	if beyond := rank - ch.replicas + 1; beyond > 0 {
+		cost += costRank * float64(beyond)
+	}
+	if _, ok := ts.resident[ch.key]; !ok {
+		cost += costNotResident
+	}
+	return cost
+}
