--- /dev/null
+++ b/explainer/explainer.go
@@ -0,0 +1,117 @@
+// Package explainer remembers, for the latest requests, why they ran where they did or why they were refused.
+package explainer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lovagebank/requester"
+)
+
+// maxSteps bounds the steps kept of one request.
+const maxSteps = 32
+
+// Step is one decision on a request.
+type Step struct {
+	at   time.Time
+	part string
+	text string
+}
+
+// At returns when the decision was made.
+func (st Step) At() time.Time { return st.at }
+
+// Part returns the package that decided.
+func (st Step) Part() string { return st.part }
+
+// Text returns the decision as a short sentence.
+func (st Step) Text() string { return st.text }
+
+// Trace collects the decisions on one request. A nil trace takes notes and drops them.
+type Trace struct {
+	id           string
+	organisation string
+	model        string
+	service      string
+
+	mu    sync.Mutex
+	steps []Step
+}
+
+// ID returns the request's identifier.
+func (tr *Trace) ID() string { return tr.id }
+
+// Organisation returns the organisation that asked.
+func (tr *Trace) Organisation() string { return tr.organisation }
+
+// Model returns the adapter and version, for a model request.
+func (tr *Trace) Model() string { return tr.model }
+
+// Service returns the service's name, for a service request.
+func (tr *Trace) Service() string { return tr.service }
+
+// Steps returns a copy of the decisions, oldest first.
+func (tr *Trace) Steps() []Step {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return append([]Step(nil), tr.steps...)
+}
+
+// Note adds a decision. Later ones than the first few dozen are dropped.
+func (tr *Trace) Note(part, text string) {
+	if tr == nil {
+		return
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if len(tr.steps) < maxSteps {
+		tr.steps = append(tr.steps, Step{at: time.Now(), part: part, text: text})
+	}
+}
+
+// Explainer keeps the traces of the latest requests in a ring; an older one gives way to a newer one.
+type Explainer struct {
+	mu   sync.Mutex
+	ring []*Trace
+	next int
+	byID map[string]*Trace
+}
+
+// New makes an explainer that keeps the given number of requests.
+func New(capacity int) *Explainer {
+	return &Explainer{ring: make([]*Trace, max(capacity, 1)), byID: make(map[string]*Trace, capacity)}
+}
+
+type traceKey struct{}
+
+// Begin starts the trace of a request and returns a context that carries it.
+func (ex *Explainer) Begin(ctx context.Context, rq *requester.Request) (context.Context, *Trace) {
+	tr := &Trace{id: rq.ID(), organisation: rq.Organisation(), service: rq.Service()}
+	if rq.Adapter() != "" {
+		tr.model = rq.Model()
+	}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if old := ex.ring[ex.next]; old != nil {
+		delete(ex.byID, old.id)
+	}
+	ex.ring[ex.next] = tr
+	ex.next = (ex.next + 1) % len(ex.ring)
+	ex.byID[tr.id] = tr
+	return context.WithValue(ctx, traceKey{}, tr), tr
+}
+
+// FromContext returns the trace that a context carries, or nil.
+func FromContext(ctx context.Context) *Trace {
+	tr, _ := ctx.Value(traceKey{}).(*Trace)
+	return tr
+}
+
+// Find returns the trace of a request, if it is still kept.
+func (ex *Explainer) Find(id string) (*Trace, bool) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	tr, ok := ex.byID[id]
+	return tr, ok
+}
--- /dev/null
+++ b/receiver/model.go
@@ -0,0 +1,171 @@
+package receiver
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"lovagebank/configurer"
+	"lovagebank/requester"
+)
+
+// modelHandler serves chat and text completions.
+func (rc *Receiver) modelHandler(kind requester.Kind) http.HandlerFunc {
+	return func(rw http.ResponseWriter, hr *http.Request) {
+		rq, err := rc.readModelRequest(hr, kind)
+		if err != nil {
+			writeRefusal(rw, requester.AsRefusal(err))
+			return
+		}
+		rc.run(rw, hr, rq)
+	}
+}
+
+// readModelRequest checks a model request in the order that tells a stranger least: key, form, adapter, plan.
+func (rc *Receiver) readModelRequest(hr *http.Request, kind requester.Kind) (*requester.Request, error) {
+	sn, err := rc.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	organisation, err := rc.options.Authenticate(hr.Header)
+	if err != nil {
+		return nil, err
+	}
+	body, err := rc.readBody(hr)
+	if err != nil {
+		return nil, err
+	}
+	mr, err := parseModelRequest(body, kind, rc.options.Limits)
+	if err != nil {
+		return nil, err
+	}
+	ad, pl, err := findAdapter(sn, organisation, &mr)
+	if err != nil {
+		return nil, err
+	}
+	return rc.newModelRequest(hr, kind, organisation, &mr, ad, pl)
+}
+
+// findAdapter returns the adapter and the organisation's plan, and fills in the version where none was asked for. An
+// adapter of another organisation is not told from one that does not exist.
+func findAdapter(sn *configurer.Snapshot, organisation string, mr *modelRequest) (configurer.Adapter, configurer.Plan, error) {
+	notFound := requester.Refuse(requester.CodeNotFound, "There is no such model.", 0)
+	pl, ok := sn.PlanOf(organisation)
+	if !ok {
+		return configurer.Adapter{}, pl, notFound
+	}
+	ad, ok := sn.Adapter(mr.adapter)
+	if !ok || (ad.Organisation() != "" && ad.Organisation() != organisation) {
+		return ad, pl, notFound
+	}
+	if !sn.Allows(pl.Name(), ad.Name()) {
+		return ad, pl, requester.Refuse(requester.CodeNotInPlan, "The plan does not include this model.", 0)
+	}
+	if mr.version == "" {
+		mr.version = ad.Current()
+	}
+	if !slices.Contains(ad.Versions(), mr.version) {
+		return ad, pl, requester.Refuse(requester.CodeNotFound, "The model has no such version.", 0)
+	}
+	return ad, pl, nil
+}
+
+func (rc *Receiver) newModelRequest(hr *http.Request, kind requester.Kind, organisation string, mr *modelRequest,
+	ad configurer.Adapter, pl configurer.Plan,
+) (*requester.Request, error) {
+	deadline, err := readDeadline(hr.Header, pl.Deadline(), time.Now())
+	if err != nil {
+		return nil, err
+	}
+	idempotencyKey, err := readIdempotencyKey(hr.Header)
+	if err != nil {
+		return nil, err
+	}
+	model := ad.Name() + "@" + mr.version
+	body, err := mr.encode(model)
+	if err != nil {
+		return nil, err
+	}
+	return requester.New(requester.Fields{
+		ID:             requestID(hr.Context()),
+		Organisation:   organisation,
+		Kind:           kind,
+		Adapter:        ad.Name(),
+		Version:        mr.version,
+		Base:           ad.Base(),
+		Method:         http.MethodPost,
+		Path:           hr.URL.Path,
+		Header:         targetHeader(hr.Header),
+		Body:           body,
+		Stream:         mr.stream,
+		PromptTokens:   mr.promptTokens,
+		MaxTokens:      mr.maxTokens,
+		Urgency:        pl.Urgency(),
+		Deadline:       deadline,
+		Weight:         pl.Weight(),
+		Repeatable:     true,
+		IdempotencyKey: idempotencyKey,
+		Fingerprint:    fingerprint(organisation, hr.URL.Path, body),
+	}), nil
+}
+
+// fingerprint identifies the same request sent again.
+func fingerprint(organisation, path string, body []byte) string {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(organisation), []byte(path), body} {
+		sum := sha256.Sum256(part)
+		hash.Write(sum[:])
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (rc *Receiver) readBody(hr *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, hr.Body, rc.options.Limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, requester.Refuse(requester.CodeTooLarge, "The body is too large.", 0)
+	case err != nil:
+		return nil, badRequest("the body could not be read")
+	default:
+		return body, nil
+	}
+}
+
+// modelList is the shape in which OpenAI's clients read models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the adapters that the organisation's plan includes.
+func (rc *Receiver) serveModels(rw http.ResponseWriter, hr *http.Request) {
+	sn, err := rc.snapshot()
+	if err != nil {
+		writeRefusal(rw, requester.AsRefusal(err))
+		return
+	}
+	organisation, err := rc.options.Authenticate(hr.Header)
+	if err != nil {
+		writeRefusal(rw, requester.AsRefusal(err))
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, ad := range sn.Adapters(organisation) {
+		list.Data = append(list.Data, modelEntry{ID: ad.Name(), Object: "model", OwnedBy: ad.Organisation()})
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(list)
+}
--- /dev/null
+++ b/receiver/run.go
@@ -0,0 +1,99 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lovagebank/requester"
+)
+
+// run charges a request, dispatches it and streams the answer, or defers it where the caller prefers that.
+func (rc *Receiver) run(rw http.ResponseWriter, hr *http.Request, rq *requester.Request) {
+	started := time.Now()
+	if wantsDeferral(hr.Header) && rq.Organisation() != "" {
+		rc.deferRequest(rw, hr, rq)
+		return
+	}
+	an := newAnswer(rw, rq.Stream())
+	us, err := rc.chargeAndDispatch(hr.Context(), rq, an.sink())
+	rf := requester.AsRefusal(err)
+	rc.options.Finished(rq, us, rf, time.Since(started))
+	if rf != nil {
+		an.fail(rf)
+	}
+}
+
+func (rc *Receiver) chargeAndDispatch(ctx context.Context, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+	settle, err := rc.options.Charge(ctx, rq)
+	if err != nil {
+		return requester.Usage{}, err
+	}
+	us, err := rc.options.Dispatch(ctx, rq, sink)
+	settle(usedTokens(rq, us, err))
+	return us, err
+}
+
+// usedTokens returns what to keep of a charge: what the target counted, nothing for a request that did not run, and
+// all of it where nobody can tell.
+func usedTokens(rq *requester.Request, us requester.Usage, err error) int64 {
+	rf := requester.AsRefusal(err)
+	switch {
+	case rf == nil:
+		return us.Total()
+	case rf.Outcome() == requester.OutcomeNotRun:
+		return 0
+	default:
+		return rq.Cost()
+	}
+}
+
+// deferredLocation is where a caller polls for the answer of a deferred request.
+const deferredLocation = "/v1/deferred/"
+
+type deferredBody struct {
+	ID     string `json:"id"`
+	Status string `json:"status"`
+}
+
+func (rc *Receiver) deferRequest(rw http.ResponseWriter, hr *http.Request, rq *requester.Request) {
+	id, err := rc.options.Defer(hr.Context(), rq)
+	if err != nil {
+		writeRefusal(rw, requester.AsRefusal(err))
+		return
+	}
+	rw.Header().Set("Location", deferredLocation+id)
+	rw.Header().Set("Preference-Applied", "respond-async")
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(rw).Encode(deferredBody{ID: id, Status: "accepted"})
+}
+
+// serveDeferred answers a caller that polls.
+func (rc *Receiver) serveDeferred(rw http.ResponseWriter, hr *http.Request) {
+	organisation, err := rc.options.Authenticate(hr.Header)
+	if err != nil {
+		writeRefusal(rw, requester.AsRefusal(err))
+		return
+	}
+	id := chi.URLParam(hr, "id")
+	de, err := rc.options.Look(hr.Context(), organisation, id)
+	if err != nil {
+		writeRefusal(rw, requester.AsRefusal(err))
+		return
+	}
+	if !de.done {
+		rw.Header().Set("Retry-After", retrySeconds(de.retry))
+		rw.Header().Set("Content-Type", "application/json")
+		rw.WriteHeader(http.StatusAccepted)
+		_ = json.NewEncoder(rw).Encode(deferredBody{ID: id, Status: "running"})
+		return
+	}
+	an := newAnswer(rw, false)
+	if err := an.head(de.status, de.header); err == nil {
+		_ = an.data(de.body)
+	}
+}
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,52 @@
+package reporter_test
+
+import (
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagebank/reporter"
+	"lovagebank/requester"
+)
+
+// scrape closes the reporter, which flushes it, and returns the text that a scraper would read.
+func scrape(re *reporter.Reporter) string {
+	re.Close()
+	rw := httptest.NewRecorder()
+	re.Handler().ServeHTTP(rw, httptest.NewRequest("GET", "/metrics", nil))
+	return rw.Body.String()
+}
+
+func TestMetrics(t *testing.T) {
+	t.Parallel()
+	re := reporter.New()
+	rq := requester.New(requester.Fields{Organisation: "castaneda"})
+	re.RequestEnded(rq, requester.NewUsage(3, 4, "a", "1", time.Millisecond, time.Millisecond), nil, time.Second)
+	re.RequestEnded(rq, requester.Usage{}, requester.Refuse(requester.CodeRateExceeded, "Too many.", 0), time.Second)
+	text := scrape(re)
+	for _, want := range []string{
+		`lovagebank_requests{organisation="castaneda",outcome="ran",result="ok"} 1`,
+		`lovagebank_requests{organisation="castaneda",outcome="not-run",result="rate-exceeded"} 1`,
+		`lovagebank_tokens{organisation="castaneda"} 7`,
+		`lovagebank_load_stalls{organisation="castaneda"} 1`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+}
+
+func TestLabelsAreBounded(t *testing.T) {
+	t.Parallel()
+	re := reporter.New()
+	for number := range 600 {
+		rq := requester.New(requester.Fields{Organisation: "o" + strconv.Itoa(number)})
+		re.RequestEnded(rq, requester.Usage{}, requester.Refuse(requester.CodeDeadline, "Late.", 0), time.Second)
+	}
+	text := scrape(re)
+	if got := strings.Count(text, "\nlovagebank_requests{"); got != 501 {
+		t.Errorf("%d series, want 500 organisations and one for the others", got)
+	}
+}
