Serve a real caller through separate processes (thin)

Cause: parts existed, but no path from a caller to an engine. Change: server joins settings, store, configuration, keys, callers' interface and targets; 'lovagebank serve' and 'check'; scenarios start a store, a list, engines, workers and three instances as processes and play a dealer's session.

--- a/receiver/fuzz_test.go
+++ b/receiver/fuzz_test.go
@@ -9,8 +9,10 @@
 // FuzzModelRequest sends arbitrary bodies: each gets an answer or a refusal that says that nothing ran.
 func FuzzModelRequest(f *testing.F) {
 	be := newBench(f)
-	for _, seed := range []string{chatBody, "", "{", "null", `{"model":"parts@3","messages":[],"stream":true}`, `{"model":1}`,
-		`{"model":"parts","messages":[],"n":1e99}`, "{\"model\":\"\\u0000\",\"messages\":[]}"} {
+	for _, seed := range []string{
+		chatBody, "", "{", "null", `{"model":"parts@3","messages":[],"stream":true}`, `{"model":1}`,
+		`{"model":"parts","messages":[],"n":1e99}`, "{\"model\":\"\\u0000\",\"messages\":[]}",
+	} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, body string) {
--- a/receiver/middleware.go
+++ b/receiver/middleware.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net/http"
 	"path"
 	"strings"
@@ -43,7 +44,7 @@
 			if cause == nil {
 				return
 			}
-			if cause == http.ErrAbortHandler {
+			if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 				panic(cause)
 			}
 			rc.options.Logger.Error("Handler panicked.", "request", requestID(hr.Context()), "cause", cause)
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -1,6 +1,7 @@
 package reporter_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -15,7 +16,7 @@
 func scrape(re *reporter.Reporter) string {
 	re.Close()
 	rw := httptest.NewRecorder()
-	re.Handler().ServeHTTP(rw, httptest.NewRequest("GET", "/metrics", nil))
+	re.Handler().ServeHTTP(rw, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return rw.Body.String()
 }
 
--- /dev/null
+++ b/scenarios/call_test.go
@@ -0,0 +1,95 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"lovagebank/auditor"
+	"lovagebank/authenticator"
+	"lovagebank/configurer"
+	"lovagebank/publisher"
+	"lovagebank/storer"
+)
+
+const callTimeout = 30 * time.Second
+
+// putLists is the command "lists PLANS USES": it makes a key for each organisation, sets KEY_<ORGANISATION>, puts the
+// lists in force, and waits until every instance is ready.
+func putLists(ts *testscript.TestScript, _ bool, args []string) {
+	fl := ts.Value(fleetKey{}).(*fleet)
+	var keys strings.Builder
+	plans := ts.ReadFile(args[0])
+	for _, match := range regexp.MustCompile(`(?m)^\[organisation (.*)\]$`).FindAllStringSubmatch(plans, -1) {
+		key, hash := authenticator.NewKey()
+		fl.keys[match[1]] = key
+		ts.Setenv("KEY_"+strings.ToUpper(match[1]), key)
+		fmt.Fprintf(&keys, "[key %s-1]\norganisation = %s\nhash = %x\n\n", match[1], match[1], hash)
+	}
+	store := storer.New(storer.Options{Address: fl.store})
+	defer store.Close()
+	au := auditor.New(auditor.Options{Get: store.Get, Transact: store.Transact})
+	pu := publisher.New(publisher.Options{Get: store.Get, Watch: store.Watch, Transact: store.Transact, Audit: au.Step})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := pu.Propose(ctx, publisher.Change{
+		ID: "scenario-lists", Author: "scenario", Kind: publisher.KindUses, Texts: []publisher.Text{
+			{Name: configurer.DocumentPlans, Text: plans},
+			{Name: configurer.DocumentUses, Text: ts.ReadFile(args[1])},
+			{Name: configurer.DocumentKeys, Text: keys.String()},
+		},
+	})
+	ts.Check(err)
+	awaitReady(ts)
+}
+
+// call is the command "call METHOD URL [Header:value...] [@body-file]". It prints the status, the headers that matter
+// to a caller, and the body.
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var body io.Reader
+	header := make(http.Header)
+	for _, arg := range args[2:] {
+		if file, isFile := strings.CutPrefix(arg, "@"); isFile {
+			body = strings.NewReader(strings.TrimSuffix(ts.ReadFile(file), "\n"))
+			continue
+		}
+		name, value, _ := strings.Cut(arg, ":")
+		header.Add(name, value)
+	}
+	hr, err := http.NewRequestWithContext(ctx, args[0], args[1], body)
+	ts.Check(err)
+	hr.Header = header
+	response, err := http.DefaultClient.Do(hr)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	ts.Check(err)
+	printAnswer(ts.Stdout(), response, answer)
+}
+
+// shownHeaders are the headers that golden files show; Retry-After only by its presence, since its value is a time.
+var shownHeaders = []string{"Content-Type", "Lovagebank-Outcome"}
+
+func printAnswer(out io.Writer, response *http.Response, answer []byte) {
+	_, _ = fmt.Fprintln(out, response.StatusCode)
+	for _, name := range shownHeaders {
+		if value := response.Header.Get(name); value != "" {
+			_, _ = fmt.Fprintf(out, "%s: %s\n", name, value)
+		}
+	}
+	if response.Header.Get("Retry-After") != "" {
+		_, _ = fmt.Fprintln(out, "Retry-After: (a time)")
+	}
+	_, _ = fmt.Fprintf(out, "\n%s", answer)
+	if len(answer) > 0 && answer[len(answer)-1] != '\n' {
+		_, _ = fmt.Fprintln(out)
+	}
+}
--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,238 @@
+package scenarios
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"lovagebank/authenticator"
+	"lovagebank/faker"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+	peerSecret   = "a-secret-of-the-scenarios"
+)
+
+type fleetKey struct{}
+
+// process is one program of a fleet.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan error
+	ended  chan struct{}
+}
+
+// fleet is the processes of one scenario: a store, a list, engines, workers and entry instances.
+type fleet struct {
+	folder    string
+	processes map[string]*process
+	listings  []faker.Listing
+	store     string
+	list      string
+	// The operator's token, and the callers' keys by organisation.
+	operatorToken string
+	operatorHash  string
+	keys          map[string]string
+}
+
+func newFleet(folder string) *fleet {
+	token, hash := authenticator.NewKey()
+	return &fleet{
+		folder: folder, processes: make(map[string]*process), keys: make(map[string]string),
+		operatorToken: token, operatorHash: fmt.Sprintf("%x", hash),
+	}
+}
+
+// startFleet is the command "fleet N [engine-options...]": N instances in failure domains a, b and c in turn, an
+// engine in each domain, and a worker for each of the services stock and orders.
+func startFleet(ts *testscript.TestScript, _ bool, args []string) {
+	fl := ts.Value(fleetKey{}).(*fleet)
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	domains := []string{"a", "b", "c"}[:min(count, 3)]
+	fl.store = "http://" + fl.standin(ts, "store", "store")
+	for _, domain := range domains {
+		fl.engine(ts, domain, args[1:])
+	}
+	fl.worker(ts, "stock")
+	fl.worker(ts, "orders")
+	addresses := make([]instanceAddresses, count)
+	for at := range addresses {
+		addresses[at] = reserve(ts)
+		fl.register(faker.ListInstances, fmt.Sprintf("instance-%d", at+1), addresses[at].peer, map[string]string{
+			"failure-domain": domains[at%len(domains)], "region": "r1",
+		})
+	}
+	listings, err := json.Marshal(fl.listings)
+	ts.Check(err)
+	path := filepath.Join(fl.folder, "listings.json")
+	ts.Check(os.WriteFile(path, listings, 0o600))
+	fl.list = "http://" + fl.standin(ts, "list", "list", "--listings", path)
+	for at, address := range addresses {
+		fl.instance(ts, at+1, domains, address)
+	}
+	ts.Setenv("STORE_URL", fl.store)
+	ts.Setenv("OPERATOR_TOKEN", fl.operatorToken)
+}
+
+// standin starts a stand-in and returns the address that it prints.
+func (fl *fleet) standin(ts *testscript.TestScript, name, kind string, args ...string) string {
+	cmd := exec.Command(filepath.Join(binaries, "standin"), append([]string{kind}, args...)...)
+	output, err := cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(cmd.Start())
+	fl.watch(name, cmd)
+	line, err := bufio.NewReader(output).ReadString('\n')
+	ts.Check(err)
+	return strings.TrimSpace(line)
+}
+
+func (fl *fleet) watch(name string, cmd *exec.Cmd) {
+	pr := &process{cmd: cmd, exited: make(chan error, 1), ended: make(chan struct{})}
+	fl.processes[name] = pr
+	go func() {
+		pr.exited <- cmd.Wait()
+		close(pr.ended)
+	}()
+}
+
+func (fl *fleet) register(list, id, address string, meta map[string]string) {
+	fl.listings = append(fl.listings, faker.Listing{Name: list, ID: id, Address: address, Meta: meta})
+}
+
+func (fl *fleet) engine(ts *testscript.TestScript, domain string, options []string) {
+	id := "engine-" + domain
+	args := append([]string{"--id", id, "--domain", domain, "--base", "base-7b"}, options...)
+	fl.register(faker.ListEngines, id, fl.standin(ts, id, "engine", args...), map[string]string{
+		"failure-domain": domain, "region": "r1", "base": "base-7b", "slots": "4", "batch": "8", "state": "live",
+	})
+}
+
+func (fl *fleet) worker(ts *testscript.TestScript, service string) {
+	id := "worker-" + service
+	address := fl.standin(ts, id, "worker", "--id", id, "--service", service)
+	fl.register(faker.ListServices, id, address, map[string]string{
+		"failure-domain": "a", "region": "r1", "service": service, "state": "live",
+	})
+	ts.Setenv(strings.ToUpper(service)+"_WORKER_URL", "http://"+address)
+}
+
+// instanceAddresses are the sockets of one instance.
+type instanceAddresses struct {
+	caller, peer, operator string
+}
+
+// reserve picks ports that are free now.
+func reserve(ts *testscript.TestScript) instanceAddresses {
+	var picked [3]string
+	for at := range picked {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer func() { _ = socket.Close() }()
+		picked[at] = socket.Addr().String()
+	}
+	return instanceAddresses{caller: picked[0], peer: picked[1], operator: picked[2]}
+}
+
+func (fl *fleet) instance(ts *testscript.TestScript, number int, domains []string, address instanceAddresses) {
+	name := fmt.Sprintf("instance-%d", number)
+	settings := fmt.Sprintf(`[instance]
+id = %s
+failure-domain = %s
+region = r1
+failure-domains = %s
+
+[listen]
+caller = %s
+peer = %s
+operator = %s
+
+[platform]
+store = %s
+list = %s
+
+[peers]
+secret = %s
+
+[operators]
+credentials = scenario:%s
+
+[limits]
+drain-time = 20s
+`, name, domains[(number-1)%len(domains)], strings.Join(domains, ", "), address.caller, address.peer, address.operator,
+		fl.store, fl.list, peerSecret, fl.operatorHash)
+	path := filepath.Join(fl.folder, name+".ini")
+	ts.Check(os.WriteFile(path, []byte(settings), 0o600))
+	cmd := exec.Command(filepath.Join(binaries, "lovagebank"), "serve", "--settings", path)
+	logs, err := os.Create(filepath.Join(fl.folder, name+".log"))
+	ts.Check(err)
+	cmd.Stderr = logs
+	ts.Check(cmd.Start())
+	_ = logs.Close()
+	fl.watch(name, cmd)
+	ts.Setenv(fmt.Sprintf("URL_%d", number), "http://"+address.caller)
+	ts.Setenv(fmt.Sprintf("OPERATOR_URL_%d", number), "http://"+address.operator)
+}
+
+// awaitReady waits until every entry instance answers its readiness check.
+func awaitReady(ts *testscript.TestScript) {
+	deadline := time.Now().Add(startTimeout)
+	for number := 1; ts.Getenv(fmt.Sprintf("URL_%d", number)) != ""; number++ {
+		url := ts.Getenv(fmt.Sprintf("URL_%d", number)) + "/readyz"
+		for !answersOK(url) {
+			if time.Now().After(deadline) {
+				ts.Fatalf("instance %d is not ready", number)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+}
+
+func answersOK(url string) bool {
+	response, err := http.Get(url) //nolint:noctx // the scenario's own deadline bounds it
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// end is the command "end NAME SIGNAL": it signals a process and waits for its end; "!" wants a failing exit.
+func end(ts *testscript.TestScript, neg bool, args []string) {
+	fl := ts.Value(fleetKey{}).(*fleet)
+	pr, ok := fl.processes[args[0]]
+	if !ok {
+		ts.Fatalf("no process %s", args[0])
+	}
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "INT": syscall.SIGINT}
+	ts.Check(pr.cmd.Process.Signal(signals[args[1]]))
+	select {
+	case err := <-pr.exited:
+		if (err != nil) != neg {
+			ts.Fatalf("%s ended with %v", args[0], err)
+		}
+	case <-time.After(startTimeout):
+		ts.Fatalf("%s did not end", args[0])
+	}
+	delete(fl.processes, args[0])
+}
+
+func (fl *fleet) stopAll() {
+	for _, pr := range fl.processes {
+		_ = pr.cmd.Process.Kill()
+		<-pr.ended
+	}
+}
--- /dev/null
+++ b/server/listeners.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"golang.org/x/net/netutil"
+
+	"lovagebank/configurer"
+	"lovagebank/connector"
+)
+
+// listeners are the three sockets of an instance: for callers, for peers and for operators.
+type listeners struct {
+	caller   *http.Server
+	peer     *http.Server
+	operator *http.Server
+	sockets  []net.Listener
+	failed   chan error
+}
+
+// listen opens all three sockets, so that a wrong address is told before anything starts.
+func listen(st *configurer.Settings, caller, peer, operator http.Handler) (*listeners, error) {
+	li := &listeners{
+		caller:   newHTTPServer(st, caller),
+		peer:     newHTTPServer(st, peer),
+		operator: newHTTPServer(st, operator),
+		failed:   make(chan error, 3),
+	}
+	li.peer.Protocols = connector.Protocols()
+	li.peer.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams}
+	for _, address := range []string{st.CallerAddress(), st.PeerAddress(), st.OperatorAddress()} {
+		socket, err := net.Listen("tcp", address)
+		if err != nil {
+			li.close()
+			return nil, err
+		}
+		li.sockets = append(li.sockets, socket)
+	}
+	li.sockets[0] = netutil.LimitListener(li.sockets[0], int(st.Limits().Connections()))
+	return li, nil
+}
+
+// maxPeerStreams bounds the calls that one peer may have open on one connection.
+const maxPeerStreams = 4096
+
+func newHTTPServer(st *configurer.Settings, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: st.Limits().HeaderTime(),
+		IdleTimeout:       st.Limits().IdleTime(),
+		MaxHeaderBytes:    int(st.Limits().HeaderBytes()),
+	}
+}
+
+// serve answers on all sockets until they are closed.
+func (li *listeners) serve() {
+	for at, hs := range li.servers() {
+		go func() {
+			if err := hs.Serve(li.sockets[at]); !errors.Is(err, http.ErrServerClosed) {
+				li.failed <- err
+			}
+		}()
+	}
+}
+
+func (li *listeners) servers() []*http.Server { return []*http.Server{li.caller, li.peer, li.operator} }
+
+// drainCallers takes no new connection and waits for the requests in progress.
+func (li *listeners) drainCallers(ctx context.Context) error { return li.caller.Shutdown(ctx) }
+
+func (li *listeners) close() {
+	for _, hs := range li.servers() {
+		_ = hs.Close()
+	}
+	for _, socket := range li.sockets {
+		_ = socket.Close()
+	}
+}
