--- a/faker/store_test.go
+++ b/faker/store_test.go
@@ -54,14 +54,18 @@
 func TestStoreTransactionIsAtomic(t *testing.T) {
 	st := NewStore(StoreOptions{})
 	call(st, "PUT", "/v1/kv/b", "old")
-	failing := `[{"KV":{"Verb":"set","Key":"a","Value":"bmV3"}},{"KV":{"Verb":"cas","Key":"b","Value":"bmV3","Index":9}}]`
+	failing := `[{"KV":{"Verb":"set","Key":"a","Value":"bmV3"}},{"KV":{"Verb":"set","Key":"b","Value":"bmV3"}},` +
+		`{"KV":{"Verb":"cas","Key":"b","Value":"bmV3","Index":9}}]`
 	wr := call(st, "PUT", "/v1/txn", failing)
-	if wr.Code != http.StatusConflict || !strings.Contains(wr.Body.String(), `"OpIndex":1`) {
+	if wr.Code != http.StatusConflict || !strings.Contains(wr.Body.String(), `"OpIndex":2`) {
 		t.Fatalf("got %d %s", wr.Code, wr.Body)
 	}
 	if wr := call(st, "GET", "/v1/kv/a", ""); wr.Code != http.StatusNotFound {
 		t.Errorf("the first operation of a failed transaction took effect: %s", wr.Body)
 	}
+	if value := call(st, "GET", "/v1/kv/b?raw", "").Body.String(); value != "old" {
+		t.Errorf("the second operation of a failed transaction took effect: %s", value)
+	}
 	passing := `[{"KV":{"Verb":"check-not-exists","Key":"a"}},{"KV":{"Verb":"set","Key":"a","Value":"bmV3"}},` +
 		`{"KV":{"Verb":"cas","Key":"b","Value":"bmV3","Index":2}}]`
 	if wr := call(st, "PUT", "/v1/txn", passing); wr.Code != http.StatusOK {
