--- a/faker/platform.go
+++ b/faker/platform.go
@@ -207,7 +207,7 @@
 
 // Close stops all stand-ins.
 func (pf *Platform) Close() error {
-	var failures []error
+	failures := make([]error, 0, len(pf.links)+len(pf.servers))
 	for _, lk := range pf.links {
 		failures = append(failures, lk.Close())
 	}
