--- /dev/null
+++ b/limiter/account.go
@@ -0,0 +1,229 @@
+package limiter
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"lovagebank/wire"
+)
+
+// waiter is a request of this instance that waits for tokens.
+type waiter struct {
+	cost     int64
+	deadline time.Time
+	// done takes the charge's result; it has room for it.
+	done chan result
+	// settled is set when the result was sent.
+	settled bool
+}
+
+// self is the borrower that stands for the requests of this instance in the queue of its own buckets.
+const self = ""
+
+// pending is a borrower of this holder in the queue for its tokens. Each gets its turn, so that none starves.
+type pending struct {
+	borrower string
+	scope    scope
+	least    int64
+	waiting  int64
+	// request and reply are nil while the borrower isn't asking; its place is kept for a while.
+	request *wire.BorrowRequest
+	reply   func(*wire.BorrowResponse)
+	seen    time.Time
+}
+
+// account is what an instance knows of one organisation: its plan, its tokens, and who waits for them.
+type account struct {
+	organisation string
+	rate         float64
+	burst        float64
+	pool         pool
+	waiters      []*waiter
+	pendings     []*pending
+	upstreams    map[string]*upstream
+	meter        meter
+	answered     map[string]*answer
+	// handedOver holds buckets that this instance gave away, by the fencing number it had.
+	handedOver map[string]uint64
+	// unreachableSince is when tokens were first wanted and no holder answered; zero while one does.
+	unreachableSince time.Time
+	// shareSince is when the present floor share of this domain was first seen.
+	shareSince time.Time
+	// share is this domain's part of all floors.
+	share float64
+}
+
+func newAccount(organisation string, reserve float64) *account {
+	return &account{
+		organisation: organisation, pool: pool{reserve: reserve},
+		upstreams: make(map[string]*upstream), answered: make(map[string]*answer), handedOver: make(map[string]uint64),
+	}
+}
+
+// enqueue puts a waiter behind those with the same or an earlier deadline.
+func (ac *account) enqueue(wa *waiter) {
+	at := sort.Search(len(ac.waiters), func(i int) bool { return ac.waiters[i].deadline.After(wa.deadline) })
+	ac.waiters = append(ac.waiters, nil)
+	copy(ac.waiters[at+1:], ac.waiters[at:])
+	ac.waiters[at] = wa
+}
+
+// waiting sums the costs of the requests that wait here.
+func (ac *account) waiting() int64 {
+	var sum int64
+	for _, wa := range ac.waiters {
+		sum += wa.cost
+	}
+	return sum
+}
+
+// ahead sums what the borrowers before the given one need at least; all are before one without a place.
+func (ac *account) ahead(borrower string) int64 {
+	var sum int64
+	for _, pe := range ac.pendings {
+		if pe.borrower == borrower {
+			break
+		}
+		sum += pe.least
+	}
+	return sum
+}
+
+// owed sums all that the borrowers of this holder wait for, but for one borrower and this instance itself.
+func (ac *account) owed(except string) int64 {
+	var sum int64
+	for _, pe := range ac.pendings {
+		if pe.borrower != self && pe.borrower != except {
+			sum += pe.waiting
+		}
+	}
+	return sum
+}
+
+// fairShare is the part of the refill that a borrower can count on among all that wait.
+func (ac *account) fairShare(borrower string, waiting int64) float64 {
+	others := ac.owed(borrower) + ac.waiting()
+	if waiting <= 0 || others <= 0 {
+		return 1
+	}
+	return float64(waiting) / float64(waiting+others)
+}
+
+// place returns a borrower's place in the queue, a new one at its end if need be, or nil when the queue is full.
+func (ac *account) place(borrower string, now time.Time) *pending {
+	for _, pe := range ac.pendings {
+		if pe.borrower == borrower {
+			pe.seen = now
+			return pe
+		}
+	}
+	if len(ac.pendings) >= maxPending {
+		return nil
+	}
+	pe := &pending{borrower: borrower, seen: now}
+	ac.pendings = append(ac.pendings, pe)
+	return pe
+}
+
+// leavePlace drops a borrower's place.
+func (ac *account) leavePlace(borrower string) {
+	ac.dropPending(func(pe *pending) bool { return pe.borrower == borrower })
+}
+
+func (ac *account) dropPending(drop func(*pending) bool) {
+	kept := ac.pendings[:0]
+	for _, pe := range ac.pendings {
+		if !drop(pe) {
+			kept = append(kept, pe)
+		}
+	}
+	ac.pendings = kept
+}
+
+// forecast is when tokens will be there, as far as this instance can tell.
+type forecast struct {
+	wait  time.Duration
+	rate  float64
+	known bool
+}
+
+const never = time.Duration(math.MaxInt64)
+
+func timeFor(tokens int64, rate float64) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	seconds := float64(tokens) / rate
+	if rate <= 0 || seconds > float64(never/time.Second) {
+		return never
+	}
+	return time.Duration(math.Ceil(seconds*1e6)) * time.Microsecond
+}
+
+// forecast tells when the given tokens beyond those available will be there. A part that can't be reached counts for
+// nothing: the estimate is then what the reachable parts give.
+func (ac *account) forecast(missing int64, now time.Time) forecast {
+	if ac.pool.home != nil {
+		rate := ac.ownRate()
+		for _, up := range ac.upstreams {
+			if up.reachable() && up.kind == upstreamSurplus {
+				rate += up.rate
+			}
+		}
+		return forecast{timeFor(missing, rate), rate, true}
+	}
+	up := ac.source()
+	if up == nil || !up.reachable() {
+		rate := ac.ownRate()
+		return forecast{timeFor(missing, rate), rate, ac.pool.floor != nil}
+	}
+	if !up.answered {
+		return forecast{timeFor(missing, ac.rate), ac.rate, true}
+	}
+	rate := up.rate + ac.ownRate()
+	wait := max(0, up.readyAt.Sub(now)) + timeFor(missing-up.least, rate)
+	return forecast{wait, rate, true}
+}
+
+// ownRate is the rate of the buckets that this instance holds.
+func (ac *account) ownRate() float64 {
+	var rate float64
+	if ac.pool.floor != nil {
+		rate += ac.pool.floor.rate
+	}
+	if ac.pool.home != nil {
+		rate += ac.pool.home.rate
+	}
+	return rate
+}
+
+// source returns the upstream that this account's answers come from at present.
+func (ac *account) source() *upstream {
+	if floor := ac.upstreams[upstreamFloor]; floor != nil && ac.pool.floor == nil && floor.reachable() {
+		return floor
+	}
+	return ac.upstreams[upstreamHome]
+}
+
+// meter estimates tokens a second.
+type meter struct {
+	rate    float64
+	updated time.Time
+}
+
+func (me *meter) add(tokens int64, now time.Time) {
+	me.decay(now)
+	me.rate += float64(tokens) / demandWindow.Seconds()
+}
+
+func (me *meter) decay(now time.Time) {
+	me.rate *= math.Exp(-now.Sub(me.updated).Seconds() / demandWindow.Seconds())
+	me.updated = now
+}
+
+// ahead returns the tokens wanted within a time.
+func (me *meter) ahead(horizon time.Duration, now time.Time) int64 {
+	me.decay(now)
+	return int64(me.rate * horizon.Seconds())
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,69 +1,107 @@
 // Package limiter keeps organisations within their rate and burst, counted in tokens over all instances.
+//
+// An organisation's rate and burst are split once: a floor for each failure domain, and a shared part at the
+// organisation's home. Each part is one bucket with one holder. An instance borrows from its domain's floor holder,
+// which borrows from the home, which borrows what other floors can spare. Loans are short: one that isn't spent in
+// time goes back or is lost. A bucket counts a loan against its burst for as long as it may be unspent, so the sum
+// over all instances stays within rate * time + burst in any window.
 package limiter
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"lovagebank/requester"
 	"lovagebank/wire"
 )
 
-// Options configures a Limiter. All functions may be called from any goroutine.
-type Options struct {
-	// Instance is this instance's identity.
-	Instance string
-	// Domain is this instance's failure domain.
-	Domain string
-	// Holds tells whether this instance holds a bucket, its fencing number, and until when it may act.
-	Holds func(bucket string) (fencing uint64, until time.Time, ok bool)
-	// Holder names the instance that holds a bucket, as far as known here.
-	Holder func(bucket string) (instance string, ok bool)
-	// Borrow calls Borrow on another instance.
-	Borrow func(ctx context.Context, instance string, rq *wire.BorrowRequest) (*wire.BorrowResponse, error)
-	// Return calls Return on another instance.
-	Return func(ctx context.Context, instance string, rq *wire.ReturnRequest) (*wire.ReturnResponse, error)
-}
+// message is one thing that the limiter's goroutine does to its state.
+type message func(st *state, now time.Time)
 
-// Limiter charges requests to their organisation's rate and burst.
+// Limiter charges requests to their organisation's rate and burst. One goroutine, Run, owns its state.
 type Limiter struct {
-	options  Options
-	mu       sync.Mutex
-	accounts map[string]*account
-}
-
-type account struct {
-	rate, burst, level float64
-	updated            time.Time
+	options Options
+	ring    chan message
+	done    chan struct{}
 }
 
 // New makes a limiter without plans; an organisation without a plan gets no tokens.
 func New(options Options) *Limiter {
-	return &Limiter{options: options, accounts: make(map[string]*account)}
+	return &Limiter{
+		options: options.withDefaults(), ring: make(chan message, ringSize), done: make(chan struct{}),
+	}
 }
 
 // Run does the limiter's work until the context ends.
-func (lm *Limiter) Run(ctx context.Context) { <-ctx.Done() }
+func (lm *Limiter) Run(ctx context.Context) {
+	defer close(lm.done)
+	st := newState(lm.options)
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
+	busy := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ms := <-lm.ring:
+			ms(st, time.Now())
+			if !busy {
+				busy = true
+				timer.Reset(tickInterval)
+			}
+		case <-timer.C:
+			if busy = st.tick(time.Now()); busy {
+				timer.Reset(tickInterval)
+			} else {
+				timer.Reset(idleInterval)
+			}
+		}
+		for _, cl := range st.drain() {
+			go lm.send(ctx, cl)
+		}
+	}
+}
 
-// SetPlan puts an organisation's rate (tokens a second) and burst (tokens) in force.
+// Done is closed when Run has ended.
+func (lm *Limiter) Done() <-chan struct{} { return lm.done }
+
+// send makes a call to another instance and brings the answer back.
+func (lm *Limiter) send(ctx context.Context, cl call) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if cl.giveBack != nil {
+		// A lost answer changes nothing: the tokens are not sent again.
+		_, _ = lm.options.Return(ctx, cl.instance, cl.giveBack)
+		return
+	}
+	rs, err := lm.options.Borrow(ctx, cl.instance, cl.borrow)
+	if err != nil {
+		rs = nil
+	}
+	lm.post(func(st *state, now time.Time) { st.borrowed(cl, rs, now) })
+}
+
+// post hands a message over, waiting for room. It tells false when the limiter has ended.
+func (lm *Limiter) post(ms message) bool {
+	select {
+	case lm.ring <- ms:
+		return true
+	case <-lm.done:
+		return false
+	}
+}
+
+// SetPlan puts an organisation's rate (tokens a second) and burst (tokens) in force; a rate of zero ends it.
 func (lm *Limiter) SetPlan(organisation string, rate, burst float64) {
-	lm.mu.Lock()
-	defer lm.mu.Unlock()
-	ac, ok := lm.accounts[organisation]
-	if !ok {
-		ac = &account{level: burst, updated: time.Now()}
-		lm.accounts[organisation] = ac
-	}
-	ac.refill(time.Now())
-	ac.rate, ac.burst = rate, burst
-	ac.level = min(ac.level, burst)
+	lm.post(func(st *state, now time.Time) { st.setPlan(organisation, rate, burst, now) })
 }
 
-func (ac *account) refill(now time.Time) {
-	ac.level = min(ac.burst, ac.level+ac.rate*now.Sub(ac.updated).Seconds())
-	ac.updated = now
+// SetDomains puts the list of failure domains in force that floors are split over.
+func (lm *Limiter) SetDomains(domains []string) {
+	lm.post(func(st *state, now time.Time) { st.setDomains(domains, now) })
 }
 
 // Grant is a charge that was made and waits to be settled.
@@ -71,45 +109,107 @@
 	limiter      *Limiter
 	organisation string
 	cost         int64
+	paid         []part
 	once         sync.Once
 }
 
 // Charge takes cost tokens of the organisation before a request runs. It waits if the tokens will be there before the
 // deadline, and otherwise returns a *requester.Refusal at once.
 func (lm *Limiter) Charge(ctx context.Context, organisation string, cost int64, deadline time.Time) (*Grant, error) {
-	_, _ = ctx, deadline
-	lm.mu.Lock()
-	defer lm.mu.Unlock()
-	ac, ok := lm.accounts[organisation]
-	if !ok {
-		return nil, requester.Refuse(requester.CodeNotInPlan, "the organisation has no plan", 0)
-	}
-	ac.refill(time.Now())
-	if float64(cost) > ac.level {
-		wait := time.Duration((float64(cost) - ac.level) / ac.rate * float64(time.Second))
-		return nil, requester.Refuse(requester.CodeRateExceeded, fmt.Sprintf("%d tokens are over the rate", cost), wait)
-	}
-	ac.level -= float64(cost)
-	return &Grant{limiter: lm, organisation: organisation, cost: cost}, nil
+	wa := &waiter{cost: cost, deadline: deadline, done: make(chan result, 1)}
+	select {
+	case lm.ring <- func(st *state, now time.Time) { st.charge(organisation, wa, now) }:
+	default:
+		return nil, requester.Refuse(requester.CodeQueueFull, "the limiter is overloaded", unreachableRetry)
+	}
+	var rs result
+	select {
+	case rs = <-wa.done:
+	case <-lm.done:
+		return nil, requester.Refuse(requester.CodeShuttingDown, "the instance is shutting down", unreachableRetry)
+	case <-ctx.Done():
+		lm.post(func(st *state, now time.Time) { st.cancel(organisation, wa, now) })
+		select {
+		case rs = <-wa.done:
+		case <-lm.done:
+			return nil, requester.Refuse(requester.CodeShuttingDown, "the instance is shutting down", unreachableRetry)
+		}
+	}
+	if rs.refusal != nil {
+		return nil, rs.refusal
+	}
+	return &Grant{limiter: lm, organisation: organisation, cost: cost, paid: rs.parts}, nil
 }
 
 // Cost returns the tokens that were charged.
 func (gr *Grant) Cost() int64 { return gr.cost }
 
-// Settle gives back what was charged and not used. Only the first call counts.
+// Settle gives back what was charged and not used, in tokens. Only the first call counts.
 func (gr *Grant) Settle(used int64) {
 	gr.once.Do(func() {
-		lm := gr.limiter
-		lm.mu.Lock()
-		defer lm.mu.Unlock()
-		ac := lm.accounts[gr.organisation]
-		ac.refill(time.Now())
-		ac.level = min(ac.burst, ac.level+float64(max(0, gr.cost-used)))
+		unused := gr.cost - max(0, used)
+		if unused <= 0 {
+			return
+		}
+		gr.limiter.post(func(st *state, now time.Time) { st.settle(gr.organisation, gr.paid, unused, now) })
 	})
 }
 
 // Borrow lends tokens of a bucket that this instance holds.
-func (lm *Limiter) Borrow(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} }
+func (lm *Limiter) Borrow(rq *wire.BorrowRequest) *wire.BorrowResponse {
+	reply := make(chan *wire.BorrowResponse, 1)
+	answer := func(rs *wire.BorrowResponse) { reply <- rs }
+	if !lm.post(func(st *state, now time.Time) { st.lend(rq, now, answer) }) {
+		return &wire.BorrowResponse{}
+	}
+	return await(lm, reply, &wire.BorrowResponse{})
+}
 
 // Return takes tokens back into a bucket that this instance holds.
-func (lm *Limiter) Return(*wire.ReturnRequest) *wire.ReturnResponse { return &wire.ReturnResponse{} }
+func (lm *Limiter) Return(rq *wire.ReturnRequest) *wire.ReturnResponse {
+	reply := make(chan *wire.ReturnResponse, 1)
+	if !lm.post(func(st *state, now time.Time) { reply <- st.takeBack(rq, now) }) {
+		return &wire.ReturnResponse{}
+	}
+	return await(lm, reply, &wire.ReturnResponse{})
+}
+
+// Acquired takes the state that came with a bucket's holder lease; with none, the bucket starts empty. The state must
+// be what the holder just before handed over, and be given to one next holder only.
+func (lm *Limiter) Acquired(bucket string, fencing uint64, handedOver []byte) error {
+	if len(handedOver) == 0 {
+		return nil
+	}
+	handed := &wire.BucketState{}
+	if err := proto.Unmarshal(handedOver, handed); err != nil {
+		return err
+	}
+	lm.post(func(st *state, now time.Time) { st.acquired(bucket, fencing, handed, now) })
+	return nil
+}
+
+// HandOver stops a held bucket and returns its state for the next holder; nil if it isn't held.
+func (lm *Limiter) HandOver(bucket string) []byte {
+	reply := make(chan *wire.BucketState, 1)
+	if !lm.post(func(st *state, now time.Time) { reply <- st.handOver(bucket, now) }) {
+		return nil
+	}
+	state := await(lm, reply, nil)
+	if state == nil {
+		return nil
+	}
+	data, err := proto.Marshal(state)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func await[T any](lm *Limiter, reply <-chan T, otherwise T) T {
+	select {
+	case rs := <-reply:
+		return rs
+	case <-lm.done:
+		return otherwise
+	}
+}
--- /dev/null
+++ b/limiter/returner.go
@@ -0,0 +1,116 @@
+package limiter
+
+import (
+	"strconv"
+	"time"
+
+	"lovagebank/wire"
+)
+
+// returnKey names where given-back tokens belong.
+type returnKey struct {
+	bucket  string
+	fencing uint64
+	// loan is zero for tokens that were charged.
+	loan uint64
+}
+
+// returned is an amount on its way back.
+type returned struct {
+	tokens int64
+	since  time.Time
+}
+
+// returns gathers given-back tokens until they are sent.
+type returns map[returnKey]*returned
+
+// settle gives back what a request was charged and didn't use, to the buckets that paid last. It returns how much
+// went into buckets held here; the rest is on its way.
+func (st *state) settle(organisation string, paid []part, unused int64, now time.Time) (accepted int64) {
+	ac := st.accounts[organisation]
+	if ac == nil {
+		return 0
+	}
+	st.hold(ac, now)
+	for index := len(paid) - 1; index >= 0 && unused > 0; index-- {
+		pt := paid[index]
+		pt.tokens = min(pt.tokens, unused)
+		unused -= pt.tokens
+		accepted += st.giveBack(ac, pt, now)
+	}
+	st.serve(ac, now)
+	return accepted
+}
+
+// giveBack puts tokens back into their bucket, or on the way to it.
+func (st *state) giveBack(ac *account, pt part, now time.Time) (accepted int64) {
+	if bu := ac.held(pt.bucket); bu != nil {
+		return bu.giveBack(pt.tokens, pt.fencing, now)
+	}
+	st.returns.add(pt, 0, now)
+	return 0
+}
+
+func (rt returns) add(pt part, loan uint64, now time.Time) {
+	key := returnKey{pt.bucket, pt.fencing, loan}
+	if rt[key] == nil {
+		rt[key] = &returned{since: now}
+	}
+	rt[key].tokens += pt.tokens
+}
+
+// held returns the bucket of a name if this instance holds it.
+func (ac *account) held(name string) *bucket {
+	for _, bu := range []*bucket{ac.pool.floor, ac.pool.home} {
+		if bu != nil && bu.name == name {
+			return bu
+		}
+	}
+	return nil
+}
+
+// flush sends what was given back. A call is never repeated, since its answer may be lost after it took effect: such
+// tokens stay lost.
+func (st *state) flush(now time.Time) {
+	for key, rt := range st.returns {
+		if key.loan == 0 && now.Sub(rt.since) < flushInterval {
+			continue
+		}
+		instance, ok := st.options.Holder(key.bucket)
+		if !ok || instance == st.options.Instance {
+			if now.Sub(rt.since) > returnPatience {
+				delete(st.returns, key)
+			}
+			continue
+		}
+		delete(st.returns, key)
+		st.sequence++
+		id := strconv.FormatUint(st.sequence, 36)
+		organisation, _ := bucketOwner(key.bucket)
+		st.send(call{organisation: organisation, instance: instance, id: id, giveBack: &wire.ReturnRequest{
+			Bucket: key.bucket, Borrower: st.options.Instance, RequestId: id, Tokens: rt.tokens, Fencing: key.fencing, Loan: key.loan,
+		}})
+	}
+}
+
+// takeBack takes tokens that another instance gives back.
+func (st *state) takeBack(rq *wire.ReturnRequest, now time.Time) *wire.ReturnResponse {
+	organisation, _ := bucketOwner(rq.GetBucket())
+	ac := st.accounts[organisation]
+	if ac == nil {
+		return &wire.ReturnResponse{}
+	}
+	st.hold(ac, now)
+	bu := ac.held(rq.GetBucket())
+	if bu == nil {
+		return &wire.ReturnResponse{}
+	}
+	var accepted int64
+	if rq.GetLoan() != 0 {
+		accepted = bu.takeLoan(rq.GetTokens(), rq.GetLoan(), rq.GetFencing(), now)
+	} else {
+		accepted = bu.giveBack(rq.GetTokens(), rq.GetFencing(), now)
+	}
+	st.serve(ac, now)
+	return &wire.ReturnResponse{Accepted: accepted}
+}
