--- a/invoker/load.go
+++ b/invoker/load.go
@@ -49,5 +49,5 @@
 // Adapters returns the adapters that the target has or loads.
 func (ld Load) Adapters() []AdapterReport { return ld.adapters }
 
-// At returns the latest time for which the report can stand.
+// At returns the earliest time that the report can be of; all that was done before it shows.
 func (ld Load) At() time.Time { return ld.at }
--- a/scheduler/adapter.go
+++ b/scheduler/adapter.go
@@ -35,7 +35,7 @@
 	idleSince time.Time
 	// unsureSince is when a request ended without the target's word that it no longer runs.
 	unsureSince time.Time
-	// ordered tells that a load order is in flight.
+	// ordered tells that a load or unload order is in flight; reports don't correct the status meanwhile.
 	ordered  bool
 	failures int
 	retryAt  time.Time
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -82,21 +82,34 @@
 	}
 }
 
-// wait estimates the time in the queue: the work of more urgent lanes, and the organisation's own work in its lane at
-// the organisation's share of the target.
+// wait estimates the time in the queue. A less urgent request goes after all more urgent work, but not later than when
+// it becomes urgent itself.
 func (st *state) wait(it *item) time.Duration {
 	if st.running+st.queued < st.batch || !st.estimates.known {
 		return 0
 	}
-	var ahead float64
+	ahead, own := 0.0, 0.0
 	for index := laneUrgent; index < it.lane; index++ {
-		for _, bl := range st.lanes[index].backlogs {
-			ahead += st.work(bl.items)
-		}
+		ahead += st.laneWork(index)
+		own += st.shareWork(it, index)
+	}
+	own += st.shareWork(it, it.lane)
+	inTurn := ahead + st.shareWork(it, it.lane)
+	return seconds(min(inTurn, own) / float64(st.batch))
+}
+
+func (st *state) laneWork(index laneIndex) float64 {
+	sum := 0.0
+	for _, bl := range st.lanes[index].backlogs {
+		sum += st.work(bl.items)
 	}
-	la := st.lanes[it.lane]
+	return sum
+}
+
+// shareWork returns the work in a lane that is done before the organisation's own there is, at its share.
+func (st *state) shareWork(it *item, index laneIndex) float64 {
 	own, weights := 0.0, it.rq.Weight()
-	for _, bl := range la.backlogs {
+	for _, bl := range st.lanes[index].backlogs {
 		switch {
 		case bl.organisation == it.rq.Organisation():
 			own = st.work(bl.items)
@@ -104,7 +117,7 @@
 			weights += bl.weight
 		}
 	}
-	return seconds((ahead + own*weights/it.rq.Weight()) / float64(st.batch))
+	return own * weights / it.rq.Weight()
 }
 
 // work sums the estimated run times, in seconds. Long queues are judged by their mean.
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -25,13 +25,13 @@
 	return re.seen && (held || now.Sub(re.got) <= missed*interval)
 }
 
-// reported corrects the slots by a load report. What this holder changed after the report's time stands.
+// reported corrects the slots by a load report; a target that restarted lists none of its adapters. What this holder
+// changed after the report's time stands.
 func (st *state) reported(load invoker.Load, err error, now time.Time) {
 	if err != nil {
 		st.reports.failed++
 		return
 	}
-	restarted := st.reports.seen && load.Boot() != st.reports.boot
 	st.reports = reports{seen: true, boot: load.Boot(), got: now}
 	if load.Slots() > 0 {
 		st.slots = load.Slots()
@@ -46,7 +46,7 @@
 	}
 	for _, ad := range st.adapters {
 		older := ad.changed.Before(load.At())
-		if !listed[ad.model] && !ad.ordered && ad.status != statusAbsent && (restarted || older) {
+		if !listed[ad.model] && !ad.ordered && ad.status != statusAbsent && older {
 			st.setAbsent(ad, now)
 		}
 		if ad.failures > 0 && now.Sub(ad.retryAt) > maxLoadBackoff {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -21,8 +21,9 @@
 	defer sc.options.Budget.unsubscribe(sc.wake)
 	sc.options.Budget.subscribe(sc.wake)
 	orders, cancel := context.WithCancel(ctx)
+	defer sc.orders.Wait()
 	defer cancel()
-	go sc.poll(orders)
+	sc.orders.Go(func() { sc.poll(orders) })
 
 	timer := time.NewTimer(holdCheckInterval)
 	defer timer.Stop()
@@ -53,9 +54,9 @@
 		case actionAnswer:
 			ac.item.verdict <- ac.verdict
 		case actionLoad:
-			go sc.order(ctx, messageLoaded, ac, sc.options.Load)
+			sc.orders.Go(func() { sc.order(ctx, messageLoaded, ac, sc.options.Load) })
 		case actionUnload:
-			go sc.order(ctx, messageUnloaded, ac, sc.options.Unload)
+			sc.orders.Go(func() { sc.order(ctx, messageUnloaded, ac, sc.options.Unload) })
 		case actionPoll:
 			select {
 			case sc.pollNow <- struct{}{}:
@@ -78,7 +79,7 @@
 		log.WithPrefix("scheduler").Warn("Adapter order failed.", "target", sc.options.Target.GetId(),
 			"adapter", ac.model, "error", err)
 	}
-	sc.send(message{kind: done, model: ac.model, err: err})
+	sc.tell(ctx, message{kind: done, model: ac.model, err: err})
 }
 
 // poll fetches load reports at the interval, and at once when the state asks.
@@ -87,7 +88,7 @@
 	defer ticker.Stop()
 	for {
 		load, err := sc.options.Poll(ctx)
-		sc.send(message{kind: messageReported, load: load, err: err})
+		sc.tell(ctx, message{kind: messageReported, load: load, err: err})
 		select {
 		case <-ticker.C:
 		case <-sc.pollNow:
@@ -96,3 +97,11 @@
 		}
 	}
 }
+
+// tell hands a message of Run's own goroutines to the state, unless Run is about to end.
+func (sc *Scheduler) tell(ctx context.Context, ms message) {
+	select {
+	case sc.inbox <- ms:
+	case <-ctx.Done():
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,7 +97,9 @@
 	pollNow chan struct{}
 	wake    chan struct{}
 	done    chan struct{}
-	report  atomic.Pointer[wire.TargetReport]
+	// orders are the goroutines of Run that call the target.
+	orders sync.WaitGroup
+	report atomic.Pointer[wire.TargetReport]
 }
 
 // New makes a scheduler; Run starts it.
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	if victim := st.coldest(now); victim != nil {
-		victim.status, victim.changed = statusUnloading, now
+		victim.status, victim.changed, victim.ordered = statusUnloading, now, true
 		st.actions = append(st.actions, action{kind: actionUnload, model: victim.model, fencing: st.hold.fencing})
 		return true
 	}
@@ -231,6 +231,7 @@
 
 func (st *state) unloadDone(model string, err error, now time.Time) {
 	ad := st.adapter(model)
+	ad.ordered = false
 	switch {
 	case err == nil || errors.Is(err, invoker.ErrNotThere):
 		st.setAbsent(ad, now)
