--- a/faker/list.go
+++ b/faker/list.go
@@ -135,6 +135,16 @@
 	li.away = away
 }
 
+// ShowAll shows all changes so far, as if their lag were over.
+func (li *List) ShowAll() {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	for index := range li.pending {
+		li.pending[index].at = time.Now()
+	}
+	li.settle()
+}
+
 func (li *List) submit(change listChange) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -93,6 +93,7 @@
 			return err
 		}
 	}
+	pf.list.ShowAll()
 	return nil
 }
 
