--- a/faker/platform.go
+++ b/faker/platform.go
@@ -217,3 +217,10 @@
 	}
 	return errors.Join(failures...)
 }
+
+// FreezeLinks makes all open connections to targets silent, while new ones work.
+func (pf *Platform) FreezeLinks() {
+	for _, lk := range pf.links {
+		lk.Freeze()
+	}
+}
