--- /dev/null
+++ b/server/execution.go
@@ -0,0 +1,183 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/connector"
+	"lovagebank/requester"
+	"lovagebank/wire"
+)
+
+// keepaliveInterval is how often a holder tells an entry instance that a quiet request is still in progress.
+const keepaliveInterval = time.Second
+
+// silenceTimeout is the silence after which an entry instance gives a holder up.
+const silenceTimeout = 4 * time.Second
+
+var errHolderSilent = errors.New("the target's holder fell silent")
+
+// executeOnPeer runs a request at the instance that holds its target.
+func executeOnPeer(ctx context.Context, pe *connector.Peer, tg *wire.Target, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silenceTimeout, func() { cancel(errHolderSilent) })
+	defer watchdog.Stop()
+	stream, err := pe.Execution().Execute(ctx, connect.NewRequest(newExecuteRequest(tg, rq)))
+	if err != nil {
+		return requester.Usage{}, peerRefusal(ctx, err)
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		watchdog.Reset(silenceTimeout)
+		us, ended, err := takeStep(stream.Msg(), sink)
+		if ended || err != nil {
+			return us, err
+		}
+	}
+	return requester.Usage{}, peerRefusal(ctx, stream.Err())
+}
+
+// takeStep passes one step of an answer on. ended is true when it was the last one.
+func takeStep(step *wire.ExecuteResponse, sink requester.Sink) (us requester.Usage, ended bool, err error) {
+	switch step := step.GetStep().(type) {
+	case *wire.ExecuteResponse_Head:
+		return us, false, sink.Head(int(step.Head.GetStatus()), headerFromWire(step.Head.GetHeaders()))
+	case *wire.ExecuteResponse_Data:
+		return us, false, sink.Data(step.Data)
+	case *wire.ExecuteResponse_Failure:
+		return us, true, refusalFromWire(step.Failure)
+	case *wire.ExecuteResponse_Done:
+		return usageFromWire(step.Done), true, nil
+	default:
+		return us, false, nil
+	}
+}
+
+// peerRefusal turns a broken call to a holder into a refusal. The request is repeatable and may have reached the
+// target, unless the connection was never made.
+func peerRefusal(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(context.Cause(ctx), errHolderSilent):
+		return requester.Unknown(requester.CodeTargetLost, "The instance that holds the target fell silent.", peerRetry)
+	case ctx.Err() != nil:
+		return requester.Unknown(requester.CodeCancelled, "The request was cancelled.", 0)
+	case isDialError(err):
+		return requester.Refuse(requester.CodeWrongHolder, "The instance that holds the target can't be reached.", peerRetry)
+	default:
+		return requester.Unknown(requester.CodeTargetLost, "The instance that holds the target was lost.", peerRetry)
+	}
+}
+
+// peerRetry is when a caller should come back after an instance was lost; successors take over within it.
+const peerRetry = 2 * time.Second
+
+func newExecuteRequest(tg *wire.Target, rq *requester.Request) *wire.ExecuteRequest {
+	return &wire.ExecuteRequest{
+		RequestId:    rq.ID(),
+		Organisation: rq.Organisation(),
+		Target:       tg.GetId(),
+		Adapter:      rq.Adapter(),
+		Version:      rq.Version(),
+		Base:         rq.Base(),
+		Method:       rq.Method(),
+		Path:         rq.Path(),
+		Headers:      headerToWire(rq.Header()),
+		Body:         rq.Body(),
+		Stream:       rq.Stream(),
+		PromptTokens: rq.PromptTokens(),
+		MaxTokens:    rq.MaxTokens(),
+		Urgency:      int32(rq.Urgency()),
+		DeadlineMs:   time.Until(rq.Deadline()).Milliseconds(),
+		Weight:       rq.Weight(),
+		ResumeFrom:   rq.ResumeFrom(),
+		Fingerprint:  rq.Fingerprint(),
+		Attempt:      int32(rq.Attempt()),
+		Kind:         int32(rq.Kind()),
+	}
+}
+
+func requestFromWire(er *wire.ExecuteRequest) *requester.Request {
+	return requester.New(requester.Fields{
+		ID:           er.GetRequestId(),
+		Organisation: er.GetOrganisation(),
+		Kind:         requester.Kind(er.GetKind()),
+		Adapter:      er.GetAdapter(),
+		Version:      er.GetVersion(),
+		Base:         er.GetBase(),
+		Method:       er.GetMethod(),
+		Path:         er.GetPath(),
+		Header:       headerFromWire(er.GetHeaders()),
+		Body:         er.GetBody(),
+		Stream:       er.GetStream(),
+		PromptTokens: er.GetPromptTokens(),
+		MaxTokens:    er.GetMaxTokens(),
+		Urgency:      requester.Urgency(er.GetUrgency()),
+		Deadline:     time.Now().Add(time.Duration(er.GetDeadlineMs()) * time.Millisecond),
+		Weight:       er.GetWeight(),
+		Repeatable:   true,
+		Fingerprint:  er.GetFingerprint(),
+		ResumeFrom:   er.GetResumeFrom(),
+		Attempt:      int(er.GetAttempt()),
+	})
+}
+
+func headerToWire(header http.Header) []*wire.Header {
+	fields := make([]*wire.Header, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+func headerFromWire(fields []*wire.Header) http.Header {
+	header := make(http.Header, len(fields))
+	for _, field := range fields {
+		header.Add(field.GetName(), field.GetValue())
+	}
+	return header
+}
+
+func failureToWire(rf *requester.Refusal) *wire.Failure {
+	return &wire.Failure{
+		Code:          string(rf.Code()),
+		Message:       rf.Message(),
+		ReachedTarget: rf.Outcome() != requester.OutcomeNotRun,
+		RetryAfterMs:  rf.RetryAfter().Milliseconds(),
+		TargetLost:    rf.TargetLost(),
+	}
+}
+
+func refusalFromWire(fa *wire.Failure) *requester.Refusal {
+	retryAfter := time.Duration(fa.GetRetryAfterMs()) * time.Millisecond
+	switch {
+	case fa.GetTargetLost():
+		return requester.Lost(fa.GetMessage())
+	case fa.GetReachedTarget():
+		return requester.Unknown(requester.Code(fa.GetCode()), fa.GetMessage(), retryAfter)
+	default:
+		return requester.Refuse(requester.Code(fa.GetCode()), fa.GetMessage(), retryAfter)
+	}
+}
+
+func usageToWire(us requester.Usage) *wire.Done {
+	return &wire.Done{
+		PromptTokens:    us.PromptTokens(),
+		GeneratedTokens: us.GeneratedTokens(),
+		Adapter:         us.Adapter(),
+		Version:         us.Version(),
+		QueuedUs:        us.Queued().Microseconds(),
+		LoadWaitUs:      us.LoadWait().Microseconds(),
+	}
+}
+
+func usageFromWire(do *wire.Done) requester.Usage {
+	return requester.NewUsage(do.GetPromptTokens(), do.GetGeneratedTokens(), do.GetAdapter(), do.GetVersion(),
+		time.Duration(do.GetQueuedUs())*time.Microsecond, time.Duration(do.GetLoadWaitUs())*time.Microsecond)
+}
--- /dev/null
+++ b/server/peering.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/connector"
+	"lovagebank/requester"
+	"lovagebank/wire"
+	"lovagebank/wire/wireconnect"
+)
+
+// peering answers other instances. Each call goes straight to the part that it is for.
+type peering struct {
+	server *Server
+}
+
+// newPeerHandler returns the handler of the peers' listener.
+func (sv *Server) newPeerHandler() http.Handler {
+	guard := connector.NewGuard(sv.settings.Secret())
+	pe := &peering{server: sv}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewExecutionServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewLimitServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewLeaseServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewClaimServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewConfigurationServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewMembershipServiceHandler(pe, guard))
+	return mux
+}
+
+// Execute runs a request on a target that this instance holds.
+func (pe *peering) Execute(ctx context.Context, call *connect.Request[wire.ExecuteRequest], stream *connect.ServerStream[wire.ExecuteResponse]) error {
+	steps := newStepSender(stream)
+	defer steps.close()
+	rq := requestFromWire(call.Msg)
+	ctx, cancel := context.WithDeadline(ctx, rq.Deadline())
+	defer cancel()
+	us, err := pe.server.holdings.submit(ctx, call.Msg.GetTarget(), rq, steps.sink())
+	if rf := requester.AsRefusal(err); rf != nil {
+		return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Failure{Failure: failureToWire(rf)}})
+	}
+	return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Done{Done: usageToWire(us)}})
+}
+
+// ReportTargets tells the state of the targets that this instance holds.
+func (pe *peering) ReportTargets(context.Context, *connect.Request[wire.ReportTargetsRequest]) (*connect.Response[wire.ReportTargetsResponse], error) {
+	return connect.NewResponse(&wire.ReportTargetsResponse{Targets: pe.server.holdings.reports()}), nil
+}
+
+// stepSender serialises the steps of one answer, and sends keepalives while there are none.
+type stepSender struct {
+	mu     sync.Mutex
+	stream *connect.ServerStream[wire.ExecuteResponse]
+	ticker *time.Ticker
+	done   chan struct{}
+	ended  chan struct{}
+}
+
+func newStepSender(stream *connect.ServerStream[wire.ExecuteResponse]) *stepSender {
+	ss := &stepSender{stream: stream, ticker: time.NewTicker(keepaliveInterval), done: make(chan struct{}), ended: make(chan struct{})}
+	go ss.keepAlive()
+	return ss
+}
+
+func (ss *stepSender) keepAlive() {
+	defer close(ss.ended)
+	for {
+		select {
+		case <-ss.ticker.C:
+			_ = ss.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Keepalive{Keepalive: true}})
+		case <-ss.done:
+			return
+		}
+	}
+}
+
+func (ss *stepSender) send(step *wire.ExecuteResponse) error {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.stream.Send(step)
+}
+
+func (ss *stepSender) sink() requester.Sink {
+	return requester.Sink{
+		Head: func(status int, header http.Header) error {
+			head := &wire.Head{Status: int32(status), Headers: headerToWire(header)}
+			return ss.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Head{Head: head}})
+		},
+		Data: func(chunk []byte) error {
+			return ss.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Data{Data: chunk}})
+		},
+	}
+}
+
+// close ends the keepalives before the handler returns, after which the stream must not be used.
+func (ss *stepSender) close() {
+	ss.ticker.Stop()
+	close(ss.done)
+	<-ss.ended
+}
