--- /dev/null
+++ b/server/holdings.go
@@ -0,0 +1,168 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lovagebank/invoker"
+	"lovagebank/requester"
+	"lovagebank/scheduler"
+	"lovagebank/wire"
+)
+
+// idleHolding is how long a scheduler without a lease and without requests is kept.
+const idleHolding = 30 * time.Second
+
+// holdings are the schedulers of the targets that this instance serves: those whose lease it holds and, while no
+// instance can hold a lease, those that peers send to it.
+type holdings struct {
+	server *Server
+	budget *scheduler.Budget
+	ctx    context.Context //nolint:containedctx // the life of the schedulers, not of a call
+	stop   context.CancelFunc
+
+	mu       sync.Mutex
+	draining bool
+	byTarget map[string]*holding
+}
+
+// holding is one target's scheduler.
+type holding struct {
+	scheduler *scheduler.Scheduler
+	cancel    context.CancelFunc
+	inUse     int
+	used      time.Time
+}
+
+func newHoldings(sv *Server) *holdings {
+	ctx, stop := context.WithCancel(context.Background())
+	return &holdings{
+		server: sv, budget: scheduler.NewBudget(sv.loadShare), ctx: ctx, stop: stop,
+		byTarget: make(map[string]*holding),
+	}
+}
+
+// submit runs a request on a target, if this instance may serve it.
+func (ho *holdings) submit(ctx context.Context, target string, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+	tg := ho.server.findTarget(target)
+	if tg == nil {
+		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "The target is not known here.", peerRetry)
+	}
+	if holder, ok := ho.server.leases.Holder(targetResource(target)); ok && holder != ho.server.identity {
+		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "Another instance holds the target.", 0)
+	}
+	hd := ho.acquire(tg)
+	if hd == nil {
+		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "The instance is leaving.", peerRetry)
+	}
+	defer ho.release(hd)
+	return hd.scheduler.Submit(ctx, rq, sink)
+}
+
+func (ho *holdings) acquire(tg *wire.Target) *holding {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if ho.draining {
+		return nil
+	}
+	hd := ho.byTarget[tg.GetId()]
+	if hd == nil {
+		hd = ho.start(tg)
+		ho.byTarget[tg.GetId()] = hd
+	}
+	hd.inUse++
+	return hd
+}
+
+func (ho *holdings) release(hd *holding) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	hd.inUse--
+	hd.used = time.Now()
+}
+
+func (ho *holdings) start(tg *wire.Target) *holding {
+	sv := ho.server
+	id := tg.GetId()
+	resource := targetResource(id)
+	sc := scheduler.New(scheduler.Options{
+		Target:   tg,
+		Instance: sv.identity,
+		Holds:    func() (uint64, time.Time, bool) { return sv.leases.Holds(resource) },
+		Invoke: func(ctx context.Context, rq *requester.Request, fencing uint64, sink requester.Sink) (requester.Usage, error) {
+			return sv.invoker.Invoke(ctx, sv.freshTarget(tg), rq, fencing, sink)
+		},
+		Load: func(ctx context.Context, model string, fencing uint64) error {
+			return sv.invoker.LoadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+		},
+		Unload: func(ctx context.Context, model string, fencing uint64) error {
+			return sv.invoker.UnloadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+		},
+		Poll:                    func(ctx context.Context) (invoker.Load, error) { return sv.invoker.Report(ctx, sv.freshTarget(tg)) },
+		Suspect:                 sv.dispatcher.Suspect,
+		Budget:                  ho.budget,
+		Settle:                  settleTime,
+		MaxQueue:                int(sv.settings.Limits().QueueLength()),
+		MaxQueuePerOrganisation: int(sv.settings.Limits().OrganisationQueueLength()),
+	})
+	ctx, cancel := context.WithCancel(ho.ctx)
+	go sc.Run(ctx)
+	return &holding{scheduler: sc, cancel: cancel, used: time.Now()}
+}
+
+// settleTime is how long a new holder evicts nothing: longer than an old holder may act and a load report lags.
+const settleTime = 3 * time.Second
+
+// sweep ends the schedulers of targets that are neither held nor used any more.
+func (ho *holdings) sweep() {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	for id, hd := range ho.byTarget {
+		_, _, held := ho.server.leases.Holds(targetResource(id))
+		if held && ho.server.findTarget(id) != nil {
+			continue
+		}
+		if hd.inUse == 0 && time.Since(hd.used) > idleHolding {
+			hd.cancel()
+			delete(ho.byTarget, id)
+		}
+	}
+}
+
+// reports returns the state of all targets served here.
+func (ho *holdings) reports() []*wire.TargetReport {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	reports := make([]*wire.TargetReport, 0, len(ho.byTarget))
+	for _, hd := range ho.byTarget {
+		reports = append(reports, hd.scheduler.Report())
+	}
+	return reports
+}
+
+// drain lets running requests finish and sends queued ones back to their entry instances.
+func (ho *holdings) drain(ctx context.Context) {
+	ho.mu.Lock()
+	ho.draining = true
+	held := make([]*holding, 0, len(ho.byTarget))
+	for _, hd := range ho.byTarget {
+		held = append(held, hd)
+	}
+	ho.mu.Unlock()
+	var drained sync.WaitGroup
+	for _, hd := range held {
+		drained.Go(func() { _ = hd.scheduler.Drain(ctx) })
+	}
+	drained.Wait()
+}
+
+// close ends all schedulers.
+func (ho *holdings) close() {
+	ho.stop()
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	for _, hd := range ho.byTarget {
+		<-hd.scheduler.Done()
+	}
+}
