--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -20,6 +20,8 @@
 	Snapshot func() *configurer.Snapshot
 	// Authenticate returns the organisation whose key the headers carry, or a refusal.
 	Authenticate func(header http.Header) (organisation string, err error)
+	// Begin starts the explanation of a request, which the returned context carries.
+	Begin func(ctx context.Context, rq *requester.Request) context.Context
 	// Charge takes a request's cost from its organisation's tokens. settle must be called once with the tokens used.
 	Charge func(ctx context.Context, rq *requester.Request) (settle func(used int64), err error)
 	// Dispatch runs a request and streams its answer.
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -104,6 +104,7 @@
 			id, err := authenticator.New(current).Authenticate(header)
 			return id.Organisation(), err
 		},
+		Begin: func(ctx context.Context, _ *requester.Request) context.Context { return ctx },
 		Charge: func(context.Context, *requester.Request) (func(int64), error) {
 			return func(used int64) { be.used = used }, nil
 		},
--- a/receiver/run.go
+++ b/receiver/run.go
@@ -19,7 +19,7 @@
 		return
 	}
 	an := newAnswer(rw, rq.Stream())
-	us, err := rc.chargeAndDispatch(hr.Context(), rq, an.sink())
+	us, err := rc.chargeAndDispatch(rc.options.Begin(hr.Context(), rq), rq, an.sink())
 	rf := requester.AsRefusal(err)
 	rc.options.Finished(rq, us, rf, time.Since(started))
 	if rf != nil {
--- /dev/null
+++ b/server/limits.go
@@ -0,0 +1,99 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/configurer"
+	"lovagebank/explainer"
+	"lovagebank/limiter"
+	"lovagebank/requester"
+	"lovagebank/wire"
+)
+
+var errUnknownMember = errors.New("no such instance is known")
+
+func (sv *Server) newLimiter() *limiter.Limiter {
+	return limiter.New(limiter.Options{
+		Instance: sv.identity,
+		Domain:   sv.settings.FailureDomain(),
+		Holds:    sv.leases.Holds,
+		Holder:   sv.leases.Holder,
+		Borrow:   sv.borrow,
+		Return:   sv.giveBack,
+	})
+}
+
+// borrow asks the holder of a bucket for tokens.
+func (sv *Server) borrow(ctx context.Context, instance string, rq *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+	me := sv.findMember(instance)
+	if me == nil {
+		return nil, errUnknownMember
+	}
+	response, err := sv.connector.Peer(me.GetPeerAddress()).Limits().Borrow(ctx, connect.NewRequest(rq))
+	if err != nil {
+		sv.peerFailed(instance)
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// giveBack returns unused tokens to the holder of a bucket.
+func (sv *Server) giveBack(ctx context.Context, instance string, rq *wire.ReturnRequest) (*wire.ReturnResponse, error) {
+	me := sv.findMember(instance)
+	if me == nil {
+		return nil, errUnknownMember
+	}
+	response, err := sv.connector.Peer(me.GetPeerAddress()).Limits().Return(ctx, connect.NewRequest(rq))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Borrow lends tokens of a bucket that this instance holds.
+func (pe *peering) Borrow(_ context.Context, call *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	return connect.NewResponse(pe.server.limiter.Borrow(call.Msg)), nil
+}
+
+// Return takes tokens back.
+func (pe *peering) Return(_ context.Context, call *connect.Request[wire.ReturnRequest]) (*connect.Response[wire.ReturnResponse], error) {
+	return connect.NewResponse(pe.server.limiter.Return(call.Msg)), nil
+}
+
+// charge takes a request's cost from its organisation's tokens.
+func (sv *Server) charge(ctx context.Context, rq *requester.Request) (func(int64), error) {
+	if rq.Organisation() == "" || rq.Cost() == 0 {
+		return func(int64) {}, nil
+	}
+	gr, err := sv.limiter.Charge(ctx, rq.Organisation(), rq.Cost(), rq.Deadline())
+	if err != nil {
+		explainer.FromContext(ctx).Note("limiter", "Refused: "+requester.AsRefusal(err).Message())
+		return nil, err
+	}
+	explainer.FromContext(ctx).Note("limiter", fmt.Sprintf("Charged %d tokens.", rq.Cost()))
+	return gr.Settle, nil
+}
+
+// adopt puts the plans of a configuration in force. An organisation that is gone loses its rate.
+func (sv *Server) adopt(sn *configurer.Snapshot) {
+	named := make(map[string]bool)
+	for _, name := range sn.Organisations() {
+		if pl, ok := sn.PlanOf(name); ok {
+			named[name] = true
+			sv.limiter.SetPlan(name, pl.Rate(), pl.Burst())
+		}
+	}
+	previous := sv.organisations.Swap(&named)
+	if previous == nil {
+		return
+	}
+	for name := range *previous {
+		if !named[name] {
+			sv.limiter.SetPlan(name, 0, 0)
+		}
+	}
+}
