Join membership, placement, schedulers and limits in the server

Cause: the thin path placed at random, ordered a load for each request and limited nothing. Change: instances gossip membership and targets, place by rendezvous hashing, send each request to the scheduler of its target's holder (over connect when that is a peer), charge its tokens, and drain on SIGTERM. Holders are still picked by rendezvous over live members, without leases; claims and deferral refuse or pass. Ruled out: readiness on membership alone. The placer follows a quarter second later, and the first request then met 503; readiness now waits for the placer. Not done: without leases two instances that don't know each other yet both lend a fresh burst (a scenario saw it); it stays out of the tree until leases are in.

--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -13,6 +14,9 @@
 // binaries is the folder of the programs under test, built once.
 var binaries string
 
+// update writes what was seen into the golden files; read the difference before committing it.
+var update = flag.Bool("update", false, "write the golden files")
+
 func TestMain(m *testing.M) { os.Exit(runWithBinaries(m)) }
 
 func runWithBinaries(m *testing.M) int {
@@ -36,6 +40,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir:                "testdata",
 		RequireUniqueNames: true,
+		UpdateScripts:      *update,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", binaries+string(filepath.ListSeparator)+env.Getenv("PATH"))
 			fl := newFleet(env.WorkDir)
--- /dev/null
+++ b/server/drain.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"context"
+	"time"
+)
+
+// drainNotice is how long new requests are still served after the readiness check fails, so that the balancer notices
+// before callers do.
+const drainNotice = 2 * time.Second
+
+// leaveTimeout bounds telling peers that this instance leaves.
+const leaveTimeout = time.Second
+
+// drain leaves the membership, hands over what is held and finishes all requests in progress.
+func (sv *Server) drain() error {
+	sv.leaving.Store(true)
+	sv.logger.Info("Instance leaves.", "instance", sv.identity)
+	ctx, cancel := context.WithTimeout(context.Background(), sv.settings.Limits().DrainTime())
+	defer cancel()
+	sv.leave(ctx)
+	notice := time.NewTimer(drainNotice)
+	defer notice.Stop()
+	sv.holdings.drain(ctx)
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	return sv.listeners.drainCallers(ctx)
+}
+
+func (sv *Server) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := sv.gossiper.Leave(ctx); err != nil {
+		sv.logger.Warn("Peers were not told of the leave.", "cause", err)
+	}
+}
+
+// end closes everything, after the parts were told to stop.
+func (sv *Server) end() {
+	sv.listeners.close()
+	sv.holdings.close()
+	sv.parts.Wait()
+	sv.reporter.Close()
+	sv.connector.Close()
+	sv.invoker.Close()
+	sv.store.Close()
+	sv.list.Close()
+	sv.logger.Info("Instance ended.", "instance", sv.identity)
+}
--- a/server/members.go
+++ b/server/members.go
@@ -32,7 +32,7 @@
 		ObserveRevision:    sv.publisher.Observe,
 		Quarantines:        sv.dispatcher.Quarantines,
 		ObserveQuarantines: sv.dispatcher.MergeQuarantines,
-		Logger:             sv.logger.WithPrefix("gossiper"),
+		Logger:             sv.prefixed("gossiper"),
 	})
 }
 
@@ -125,8 +125,8 @@
 	return float64(sv.settings.LoadsInFlight()) * float64(held) / float64(engines)
 }
 
-// traced starts a request's explanation and dispatches it.
-func (sv *Server) traced(ctx context.Context, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+// dispatch runs a request and notes why it was refused.
+func (sv *Server) dispatch(ctx context.Context, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
 	us, err := sv.dispatcher.Dispatch(ctx, rq, sink)
 	if rf := requester.AsRefusal(err); rf != nil {
 		explainer.FromContext(ctx).Note("dispatcher", "Refused: "+rf.Error())
--- a/server/server.go
+++ b/server/server.go
@@ -4,28 +4,37 @@
 import (
 	"context"
 	"crypto/rand"
-	"net/http"
+	"errors"
 	"os"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/charmbracelet/log"
 
-	"lovagebank/auditor"
-	"lovagebank/authenticator"
 	"lovagebank/configurer"
+	"lovagebank/connector"
+	"lovagebank/dispatcher"
 	"lovagebank/explainer"
+	"lovagebank/gossiper"
 	"lovagebank/invoker"
+	"lovagebank/limiter"
+	"lovagebank/placer"
 	"lovagebank/publisher"
 	"lovagebank/receiver"
 	"lovagebank/reporter"
-	"lovagebank/requester"
 	"lovagebank/storer"
-	"lovagebank/wire"
 )
 
-// explainedRequests is how many of the latest requests can be explained.
-const explainedRequests = 4096
+const (
+	// explainedRequests is how many of the latest requests can be explained.
+	explainedRequests = 4096
+	identityLetters   = 8
+)
+
+var (
+	errLeaving   = errors.New("the instance is leaving")
+	errNoTargets = errors.New("no target is known yet")
+)
 
 // Server is one entry instance.
 type Server struct {
@@ -33,16 +42,29 @@
 	identity string
 	logger   *log.Logger
 	leaving  atomic.Bool
-
-	store     *storer.Client
-	list      *storer.Client
-	publisher *publisher.Publisher
-	invoker   *invoker.Invoker
-	reporter  *reporter.Reporter
-	explainer *explainer.Explainer
-	receiver  *receiver.Receiver
-	listeners *listeners
-	done      chan struct{}
+	// placing is set once the placer knows targets.
+	placing atomic.Bool
+
+	store      *storer.Client
+	list       *storer.Client
+	connector  *connector.Connector
+	publisher  *publisher.Publisher
+	gossiper   *gossiper.Gossiper
+	leases     *leases
+	limiter    *limiter.Limiter
+	invoker    *invoker.Invoker
+	placer     *placer.Placer
+	dispatcher *dispatcher.Dispatcher
+	holdings   *holdings
+	reporter   *reporter.Reporter
+	explainer  *explainer.Explainer
+	receiver   *receiver.Receiver
+	listeners  *listeners
+
+	// organisations are those of the configuration that was adopted last.
+	organisations atomic.Pointer[map[string]bool]
+	parts         sync.WaitGroup
+	done          chan struct{}
 }
 
 // New builds an instance and opens its sockets; Run starts it.
@@ -60,7 +82,7 @@
 		done:      make(chan struct{}),
 	}
 	sv.build()
-	if sv.listeners, err = listen(settings, sv.receiver, http.NotFoundHandler(), sv.reporter.Handler()); err != nil {
+	if sv.listeners, err = listen(settings, sv.receiver, sv.newPeerHandler(), sv.newOperatorHandler()); err != nil {
 		return nil, err
 	}
 	return sv, nil
@@ -69,95 +91,50 @@
 // newIdentity returns a name that no earlier run of this instance had, since a restarted instance forgot its promises.
 func newIdentity(name string) string { return name + "-" + rand.Text()[:identityLetters] }
 
-const identityLetters = 8
-
-func (sv *Server) build() {
-	st := sv.settings
-	sv.store = storer.New(storer.Options{Address: st.StoreURL(), Timeout: st.StoreTimeout(), CallsPerSecond: float64(st.StoreCalls())})
-	sv.list = storer.New(storer.Options{Address: st.ListURL(), Timeout: st.StoreTimeout()})
-	au := auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
-	sv.publisher = publisher.New(publisher.Options{
-		Get:      sv.store.Get,
-		Watch:    sv.store.Watch,
-		Transact: sv.store.Transact,
-		Audit:    au.Step,
-		Fetch: func(context.Context, string, *wire.FetchRequest) (*wire.FetchResponse, error) {
-			return nil, publisher.ErrNotReady
-		},
-		Peers:   st.Seeds,
-		Watches: func() bool { return true },
-		Logger:  sv.logger.WithPrefix("publisher"),
-	})
-	sv.invoker = invoker.New(invoker.Options{})
-	sv.receiver = sv.newReceiver()
-}
-
-func (sv *Server) newReceiver() *receiver.Receiver {
-	lim := sv.settings.Limits()
-	au := authenticator.New(sv.publisher.Current)
-	return receiver.New(receiver.Options{
-		Snapshot: sv.publisher.Current,
-		Authenticate: func(header http.Header) (string, error) {
-			id, err := au.Authenticate(header)
-			return id.Organisation(), err
-		},
-		Charge:   sv.charge,
-		Dispatch: sv.dispatch,
-		Finished: sv.reporter.RequestEnded,
-		Ready:    sv.ready,
-		Limits: receiver.Limits{
-			BodyBytes:        lim.BodyBytes(),
-			DefaultMaxTokens: lim.DefaultMaxTokens(),
-			MaxTokens:        lim.MaxTokens(),
-			DefaultDeadline:  lim.RequestTime(),
-		},
-		Logger: sv.logger.WithPrefix("receiver"),
-	})
-}
-
-func (sv *Server) charge(context.Context, *requester.Request) (func(int64), error) {
-	return func(int64) {}, nil
-}
-
-// ready tells the balancer whether to send callers here.
-func (sv *Server) ready() error {
-	if sv.leaving.Load() {
-		return errLeaving
-	}
-	return sv.publisher.Ready()
-}
+// prefixed returns the logger of a part.
+func (sv *Server) prefixed(part string) *log.Logger { return sv.logger.WithPrefix(part) }
 
 // Run serves until the context ends, then drains: it waits for the requests in progress, at most the drain time.
 func (sv *Server) Run(ctx context.Context) error {
 	defer close(sv.done)
 	parts, stop := context.WithCancel(context.Background())
 	defer stop()
-	go sv.publisher.Run(parts)
+	sv.start(parts)
 	sv.listeners.serve()
 	sv.logger.Info("Instance started.", "instance", sv.identity, "callers", sv.settings.CallerAddress())
 	select {
 	case <-ctx.Done():
 	case err := <-sv.listeners.failed:
+		stop()
+		sv.end()
 		return err
 	}
-	return sv.drain()
+	err := sv.drain()
+	stop()
+	sv.end()
+	return err
 }
 
-func (sv *Server) drain() error {
-	sv.leaving.Store(true)
-	sv.logger.Info("Instance leaves.", "instance", sv.identity)
-	ctx, cancel := context.WithTimeout(context.Background(), sv.settings.Limits().DrainTime())
-	defer cancel()
-	err := sv.listeners.drainCallers(ctx)
-	sv.listeners.close()
-	sv.reporter.Close()
-	sv.store.Close()
-	sv.invoker.Close()
-	sv.logger.Info("Instance ended.", "instance", sv.identity)
-	return err
+// start runs each part in a goroutine of its own until the context ends.
+func (sv *Server) start(ctx context.Context) {
+	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.watchTargets} {
+		sv.parts.Go(func() { run(ctx) })
+	}
 }
 
 // Done is closed when Run has returned.
 func (sv *Server) Done() <-chan struct{} { return sv.done }
 
-const registrationAge = time.Second
+// ready tells the balancer whether to send callers here.
+func (sv *Server) ready() error {
+	if sv.leaving.Load() {
+		return errLeaving
+	}
+	if err := sv.publisher.Ready(); err != nil {
+		return err
+	}
+	if !sv.placing.Load() {
+		return errNoTargets
+	}
+	return nil
+}
--- /dev/null
+++ b/server/targets.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"lovagebank/wire"
+)
+
+// targetsInterval is how often the placer and the holdings follow the membership.
+const targetsInterval = 250 * time.Millisecond
+
+// watchTargets keeps the placer and the holdings in step with the membership until the context ends.
+func (sv *Server) watchTargets(ctx context.Context) {
+	ticker := time.NewTicker(targetsInterval)
+	defer ticker.Stop()
+	for {
+		sv.place()
+		sv.placer.Observe(sv.holdings.reports())
+		sv.holdings.sweep()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// place gives the placer the targets as they are known now.
+func (sv *Server) place() {
+	targets := sv.gossiper.Targets()
+	sv.placer.Update(engines(targets))
+	if len(targets) > 0 {
+		sv.placing.Store(true)
+	}
+}
+
+func engines(targets []*wire.Target) []*wire.Target {
+	var found []*wire.Target
+	for _, tg := range targets {
+		if tg.GetKind() == targetKindEngine {
+			found = append(found, tg)
+		}
+	}
+	return found
+}
+
+// instancesHere counts the live instances of this failure domain, which share its requests.
+func (sv *Server) instancesHere() int {
+	count := 0
+	for _, me := range sv.gossiper.Members() {
+		if me.GetFailureDomain() == sv.settings.FailureDomain() && me.GetState() == wire.MemberState_MEMBER_STATE_LIVE {
+			count++
+		}
+	}
+	return max(count, 1)
+}
