Let operators change lists, keys and read the audit trail

Cause: operators drive the system by two lists and by keys, and scripts must be able to rely on the commands, also after a lost answer. Change: operator is an instance's HTTP interface for them, with credentials of its own; commander gains plan and uses get|set|edit|diff, key issue|withdraw|list and audit. A command sends a change again with the same change id; exit codes tell faults, a lost race and an unknown outcome apart. edit changes keys of one section in place: a process of ours starts no editor. check compares only the lists that it was given.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+
+	"lovagebank/configurer"
 )
 
 // Exit codes of the program.
@@ -18,6 +20,12 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line could not be read.
 	ExitUsage = 2
+	// ExitFaults means that a text was refused for its faults.
+	ExitFaults = 3
+	// ExitConflict means that another change came first.
+	ExitConflict = 4
+	// ExitUnknown means that a change may have been accepted; it can be sent again with the same change id.
+	ExitUnknown = 5
 )
 
 // streams are where commands print.
@@ -45,6 +53,10 @@
 	var usage *flags.Error
 	if !errors.As(err, &usage) {
 		_, _ = fmt.Fprintln(errOut, "lovagebank:", err)
+		var re *requestError
+		if errors.As(err, &re) {
+			return re.exitCode()
+		}
 		return ExitFailed
 	}
 	if usage.Type == flags.ErrHelp {
@@ -55,19 +67,32 @@
 	return ExitUsage
 }
 
-// command is one entry of the command line.
+// command is one entry of the command line. One with subcommands does nothing itself and has no data.
 type command struct {
-	name  string
-	short string
-	long  string
-	data  flags.Commander
+	name        string
+	short       string
+	long        string
+	data        flags.Commander
+	subcommands []command
 }
 
 func register(parser *flags.Parser, st streams) error {
-	for _, cm := range commands(st) {
-		if _, err := parser.AddCommand(cm.name, cm.short, cm.long, cm.data); err != nil {
+	return addCommands(parser.Command, commands(st))
+}
+
+func addCommands(parent *flags.Command, entries []command) error {
+	for _, cm := range entries {
+		var data any = cm.data
+		if cm.data == nil {
+			data = &struct{}{}
+		}
+		added, err := parent.AddCommand(cm.name, cm.short, cm.long, data)
+		if err != nil {
 			return fmt.Errorf("command %s: %w", cm.name, err)
 		}
+		if err := addCommands(added, cm.subcommands); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -86,5 +111,9 @@
 			long:  "Checks settings and the operators' lists without contacting anything, and prints each fault with its file, line and key.\n\nExample: lovagebank check --settings instance.ini --plans plans.ini --uses uses.ini",
 			data:  &checkCommand{streams: st},
 		},
+		listCommands(st, "plan", configurer.DocumentPlans, "the organisations with their plans"),
+		listCommands(st, "uses", configurer.DocumentUses, "the plans with what they may use, the adapters and the services"),
+		keyCommands(st),
+		auditCommands(st),
 	}
 }
--- /dev/null
+++ b/commander/lists.go
@@ -0,0 +1,270 @@
+package commander
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"lovagebank/configurer"
+	"lovagebank/operator"
+)
+
+// revisionLine begins the line by which "get" tells "set" which revision a text was made from.
+const revisionLine = "# revision "
+
+// changing is what commands that change something have in common.
+type changing struct {
+	ChangeID string `long:"change-id" value-name:"ID" description:"Names the change, so that it can be sent again after a lost answer and is made once. Without it, one is made up and printed."`
+	DryRun   bool   `long:"dry-run" description:"Check the change without making it."`
+}
+
+// id returns the change id, made up if none was given.
+func (cg *changing) id() string {
+	if cg.ChangeID == "" {
+		cg.ChangeID = "change-" + strings.ToLower(rand.Text()[:16])
+	}
+	return cg.ChangeID
+}
+
+// listCommands returns the commands for one of the two lists.
+func listCommands(st streams, name, document, holds string) command {
+	example := func(rest string) string { return fmt.Sprintf("\n\nExample: lovagebank %s %s", name, rest) }
+	list := listTarget{document: document}
+	cn := connection{streams: st}
+	return command{
+		name: name, short: fmt.Sprintf("Read and change the %s list", document),
+		long: fmt.Sprintf("Reads and changes the %s list, which holds %s.", document, holds),
+		subcommands: []command{
+			{
+				name: "get", short: "Print the list",
+				long: "Prints the list, with its revision in the first line." + example("get > list.ini"),
+				data: &getCommand{connection: cn, listTarget: list},
+			},
+			{
+				name: "set", short: "Replace the list",
+				long: "Replaces the list by a file, or by standard input for \"-\". The change is refused if the list was changed since the revision that --base or the file's first line names." + example("set list.ini"),
+				data: &setCommand{connection: cn, listTarget: list},
+			},
+			{
+				name: "edit", short: "Change keys of one section",
+				long: "Sets keys of one section; a key with an empty value is removed. The section is added if there is none." + example("edit SECTION key=value"),
+				data: &editCommand{connection: cn, listTarget: list},
+			},
+			{
+				name: "diff", short: "Compare a file with the list",
+				long: "Prints the sections in which a file differs from the list in force." + example("diff list.ini"),
+				data: &diffCommand{connection: cn, listTarget: list},
+			},
+		},
+	}
+}
+
+// listTarget is the list that a command works on.
+type listTarget struct {
+	document string
+}
+
+func (lt listTarget) read(cn *connection) (operator.Document, error) {
+	var dc operator.Document
+	err := cn.send(http.MethodGet, "/v1/documents/"+lt.document, nil, &dc)
+	return dc, err
+}
+
+// propose sends a new text and prints the outcome.
+func (lt listTarget) propose(cn *connection, cg *changing, base uint64, text string) error {
+	var ac operator.Accepted
+	ch := operator.Change{ChangeID: cg.id(), Base: base, Document: lt.document, Text: text, DryRun: cg.DryRun}
+	if err := cn.send(http.MethodPost, "/v1/changes", ch, &ac); err != nil {
+		return changeError(err, cg)
+	}
+	return cn.printAccepted(ac)
+}
+
+// changeError adds the change id to an error after which the change may have to be sent again.
+func changeError(err error, cg *changing) error {
+	return fmt.Errorf("%w\nchange-id: %s", err, cg.id())
+}
+
+func (cn *connection) printAccepted(ac operator.Accepted) error {
+	switch {
+	case cn.JSON:
+		return cn.printJSON(ac)
+	case ac.DryRun:
+		cn.printf("no faults found; nothing was changed\n")
+	default:
+		cn.printf("revision %d is in force\nchange-id: %s\n", ac.Revision, ac.ChangeID)
+	}
+	return nil
+}
+
+type getCommand struct {
+	connection
+	listTarget
+}
+
+// Execute prints the list.
+func (gc *getCommand) Execute([]string) error {
+	dc, err := gc.read(&gc.connection)
+	if err != nil {
+		return err
+	}
+	if gc.JSON {
+		return gc.printJSON(dc)
+	}
+	if !dc.StoreReachable {
+		_, _ = fmt.Fprintln(gc.streams.err, "the store is away; this is the list in force at the instance")
+	}
+	gc.printf("%s%d\n%s", revisionLine, dc.Revision, dc.Text)
+	return nil
+}
+
+// fileArgument is the file that a command reads.
+type fileArgument struct {
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"An INI file; \"-\" for standard input."`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// text returns the file's text without the line that names its revision, and that revision; known is false without.
+func (fa *fileArgument) text() (text string, revision uint64, known bool, err error) {
+	var content []byte
+	if fa.Positional.File == "-" {
+		content, err = io.ReadAll(os.Stdin)
+	} else {
+		content, err = os.ReadFile(fa.Positional.File)
+	}
+	if err != nil {
+		return "", 0, false, err
+	}
+	first, rest, _ := strings.Cut(string(content), "\n")
+	digits, found := strings.CutPrefix(first, revisionLine)
+	if !found {
+		return string(content), 0, false, nil
+	}
+	if revision, err = strconv.ParseUint(strings.TrimSpace(digits), 10, 64); err != nil {
+		return "", 0, false, fmt.Errorf("%s:1: bad revision %q", fa.Positional.File, digits)
+	}
+	return rest, revision, true, nil
+}
+
+type setCommand struct {
+	connection
+	listTarget
+	changing
+	fileArgument
+	Base *uint64 `long:"base" value-name:"REVISION" description:"The revision that the file was made from. Without it, the one in the file's first line, else the latest."`
+}
+
+// Execute replaces the list.
+func (sc *setCommand) Execute([]string) error {
+	text, base, known, err := sc.text()
+	if err != nil {
+		return err
+	}
+	switch {
+	case sc.Base != nil:
+		base = *sc.Base
+	case !known:
+		dc, err := sc.read(&sc.connection)
+		if err != nil {
+			return err
+		}
+		base = dc.Revision
+	}
+	return sc.propose(&sc.connection, &sc.changing, base, text)
+}
+
+type editCommand struct {
+	connection
+	listTarget
+	changing
+	Remove     bool `long:"remove" description:"Remove the whole section."`
+	Positional struct {
+		Section string   `positional-arg-name:"SECTION" description:"The section's header, such as \"plan dealer\"." required:"yes"`
+		Values  []string `positional-arg-name:"KEY=VALUE" description:"Keys to set."`
+	} `positional-args:"yes"`
+}
+
+// Execute changes one section.
+func (ec *editCommand) Execute([]string) error {
+	dc, err := ec.read(&ec.connection)
+	if err != nil {
+		return err
+	}
+	text, err := ec.apply(dc.Text)
+	if err != nil {
+		return err
+	}
+	return ec.propose(&ec.connection, &ec.changing, dc.Revision, text)
+}
+
+func (ec *editCommand) apply(text string) (string, error) {
+	section := strings.Join(strings.Fields(strings.Trim(ec.Positional.Section, "[] ")), " ")
+	if ec.Remove == (len(ec.Positional.Values) > 0) {
+		return "", &flags.Error{Type: flags.ErrRequired, Message: "give either KEY=VALUE or --remove"}
+	}
+	if ec.Remove {
+		text, found := configurer.RemoveSection(text, section)
+		if !found {
+			return "", fmt.Errorf("there is no section [%s]", section)
+		}
+		return text, nil
+	}
+	for _, pair := range ec.Positional.Values {
+		key, value, found := strings.Cut(pair, "=")
+		if !found || strings.ContainsAny(pair, "\r\n") {
+			return "", &flags.Error{Type: flags.ErrMarshal, Message: fmt.Sprintf("%q is not of the form KEY=VALUE", pair)}
+		}
+		text = configurer.SetKey(text, section, strings.TrimSpace(key), strings.TrimSpace(value))
+	}
+	return text, nil
+}
+
+type diffCommand struct {
+	connection
+	listTarget
+	fileArgument
+}
+
+// sectionDiff is one section in the form of --json.
+type sectionDiff struct {
+	Section string   `json:"section"`
+	Action  string   `json:"action"`
+	Removed []string `json:"removed,omitempty"`
+	Added   []string `json:"added,omitempty"`
+}
+
+// Execute prints what differs.
+func (dc *diffCommand) Execute([]string) error {
+	text, _, _, err := dc.text()
+	if err != nil {
+		return err
+	}
+	current, err := dc.read(&dc.connection)
+	if err != nil {
+		return err
+	}
+	diffs := []sectionDiff{}
+	for _, sd := range configurer.Diff(current.Text, text) {
+		diffs = append(diffs, sectionDiff{sd.Header(), string(sd.Action()), sd.Removed(), sd.Added()})
+	}
+	if dc.JSON {
+		return dc.printJSON(diffs)
+	}
+	for _, sd := range diffs {
+		dc.printf("%s [%s]\n", sd.Action, sd.Section)
+		for _, line := range sd.Removed {
+			dc.printf("- %s\n", line)
+		}
+		for _, line := range sd.Added {
+			dc.printf("+ %s\n", line)
+		}
+	}
+	return nil
+}
--- a/configurer/build.go
+++ b/configurer/build.go
@@ -22,7 +22,16 @@
 }
 
 func build(revision uint64, do Documents, previous *Snapshot) (*Snapshot, error) {
-	sb := &snapshotBuilder{
+	sb := newBuilder(revision, previous)
+	sb.read(do)
+	if err := sb.fl.err(); err != nil {
+		return nil, err
+	}
+	return sb.sn, nil
+}
+
+func newBuilder(revision uint64, previous *Snapshot) *snapshotBuilder {
+	return &snapshotBuilder{
 		sn: &Snapshot{
 			revision:      revision,
 			organisations: make(map[string]Organisation),
@@ -35,14 +44,13 @@
 		tb:       newTableBuilder(),
 		lines:    make(map[string]int),
 	}
+}
+
+func (sb *snapshotBuilder) read(do Documents) {
 	sb.readPlans(do.plans)
 	sb.readUses(do.uses)
 	sb.readKeys(do.keys)
 	sb.check()
-	if err := sb.fl.err(); err != nil {
-		return nil, err
-	}
-	return sb.sn, nil
 }
 
 // snapshotBuilder gathers a snapshot and its faults.
@@ -52,6 +60,8 @@
 	previous *adapterTable
 	tb       *tableBuilder
 	fl       faultList
+	// absent holds the documents that were not given; what refers to them is not checked.
+	absent []string
 	// lines holds the line of each section but the adapters', for checks across sections.
 	lines map[string]int
 }
@@ -106,7 +116,7 @@
 		return false
 	}
 	ad := sb.previous.adapter(row)
-	if _, ok := sb.sn.organisations[ad.organisation]; !ok && ad.organisation != "" {
+	if ad.organisation != "" && !sb.hasOrganisation(ad.organisation) {
 		return false
 	}
 	sb.tb.add(ad, hash, line)
@@ -129,15 +139,19 @@
 	if !slices.Contains(ad.versions, ad.current) {
 		sb.fl.add(bl.fault(bl.entryLine("versions"), "versions", "must include the current version "+ad.current))
 	}
-	if ad.organisation != "" {
-		if _, ok := sb.sn.organisations[ad.organisation]; !ok {
-			message := fmt.Sprintf("the plans list has no organisation %q", ad.organisation)
-			sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
-		}
+	if ad.organisation != "" && !sb.hasOrganisation(ad.organisation) {
+		message := fmt.Sprintf("the plans list has no organisation %q", ad.organisation)
+		sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
 	}
 	sb.tb.add(ad, bl.hash, bl.line)
 }
 
+// hasOrganisation tells whether the plans list, if it was given, has an organisation.
+func (sb *snapshotBuilder) hasOrganisation(name string) bool {
+	_, ok := sb.sn.organisations[name]
+	return ok || slices.Contains(sb.absent, DocumentPlans)
+}
+
 func (sb *snapshotBuilder) readKeys(text string) {
 	readBlocks(DocumentKeys, text, &sb.fl, func(bl *block) {
 		if !sb.admit(bl, "key") {
@@ -149,7 +163,7 @@
 		if earlier, ok := sb.sn.keys[ke.hash]; ok {
 			sb.fl.add(bl.fault(bl.entryLine("hash"), "hash", "is also the hash of key "+earlier.id))
 		}
-		if _, ok := sb.sn.organisations[ke.organisation]; !ok && !ke.withdrawn {
+		if !ke.withdrawn && !sb.hasOrganisation(ke.organisation) {
 			message := fmt.Sprintf("the plans list has no organisation %q; withdraw the key first", ke.organisation)
 			sb.fl.add(bl.fault(bl.entryLine("organisation"), "organisation", message))
 		}
@@ -187,7 +201,7 @@
 func (sb *snapshotBuilder) check() {
 	for _, name := range slices.Sorted(maps.Keys(sb.sn.organisations)) {
 		og := sb.sn.organisations[name]
-		if _, ok := sb.sn.plans[og.plan]; !ok && og.plan != "" {
+		if _, ok := sb.sn.plans[og.plan]; !ok && og.plan != "" && !slices.Contains(sb.absent, DocumentUses) {
 			sb.missing(DocumentPlans, "organisation "+name, "plan", fmt.Sprintf("the uses list has no plan %q", og.plan))
 		}
 	}
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -6,7 +6,7 @@
 )
 
 // CheckFiles checks a settings file and the files of the operators' lists without contacting anything. An empty path
-// leaves that document out; the lists are checked against each other. Faults name the files. The error tells of a file
+// leaves that document out; the lists given are checked against each other. Faults name the files. The error tells of a file
 // that cannot be read.
 func CheckFiles(settings, plans, uses, keys string) (Faults, error) {
 	var found Faults
@@ -17,9 +17,11 @@
 		}
 	}
 	paths := map[string]string{DocumentPlans: plans, DocumentUses: uses, DocumentKeys: keys}
+	sb := newBuilder(0, Empty())
 	do := Documents{}
 	for _, name := range DocumentNames() {
 		if paths[name] == "" {
+			sb.absent = append(sb.absent, name)
 			continue
 		}
 		content, err := os.ReadFile(paths[name])
@@ -28,16 +30,9 @@
 		}
 		do = do.With(name, string(content))
 	}
-	var inLists Faults
-	if _, err := NewSnapshot(0, do); err != nil && !errors.As(err, &inLists) {
-		return nil, err
-	}
-	for _, fa := range inLists {
-		path := paths[fa.document]
-		if path == "" {
-			continue
-		}
-		fa.document = path
+	sb.read(do)
+	for _, fa := range sb.fl.faults {
+		fa.document = paths[fa.document]
 		found = append(found, fa)
 	}
 	return found, nil
--- /dev/null
+++ b/configurer/edit.go
@@ -0,0 +1,109 @@
+package configurer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// SetKey returns a document with one key of a section set. A section that does not exist is added at the end. An empty
+// value removes the key. All other lines, comments included, stay as they are.
+func SetKey(text, header, key, value string) string {
+	lines := strings.Split(strings.TrimRight(text, "\n"), "\n")
+	start, end := findSection(lines, header)
+	if start < 0 {
+		if value == "" {
+			return text
+		}
+		return joinLines(append(lines, "", "["+header+"]", key+" = "+value))
+	}
+	for at := start + 1; at < end; at++ {
+		if keyOf(lines[at]) != key {
+			continue
+		}
+		if value == "" {
+			return joinLines(slices.Delete(lines, at, at+1))
+		}
+		lines[at] = key + " = " + value
+		return joinLines(lines)
+	}
+	if value == "" {
+		return text
+	}
+	for end > start+1 && strings.TrimSpace(lines[end-1]) == "" {
+		end--
+	}
+	return joinLines(slices.Insert(lines, end, key+" = "+value))
+}
+
+// RemoveSection returns a document without a section; found is false when there is none.
+func RemoveSection(text, header string) (result string, found bool) {
+	lines := strings.Split(strings.TrimRight(text, "\n"), "\n")
+	start, end := findSection(lines, header)
+	if start < 0 {
+		return text, false
+	}
+	return joinLines(slices.Delete(lines, start, end)), true
+}
+
+// AddKey returns the keys document with a key added.
+func AddKey(text, id, organisation string, hash [32]byte, expires time.Time) string {
+	header := "key " + id
+	text = SetKey(text, header, "organisation", organisation)
+	text = SetKey(text, header, "hash", fmt.Sprintf("%x", hash))
+	if !expires.IsZero() {
+		text = SetKey(text, header, "expires", expires.UTC().Format(time.RFC3339))
+	}
+	return text
+}
+
+// WithdrawKey returns the keys document with a key withdrawn; found is false when there is no such key.
+func WithdrawKey(text, id string) (result string, found bool) {
+	if !HasSection(text, "key "+id) {
+		return text, false
+	}
+	return SetKey(text, "key "+id, "withdrawn", "true"), true
+}
+
+// findSection returns the range of lines of a section, its header first; start is -1 when there is none.
+func findSection(lines []string, header string) (start, end int) {
+	start = -1
+	for at, line := range lines {
+		name, isHeader := headerOf(line)
+		switch {
+		case start >= 0 && isHeader:
+			return start, at
+		case start < 0 && isHeader && name == header:
+			start = at
+		}
+	}
+	return start, len(lines)
+}
+
+func headerOf(line string) (string, bool) {
+	line = strings.TrimSpace(line)
+	if !strings.HasPrefix(line, "[") {
+		return "", false
+	}
+	return strings.Join(strings.Fields(strings.Trim(line, "[]")), " "), true
+}
+
+func keyOf(line string) string {
+	line = strings.TrimSpace(line)
+	if line == "" || line[0] == '#' || line[0] == ';' {
+		return ""
+	}
+	key, _, _ := strings.Cut(line, "=")
+	return strings.TrimSpace(key)
+}
+
+func joinLines(lines []string) string {
+	return strings.TrimLeft(strings.Join(lines, "\n"), "\n") + "\n"
+}
+
+// HasSection tells whether a document has a section.
+func HasSection(text, header string) bool {
+	start, _ := findSection(strings.Split(text, "\n"), header)
+	return start >= 0
+}
--- /dev/null
+++ b/configurer/edit_test.go
@@ -0,0 +1,128 @@
+package configurer
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestSetKey(t *testing.T) {
+	const text = "# plans\n[plan a]\nrate = 1\n\n[plan  b]\n# of b\nrate = 2\n"
+	tests := map[string]struct{ header, key, value, want string }{
+		"change":      {"plan a", "rate", "9", "# plans\n[plan a]\nrate = 9\n\n[plan  b]\n# of b\nrate = 2\n"},
+		"add":         {"plan a", "burst", "9", "# plans\n[plan a]\nrate = 1\nburst = 9\n\n[plan  b]\n# of b\nrate = 2\n"},
+		"remove":      {"plan b", "rate", "", "# plans\n[plan a]\nrate = 1\n\n[plan  b]\n# of b\n"},
+		"new section": {"plan c", "rate", "3", text + "\n[plan c]\nrate = 3\n"},
+		"none":        {"plan c", "rate", "", text},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := SetKey(text, tc.header, tc.key, tc.value); got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+	if got, found := RemoveSection(text, "plan a"); !found || got != "# plans\n[plan  b]\n# of b\nrate = 2\n" {
+		t.Errorf("removed: %q", got)
+	}
+}
+
+func TestKeysDocument(t *testing.T) {
+	text := AddKey("", "k-1", "castaneda", [32]byte{1}, time.Time{})
+	text = AddKey(text, "k-2", "indus", [32]byte{2}, time.Unix(2e9, 0))
+	text, found := WithdrawKey(text, "k-1")
+	if again, _ := WithdrawKey(text, "k-1"); !found || again != text {
+		t.Errorf("withdrawn twice: %q", again)
+	}
+	sn, err := NewSnapshot(1, NewDocuments(goodPlans, goodUses, text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := sn.Keys()
+	if len(keys) != 2 || !keys[0].Withdrawn() || keys[1].Withdrawn() || keys[1].Expires().Unix() != 2e9 {
+		t.Errorf("keys %+v", keys)
+	}
+}
+
+func TestDiff(t *testing.T) {
+	after := strings.Replace(strings.Replace(goodUses, "rate = 10\n", "rate = 20\n", 1), "[service orders]", "# none", 1)
+	var lines []string
+	for _, sd := range Diff(goodUses, after+"[service stock]\nopen = true\n") {
+		lines = append(lines, fmt.Sprint(sd.Action(), " ", sd.Header(), sd.Removed(), sd.Added()))
+	}
+	want := "changed plan branch[rate = 10] [rate = 20]; removed service orders[] []; added service stock[] [open = true]"
+	if got := strings.Join(lines, "; "); got != want {
+		t.Errorf("got %s", got)
+	}
+}
+
+func TestCheckFilesNeedsNoOtherList(t *testing.T) {
+	path := t.TempDir() + "/uses.ini"
+	if err := os.WriteFile(path, []byte(goodUses), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if faults, err := CheckFiles("", "", path, ""); err != nil || len(faults) != 0 {
+		t.Errorf("faults %v, %v", faults, err)
+	}
+}
+
+func FuzzNewSnapshot(f *testing.F) {
+	f.Add(goodPlans, goodUses, goodKeys)
+	f.Add("[organisation a]\nplan=\"\"\"", "[plan `x`]\n=\n", "\ufeff[key ]\r\n-=1\n")
+	f.Fuzz(func(t *testing.T, plans, uses, keys string) {
+		do := NewDocuments(plans, uses, keys)
+		sn, err := NewSnapshot(1, do)
+		if err != nil {
+			return
+		}
+		next, err := sn.Next(2, do)
+		if err != nil || len(Compare(sn, next).Differences()) != 0 {
+			t.Errorf("the same lists differ: %v", err)
+		}
+	})
+}
+
+func FuzzParseSettings(f *testing.F) {
+	f.Add(goodSettings)
+	f.Add("[instance]\nid=`\n[listen]\ncaller=\"\"\"x\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if st, err := ParseSettings("s.ini", text); (st == nil) == (err == nil) {
+			t.Errorf("settings %v with error %v", st, err)
+		}
+	})
+}
+
+// FuzzSetKey expects that an edit of one key leaves every other key as it was.
+func FuzzSetKey(f *testing.F) {
+	f.Add(goodUses, "plan dealer", "rate", "7")
+	f.Fuzz(func(t *testing.T, text, header, key, value string) {
+		if !validName(strings.ReplaceAll(header, " ", "")) || !validName(key) || key == "-" || !validName(value) {
+			return
+		}
+		header = strings.Join(strings.Fields(header), " ")
+		var fl faultList
+		readBlocks("", text, &fl, func(*block) {})
+		if len(fl.faults) > 0 || hasTwice(text) {
+			return
+		}
+		for _, sd := range Diff(text, SetKey(text, header, key, value)) {
+			if sd.Header() != header {
+				t.Errorf("section %q differs: -%v +%v", sd.Header(), sd.Removed(), sd.Added())
+			}
+		}
+	})
+}
+
+// hasTwice tells whether a section stands twice in a text, which is a fault found later.
+func hasTwice(text string) bool {
+	seen := make(map[string]bool)
+	twice := false
+	var fl faultList
+	readBlocks("", text, &fl, func(bl *block) {
+		twice = twice || seen[bl.header]
+		seen[bl.header] = true
+	})
+	return twice
+}
--- /dev/null
+++ b/operator/lists.go
@@ -0,0 +1,95 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"lovagebank/configurer"
+	"lovagebank/publisher"
+)
+
+// latest returns the documents that the store holds now, or else those in force here.
+func (op *Operator) latest(ctx context.Context) (do configurer.Documents, revision uint64, reachable bool) {
+	bounded, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	do, revision, err := op.options.Publisher.Latest(bounded)
+	if err == nil {
+		return do, revision, true
+	}
+	do, revision = op.options.Publisher.Documents()
+	return do, revision, false
+}
+
+func (op *Operator) getDocument(rw http.ResponseWriter, hr *http.Request) {
+	name := chi.URLParam(hr, "name")
+	do, revision, reachable := op.latest(hr.Context())
+	text, known := do.Text(name)
+	if !known || name == configurer.DocumentKeys {
+		writeFailure(rw, http.StatusNotFound, Failure{Code: CodeNotFound, Message: "there is no such list; allowed: plans, uses"})
+		return
+	}
+	writeJSON(rw, http.StatusOK, Document{Name: name, Revision: revision, Text: text, StoreReachable: reachable})
+}
+
+func (op *Operator) postChange(rw http.ResponseWriter, hr *http.Request) {
+	var ch Change
+	if !readJSON(rw, hr, &ch) {
+		return
+	}
+	if !checkChangeID(rw, ch.ChangeID) {
+		return
+	}
+	kind, known := kindOf(ch.Document)
+	if !known {
+		writeFailure(rw, http.StatusBadRequest, Failure{Code: CodeBadRequest, Message: "unknown document; allowed: plans, uses"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(hr.Context(), proposeTime)
+	defer cancel()
+	if ch.DryRun {
+		op.tryChange(ctx, rw, ch)
+		return
+	}
+	revision, err := op.options.Publisher.Propose(ctx, publisher.Change{
+		ID: ch.ChangeID, Author: Name(ctx), Kind: kind, Base: ch.Base,
+		Texts: []publisher.Text{{Name: ch.Document, Text: ch.Text}},
+	})
+	if err != nil {
+		writeError(rw, err)
+		return
+	}
+	writeJSON(rw, http.StatusOK, Accepted{Revision: revision, ChangeID: ch.ChangeID})
+}
+
+// tryChange checks a change against the latest documents.
+func (op *Operator) tryChange(ctx context.Context, rw http.ResponseWriter, ch Change) {
+	do, revision, _ := op.latest(ctx)
+	if _, err := configurer.NewSnapshot(revision+1, do.With(ch.Document, ch.Text)); err != nil {
+		writeError(rw, err)
+		return
+	}
+	writeJSON(rw, http.StatusOK, Accepted{Revision: revision, ChangeID: ch.ChangeID, DryRun: true})
+}
+
+// kindOf returns the kind of change, in the audit trail, that replaces a list.
+func kindOf(document string) (publisher.Kind, bool) {
+	switch document {
+	case configurer.DocumentPlans:
+		return publisher.KindPlan, true
+	case configurer.DocumentUses:
+		return publisher.KindUses, true
+	default:
+		return "", false
+	}
+}
+
+// checkChangeID refuses an id that is empty or too long.
+func checkChangeID(rw http.ResponseWriter, id string) bool {
+	if id == "" || len(id) > longestChangeID {
+		writeFailure(rw, http.StatusBadRequest, Failure{Code: CodeBadRequest, Message: "a change-id of 1 to 128 bytes is needed"})
+		return false
+	}
+	return true
+}
