--- a/server/server.go
+++ b/server/server.go
@@ -117,7 +117,7 @@
 
 // start runs each part in a goroutine of its own until the context ends.
 func (sv *Server) start(ctx context.Context) {
-	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.watchTargets} {
+	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.watchTargets, sv.measure} {
 		sv.parts.Go(func() { run(ctx) })
 	}
 }
