--- /dev/null
+++ b/server/measuring.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"context"
+	"time"
+)
+
+// measureInterval is how often gauges are brought up to date.
+const measureInterval = 2 * time.Second
+
+// measure keeps the gauges up to date until the context ends.
+func (sv *Server) measure(ctx context.Context) {
+	ticker := time.NewTicker(measureInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			sv.measureNow()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (sv *Server) measureNow() {
+	re := sv.reporter
+	re.Set("configuration_revision", float64(sv.publisher.Revision()))
+	re.Set("members", float64(len(sv.gossiper.Members())))
+	re.Set("targets", float64(len(sv.gossiper.Targets())))
+	re.Set("control_bytes", float64(sv.connector.ControlBytes()))
+	var held, queued, running int
+	for _, report := range sv.holdings.reports() {
+		held++
+		queued += int(report.GetQueued())
+		running += int(report.GetRunning())
+	}
+	re.Set("targets_served", float64(held))
+	re.Set("requests_queued", float64(queued))
+	re.Set("requests_running", float64(running))
+	for _, co := range sv.store.Counts() {
+		re.SetBy("store_calls", "call", string(co.Operation())+" "+string(co.Result()), float64(co.Calls()))
+	}
+}
