Offer mutual TLS between instances

Cause: the settings take certificate files, but only the shared secret was used. Change: connector reads the files, dials with TLS, and the peers' listener asks for a certificate of the same authority.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -23,8 +24,10 @@
 
 // Options set a Connector up.
 type Options struct {
-	// Secret is shared by all instances of a deployment.
+	// Secret is shared by all instances of a deployment; empty where mutual TLS takes its place.
 	Secret string
+	// TLS makes connections with mutual TLS; nil for none.
+	TLS *tls.Config
 	// Dial opens a connection; nil means the network's own.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -57,16 +60,21 @@
 		options.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	co := &Connector{options: options, peers: make(map[string]*Peer)}
-	co.control = &http.Client{Transport: newTransport(co.dialControl)}
-	co.data = &http.Client{Transport: newTransport(options.Dial)}
+	co.control = &http.Client{Transport: newTransport(co.dialControl, options.TLS)}
+	co.data = &http.Client{Transport: newTransport(options.Dial, options.TLS)}
 	return co
 }
 
-func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), secure *tls.Config) *http.Transport {
 	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
+	if secure == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
 	return &http.Transport{
 		DialContext:     dial,
+		TLSClientConfig: secure,
 		Protocols:       &protocols,
 		IdleConnTimeout: idleConnTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
@@ -80,7 +88,11 @@
 	if pe, ok := co.peers[address]; ok {
 		return pe
 	}
-	pe := co.newPeer("http://" + address)
+	scheme := "http://"
+	if co.options.TLS != nil {
+		scheme = "https://"
+	}
+	pe := co.newPeer(scheme + address)
 	co.peers[address] = pe
 	return pe
 }
@@ -162,10 +174,11 @@
 // Membership returns the client that exchanges membership.
 func (pe *Peer) Membership() wireconnect.MembershipServiceClient { return pe.membership }
 
-// Protocols returns what the listener for peers speaks: HTTP/2 without TLS, and HTTP/1.1.
+// Protocols returns what the listener for peers speaks: HTTP/2 with or without TLS, and HTTP/1.1.
 func Protocols() *http.Protocols {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &protocols
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -30,8 +30,8 @@
 func listen(t *testing.T, secret string) string {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewLimitServiceHandler(&lender{}, connector.NewGuard(secret)))
-	mux.Handle(wireconnect.NewExecutionServiceHandler(&lender{}, connector.NewGuard(secret)))
+	mux.Handle(wireconnect.NewLimitServiceHandler(&lender{}, connector.NewGuard(secret, false)))
+	mux.Handle(wireconnect.NewExecutionServiceHandler(&lender{}, connector.NewGuard(secret, false)))
 	hs := httptest.NewUnstartedServer(mux)
 	hs.Config.Protocols = connector.Protocols()
 	hs.Start()
--- a/connector/secret.go
+++ b/connector/secret.go
@@ -24,8 +24,12 @@
 	return &secretInterceptor{secret: secret, hash: sha256.Sum256([]byte(secret))}
 }
 
-// NewGuard returns the handler option that refuses calls without the secret.
-func NewGuard(secret string) connect.HandlerOption {
+// NewGuard returns the handler option that refuses calls without the secret. Where mutual TLS has checked the caller
+// already, a call needs no secret.
+func NewGuard(secret string, mutualTLS bool) connect.HandlerOption {
+	if mutualTLS {
+		return connect.WithHandlerOptions()
+	}
 	return connect.WithInterceptors(newSecretInterceptor(secret))
 }
 
--- a/server/build.go
+++ b/server/build.go
@@ -27,7 +27,7 @@
 	st := sv.settings
 	sv.store = storer.New(storer.Options{Address: st.StoreURL(), Timeout: st.StoreTimeout(), CallsPerSecond: float64(st.StoreCalls())})
 	sv.list = storer.New(storer.Options{Address: st.ListURL(), Timeout: st.StoreTimeout()})
-	sv.connector = connector.New(connector.Options{Secret: st.Secret()})
+	sv.connector = connector.New(connector.Options{Secret: st.Secret(), TLS: sv.tls})
 	sv.publisher = sv.newPublisher()
 	sv.invoker = invoker.New(invoker.Options{FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime()})
 	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Instances: sv.instancesHere})
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -22,7 +23,7 @@
 }
 
 // listen opens all three sockets, so that a wrong address is told before anything starts.
-func listen(st *configurer.Settings, caller, peer, operator http.Handler) (*listeners, error) {
+func listen(st *configurer.Settings, caller, peer, operator http.Handler, secure *tls.Config) (*listeners, error) {
 	li := &listeners{
 		caller:   newHTTPServer(st, caller),
 		peer:     newHTTPServer(st, peer),
@@ -39,6 +40,9 @@
 		}
 		li.sockets = append(li.sockets, socket)
 	}
+	if secure != nil {
+		li.sockets[1] = tls.NewListener(li.sockets[1], secure)
+	}
 	li.sockets[0] = netutil.LimitListener(li.sockets[0], int(st.Limits().Connections()))
 	return li, nil
 }
--- a/server/peering.go
+++ b/server/peering.go
@@ -21,7 +21,7 @@
 
 // newPeerHandler returns the handler of the peers' listener.
 func (sv *Server) newPeerHandler() http.Handler {
-	guard := connector.NewGuard(sv.settings.Secret())
+	guard := connector.NewGuard(sv.settings.Secret(), sv.tls != nil)
 	pe := &peering{server: sv}
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewExecutionServiceHandler(pe, guard))
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"os"
 	"sync"
@@ -41,7 +42,9 @@
 	settings *configurer.Settings
 	identity string
 	logger   *log.Logger
-	leaving  atomic.Bool
+	// tls is set where mutual TLS takes the place of the shared secret between instances.
+	tls     *tls.Config
+	leaving atomic.Bool
 	// placing is set once the placer knows targets.
 	placing atomic.Bool
 
@@ -81,13 +84,24 @@
 		explainer: explainer.New(explainedRequests),
 		done:      make(chan struct{}),
 	}
+	if sv.tls, err = readTLS(settings); err != nil {
+		return nil, err
+	}
 	sv.build()
-	if sv.listeners, err = listen(settings, sv.receiver, sv.newPeerHandler(), sv.newOperatorHandler()); err != nil {
+	if sv.listeners, err = listen(settings, sv.receiver, sv.newPeerHandler(), sv.newOperatorHandler(), sv.tls); err != nil {
 		return nil, err
 	}
 	return sv, nil
 }
 
+func readTLS(settings *configurer.Settings) (*tls.Config, error) {
+	certificate, key, authority, ok := settings.TLSFiles()
+	if !ok {
+		return nil, nil
+	}
+	return connector.ReadTLS(certificate, key, authority)
+}
+
 // newIdentity returns a name that no earlier run of this instance had, since a restarted instance forgot its promises.
 func newIdentity(name string) string { return name + "-" + rand.Text()[:identityLetters] }
 
