Order waiting requests by deadline over the fleet, and forecast by backlog

Cause: a holder told each borrower its fair share of the rate, so a small borrower forecast a wait many times too long and refused at once. Now an answer says when the first tokens and when all that waits will be there; borrowers queue by the deadline of their first request; and a refusal needs the forecast to miss the deadline by its error (a fifth, and 100 ms).

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -21,7 +22,7 @@
 // self is the borrower that stands for the requests of this instance in the queue of its own buckets.
 const self = ""
 
-// pending is a borrower of this holder in the queue for its tokens. Each gets its turn, so that none starves.
+// pending is a borrower of this holder in the queue for its tokens.
 type pending struct {
 	borrower string
 	scope    scope
@@ -31,6 +32,8 @@
 	request *wire.BorrowRequest
 	reply   func(*wire.BorrowResponse)
 	seen    time.Time
+	// due is the deadline of the first request that waits.
+	due time.Time
 }
 
 // account is what an instance knows of one organisation: its plan, its tokens, and who waits for them.
@@ -101,28 +104,19 @@
 	return sum
 }
 
-// fairShare is the part of the refill that a borrower can count on among all that wait.
-func (ac *account) fairShare(borrower string, waiting int64) float64 {
-	others := ac.owed(borrower) + ac.waiting()
-	if waiting <= 0 || others <= 0 {
-		return 1
-	}
-	return float64(waiting) / float64(waiting+others)
-}
-
-// place returns a borrower's place in the queue, a new one at its end if need be, or nil when the queue is full.
-func (ac *account) place(borrower string, now time.Time) *pending {
-	for _, pe := range ac.pendings {
-		if pe.borrower == borrower {
-			pe.seen = now
-			return pe
+// place returns a borrower's place in the queue, which is ordered by deadline, or nil when the queue is full.
+func (ac *account) place(borrower string, due, now time.Time) *pending {
+	at := slices.IndexFunc(ac.pendings, func(pe *pending) bool { return pe.borrower == borrower })
+	if at < 0 {
+		if len(ac.pendings) >= maxPending {
+			return nil
 		}
+		at = len(ac.pendings)
+		ac.pendings = append(ac.pendings, &pending{borrower: borrower})
 	}
-	if len(ac.pendings) >= maxPending {
-		return nil
-	}
-	pe := &pending{borrower: borrower, seen: now}
-	ac.pendings = append(ac.pendings, pe)
+	pe := ac.pendings[at]
+	pe.due, pe.seen = due, now
+	slices.SortStableFunc(ac.pendings, func(one, other *pending) int { return one.due.Compare(other.due) })
 	return pe
 }
 
@@ -182,8 +176,12 @@
 		return forecast{timeFor(missing, ac.rate), ac.rate, true}
 	}
 	rate := up.rate + ac.ownRate()
-	wait := max(0, up.readyAt.Sub(now)) + timeFor(missing-up.least, rate)
-	return forecast{wait, rate, true}
+	return forecast{up.waitFor(missing, rate, now), rate, true}
+}
+
+// backlog tells when all that waits now will have its tokens.
+func (ac *account) backlog(now time.Time) time.Duration {
+	return ac.forecast(ac.owed(self)+ac.waiting()-ac.pool.available(scopeLocal, now), now).wait
 }
 
 // ownRate is the rate of the buckets that this instance holds.
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -16,7 +16,7 @@
 func (an *answer) repeat(now time.Time) *wire.BorrowResponse {
 	rs := &wire.BorrowResponse{
 		Tokens: an.response.GetTokens(), Held: true, Fencing: an.response.GetFencing(), Rate: an.response.GetRate(),
-		RetryAfterMs: an.response.GetRetryAfterMs(),
+		RetryAfterMs: an.response.GetRetryAfterMs(), BacklogMs: an.response.GetBacklogMs(),
 	}
 	passed := now.Sub(an.at).Milliseconds() + 1
 	for _, lp := range an.response.GetParts() {
@@ -51,7 +51,8 @@
 		reply(ac.loan(rq, bu, min(rq.GetTokens(), spare), bu.rate, scopeSurplus, now))
 		return
 	}
-	pe := ac.place(rq.GetBorrower(), now)
+	due := now.Add(time.Duration(rq.GetLeftMs()) * time.Millisecond)
+	pe := ac.place(rq.GetBorrower(), due, now)
 	if pe == nil {
 		reply(&wire.BorrowResponse{Held: true, RetryAfterMs: retryMillis(unreachableRetry)})
 		return
@@ -77,8 +78,8 @@
 	if bu := ac.held(pe.request.GetBucket()); bu != nil {
 		fc := ac.forecast(ac.ahead(pe.borrower)+pe.least-ac.pool.available(pe.scope, now), now)
 		rs.Held, rs.Fencing = true, bu.fencing
-		rs.RetryAfterMs = retryMillis(fc.wait)
-		rs.Rate = fc.rate * ac.fairShare(pe.borrower, pe.waiting)
+		rs.RetryAfterMs, rs.Rate = retryMillis(fc.wait), fc.rate
+		rs.BacklogMs = retryMillis(ac.backlog(now))
 	}
 	pe.reply(rs)
 	pe.request, pe.reply = nil, nil
@@ -87,9 +88,11 @@
 // answerLoan gives a borrower that asks its loan, and all of its request if there is enough.
 func (pe *pending) answerLoan(ac *account, available int64, now time.Time) {
 	tokens := min(pe.request.GetTokens(), available)
-	rate := ac.forecast(0, now).rate * ac.fairShare(pe.borrower, pe.waiting-tokens)
 	ac.meter.add(tokens, now)
-	pe.reply(ac.loan(pe.request, ac.held(pe.request.GetBucket()), tokens, rate, pe.scope, now))
+	pe.waiting = max(0, pe.waiting-tokens)
+	rs := ac.loan(pe.request, ac.held(pe.request.GetBucket()), tokens, ac.forecast(0, now).rate, pe.scope, now)
+	rs.BacklogMs = retryMillis(ac.backlog(now))
+	pe.reply(rs)
 }
 
 // loan lends tokens that are available.
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -50,9 +50,12 @@
 	tickInterval = 10 * time.Millisecond
 	// idleInterval is the step of the timer while the limiter has no work; held buckets follow their leases by it.
 	idleInterval = 100 * time.Millisecond
-	ringSize     = 4096
-	maxWaiters   = 1024
-	maxPending   = 1024
+	// forecastSlack and forecastSlackLeast bound the error of a forecast: a part of the time left, and a least time.
+	forecastSlack      = 5
+	forecastSlackLeast = 100 * time.Millisecond
+	ringSize           = 4096
+	maxWaiters         = 1024
+	maxPending         = 1024
 	// defaultFloorShare is the part of rate and burst that is split over the failure domains.
 	defaultFloorShare = 0.2
 	// defaultReserve is the part of a floor's burst that isn't lent to other domains.
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -51,7 +51,7 @@
 		ac.leavePlace(self)
 		return
 	}
-	if pe := ac.place(self, now); pe != nil {
+	if pe := ac.place(self, ac.waiters[0].deadline, now); pe != nil {
 		pe.scope, pe.least, pe.waiting = scopeLocal, ac.waiters[0].cost, ac.waiting()
 	}
 }
@@ -66,7 +66,7 @@
 			st.refuseUnreachable(ac, wa, now)
 			continue
 		}
-		if float64(wa.cost) > ac.burst || now.Add(min(fc.wait, time.Hour)).After(wa.deadline) {
+		if left := wa.deadline.Sub(now); float64(wa.cost) > ac.burst || left <= 0 || fc.wait > left+slack(left) {
 			message := fmt.Sprintf("%d tokens are over the organisation's rate", wa.cost)
 			wa.refuse(requester.CodeRateExceeded, message, min(fc.wait, time.Hour))
 			continue
@@ -76,6 +76,9 @@
 	ac.dropSettled()
 }
 
+// slack is how far a forecast may be out: requests elsewhere come and go, and give tokens back.
+func slack(left time.Duration) time.Duration { return left/forecastSlack + forecastSlackLeast }
+
 // refuseUnreachable refuses a waiter when no holder has answered for a while: no tokens can come then.
 func (st *state) refuseUnreachable(ac *account, wa *waiter, now time.Time) {
 	if ac.unreachableSince.IsZero() {
--- a/limiter/refusal_bench_test.go
+++ b/limiter/refusal_bench_test.go
@@ -24,9 +24,11 @@
 // tally counts what became of the arrivals.
 type tally struct {
 	arrivals, refused, exactRefused, wrongful int
-	overshoot                                 float64
-	calls                                     int
-	wait                                      time.Duration
+	// tokens and exactTokens are what was charged.
+	tokens, exactTokens int64
+	overshoot           float64
+	calls               int
+	wait                time.Duration
 }
 
 const (
@@ -84,6 +86,7 @@
 	ta.arrivals++
 	admitted := exact.admit(cost, patience, fl.now)
 	if admitted {
+		ta.exactTokens += cost
 		fl.after(serviceTime, func() { exact.give(unused, fl.now) })
 	} else {
 		ta.exactRefused++
@@ -97,6 +100,7 @@
 			}
 			return
 		}
+		ta.tokens += cost
 		ta.wait += fl.now.Sub(arrived)
 		fl.after(serviceTime, func() { fl.settle(no, rs, unused) })
 	})
@@ -156,6 +160,8 @@
 				sum.exactRefused += ta.exactRefused
 				sum.wrongful += ta.wrongful
 				sum.calls += ta.calls
+				sum.tokens += ta.tokens
+				sum.exactTokens += ta.exactTokens
 				sum.wait += ta.wait
 				overshoot = math.Max(overshoot, ta.overshoot)
 			}
@@ -163,6 +169,7 @@
 			b.ReportMetric(float64(sum.wrongful)*percent, "wrongful-%")
 			b.ReportMetric(float64(sum.refused)*percent, "refused-%")
 			b.ReportMetric(float64(sum.exactRefused)*percent, "exact-refused-%")
+			b.ReportMetric(100*float64(sum.tokens)/float64(sum.exactTokens), "tokens-%-of-exact")
 			b.ReportMetric(overshoot, "overshoot-tokens")
 			b.ReportMetric(float64(sum.calls)/float64(sum.arrivals), "calls/request")
 			b.ReportMetric(float64(sum.wait.Microseconds())/float64(sum.arrivals-sum.refused), "wait-us")
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -33,9 +33,12 @@
 	// answered tells that readyAt, least and rate hold the last answer.
 	answered   bool
 	answeredAt time.Time
-	readyAt    time.Time
-	least      int64
-	rate       float64
+	// The first least tokens are expected at readyAt, all that wait at allAt, and more at the rate after that.
+	readyAt time.Time
+	least   int64
+	allAt   time.Time
+	waiting int64
+	rate    float64
 }
 
 // flight is one request for tokens under way.
@@ -43,6 +46,25 @@
 	id     string
 	sentAt time.Time
 	least  int64
+	// waiting is what requests and borrowers here wait for.
+	waiting int64
+}
+
+// waitFor estimates when the given tokens will be lent, from the last answer.
+func (up *upstream) waitFor(missing int64, rate float64, now time.Time) time.Duration {
+	ready := max(0, up.readyAt.Sub(now))
+	all := max(ready, up.allAt.Sub(now))
+	switch {
+	case missing <= up.least:
+		return ready
+	case missing <= up.waiting:
+		return ready + time.Duration(float64(all-ready)*float64(missing-up.least)/float64(up.waiting-up.least))
+	}
+	wait := timeFor(missing-max(up.least, up.waiting), rate)
+	if wait > never-all {
+		return never
+	}
+	return all + wait
 }
 
 func (up *upstream) reachable() bool { return up.backoff == 0 }
@@ -100,6 +122,17 @@
 	return 0
 }
 
+// due returns the deadline of the first waiter or borrower.
+func (ac *account) due() time.Time {
+	if len(ac.pendings) > 0 {
+		return ac.pendings[0].due
+	}
+	if len(ac.waiters) > 0 {
+		return ac.waiters[0].deadline
+	}
+	return time.Time{}
+}
+
 func (st *state) borrow(ac *account, key string, kind upstreamKind, bucket string, least, short int64, now time.Time) {
 	up := ac.upstreams[key]
 	if up == nil {
@@ -118,11 +151,11 @@
 		up.answered = false
 	}
 	st.sequence++
-	up.flight = &flight{id: strconv.FormatUint(st.sequence, 36), sentAt: now, least: least}
+	up.flight = &flight{id: strconv.FormatUint(st.sequence, 36), sentAt: now, least: least, waiting: short}
 	rq := &wire.BorrowRequest{
 		Bucket: bucket, Borrower: st.options.Instance, RequestId: up.flight.id,
 		Tokens: short + ac.meter.ahead(st.options.BatchHorizon, now), Least: least, Waiting: short,
-		Surplus: kind == upstreamSurplus,
+		Surplus: kind == upstreamSurplus, LeftMs: ac.due().Sub(now).Milliseconds(),
 	}
 	if kind == upstreamSurplus {
 		rq.Tokens = short
@@ -149,6 +182,8 @@
 	}
 	up.backoff, up.answered, up.answeredAt = 0, true, now
 	up.rate, up.least, up.readyAt = rs.GetRate(), 0, now
+	up.waiting = max(0, fl.waiting-rs.GetTokens())
+	up.allAt = now.Add(time.Duration(rs.GetBacklogMs()) * time.Millisecond)
 	ac.unreachableSince = time.Time{}
 	ac.receive(rs.GetParts(), fl.sentAt)
 	if rs.GetTokens() == 0 {
