--- /dev/null
+++ b/claimer/decision.go
@@ -0,0 +1,78 @@
+package claimer
+
+import (
+	"context"
+	"time"
+
+	"lovagebank/requester"
+	"lovagebank/wire"
+)
+
+// Verdict is the outcome of a claim.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictWon means that this call may send the request.
+	VerdictWon Verdict = iota + 1
+	// VerdictAnswered means that the request ran before; its answer is in the decision.
+	VerdictAnswered
+	// VerdictRunning means that the request is running.
+	VerdictRunning
+	// VerdictUnknown means that the request may have run, and its answer is lost. It is not run again.
+	VerdictUnknown
+	// VerdictConflict means that the key belongs to a request with another body or route.
+	VerdictConflict
+)
+
+// Decision tells what to do with a request.
+type Decision struct {
+	verdict Verdict
+	answer  *wire.Answer
+}
+
+// Verdict returns the outcome of the claim.
+func (de Decision) Verdict() Verdict { return de.verdict }
+
+// Answer returns the stored answer of VerdictAnswered.
+func (de Decision) Answer() *wire.Answer { return de.answer }
+
+// Refusal returns what a caller gets for a verdict that has neither sent the request nor an answer; otherwise nil.
+func (de Decision) Refusal() *requester.Refusal {
+	switch de.verdict {
+	case VerdictRunning:
+		return requester.Unknown(requester.CodeStillRunning, "the request with this key is running", runningRetry)
+	case VerdictUnknown:
+		return requester.Unknown(requester.CodeOutcomeUnknown,
+			"the request with this key may have run; it is not repeated", 0)
+	case VerdictConflict:
+		return requester.Refuse(requester.CodeKeyConflict, "the key belongs to another request", 0)
+	default:
+		return nil
+	}
+}
+
+// decide turns an earlier claim of the same key into a decision.
+func (cl *Claimer) decide(ctx context.Context, claim *wire.Claim, record *wire.ClaimRecord) (Decision, error) {
+	earlier := record.GetClaim()
+	if !sameRequest(claim, earlier) {
+		return Decision{verdict: VerdictConflict}, nil
+	}
+	switch record.GetState() {
+	case wire.ClaimState_CLAIM_STATE_DONE:
+		if record.GetAnswerDropped() {
+			return Decision{verdict: VerdictUnknown}, nil
+		}
+		answer, err := cl.readAnswer(ctx, record)
+		if err != nil {
+			return Decision{}, requester.Unknown(requester.CodeStoreUnavailable, "the stored answer can't be read", storeRetry)
+		}
+		return Decision{verdict: VerdictAnswered, answer: answer}, nil
+	case wire.ClaimState_CLAIM_STATE_RUNNING:
+		ran := time.Since(time.UnixMilli(earlier.GetClaimedAtMs()))
+		if !cl.options.Gone(earlier.GetInstance()) && ran < cl.options.LongestRun+cl.options.MaxSkew {
+			return Decision{verdict: VerdictRunning}, nil
+		}
+	}
+	return Decision{verdict: VerdictUnknown}, nil
+}
