--- a/commander/commander.go
+++ b/commander/commander.go
@@ -115,5 +115,7 @@
 		listCommands(st, "uses", configurer.DocumentUses, "the plans with what they may use, the adapters and the services"),
 		keyCommands(st),
 		auditCommands(st),
+		statusCommands(st),
+		explainCommands(st),
 	}
 }
--- a/scenarios/call_test.go
+++ b/scenarios/call_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -75,6 +77,29 @@
 	printAnswer(ts.Stdout(), response, answer)
 }
 
+// awaitCall is the command "await-call STATUS METHOD URL KEY-FILE": it repeats a call with an issued key until it gets
+// the status.
+func awaitCall(ts *testscript.TestScript, _ bool, args []string) {
+	var issued struct{ Key string }
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[3])), &issued))
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		hr, err := http.NewRequestWithContext(ctx, args[1], args[2], nil)
+		ts.Check(err)
+		hr.Header.Set("Authorization", "Bearer "+issued.Key)
+		response, err := http.DefaultClient.Do(hr)
+		ts.Check(err)
+		_ = response.Body.Close()
+		cancel()
+		if response.StatusCode == want {
+			return
+		}
+	}
+	ts.Fatalf("no answer with status %d", want)
+}
+
 // shownHeaders are the headers that golden files show; Retry-After only by its presence, since its value is a time.
 var shownHeaders = []string{"Content-Type", "Lovagebank-Outcome"}
 
--- a/server/build.go
+++ b/server/build.go
@@ -28,6 +28,7 @@
 	sv.store = storer.New(storer.Options{Address: st.StoreURL(), Timeout: st.StoreTimeout(), CallsPerSecond: float64(st.StoreCalls())})
 	sv.list = storer.New(storer.Options{Address: st.ListURL(), Timeout: st.StoreTimeout()})
 	sv.connector = connector.New(connector.Options{Secret: st.Secret(), TLS: sv.tls})
+	sv.auditor = auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
 	sv.publisher = sv.newPublisher()
 	sv.invoker = invoker.New(invoker.Options{FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime()})
 	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Instances: sv.instancesHere})
@@ -41,14 +42,13 @@
 }
 
 func (sv *Server) newPublisher() *publisher.Publisher {
-	au := auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
 	return publisher.New(publisher.Options{
 		Get:       sv.store.Get,
 		Watch:     sv.store.Watch,
 		Transact:  sv.store.Transact,
-		Audit:     au.Step,
-		Sweep:     au.Sweep,
-		FindEntry: au.Entry,
+		Audit:     sv.auditor.Step,
+		Sweep:     sv.auditor.Sweep,
+		FindEntry: sv.auditor.Entry,
 		Fetch:     sv.fetch,
 		Peers:     func() []string { return sv.gossiper.Addresses() },
 		Watches:   func() bool { return sv.gossiper.IsOneOf(watchDuty, watchersPerDomain) },
--- a/server/measuring.go
+++ b/server/measuring.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lovagebank/storer"
 )
 
 // measureInterval is how often gauges are brought up to date.
@@ -37,7 +39,25 @@
 	re.Set("targets_served", float64(held))
 	re.Set("requests_queued", float64(queued))
 	re.Set("requests_running", float64(running))
+	sv.measureStore()
+}
+
+// measureStore counts the calls to the store by result, and notes the store as away when calls failed since the last
+// look and none was answered.
+func (sv *Server) measureStore() {
+	var answered, failed int64
 	for _, co := range sv.store.Counts() {
-		re.SetBy("store_calls", "call", string(co.Operation())+" "+string(co.Result()), float64(co.Calls()))
+		sv.reporter.SetBy("store_calls", "call", string(co.Operation())+" "+string(co.Result()), float64(co.Calls()))
+		switch co.Result() {
+		case storer.ResultUnavailable, storer.ResultUnknown:
+			failed += co.Calls()
+		case storer.ResultDone, storer.ResultRefused, storer.ResultNotFound, storer.ResultConflict:
+			answered += co.Calls()
+		}
+	}
+	if answered == sv.storeAnswered && failed == sv.storeFailed {
+		return
 	}
+	sv.storeAway.Store(answered == sv.storeAnswered)
+	sv.storeAnswered, sv.storeFailed = answered, failed
 }
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"lovagebank/auditor"
 	"lovagebank/configurer"
 	"lovagebank/connector"
 	"lovagebank/dispatcher"
@@ -51,6 +52,7 @@
 	store      *storer.Client
 	list       *storer.Client
 	connector  *connector.Connector
+	auditor    *auditor.Auditor
 	publisher  *publisher.Publisher
 	gossiper   *gossiper.Gossiper
 	leases     *leases
@@ -64,6 +66,11 @@
 	receiver   *receiver.Receiver
 	listeners  *listeners
 
+	// storeAway is set while calls to the store fail; the counts are those of the last look, owned by measure.
+	storeAway     atomic.Bool
+	storeAnswered int64
+	storeFailed   int64
+
 	// organisations are those of the configuration that was adopted last.
 	organisations atomic.Pointer[map[string]bool]
 	parts         sync.WaitGroup
