--- a/configurer/edit.go
+++ b/configurer/edit.go
@@ -68,17 +68,12 @@
 
 // findSection returns the range of lines of a section, its header first; start is -1 when there is none.
 func findSection(lines []string, header string) (start, end int) {
-	start = -1
 	for at, line := range lines {
-		name, isHeader := headerOf(line)
-		switch {
-		case start >= 0 && isHeader:
-			return start, at
-		case start < 0 && isHeader && name == header:
-			start = at
+		if name, isHeader := headerOf(line); isHeader && name == header {
+			return sectionAt(lines, at)
 		}
 	}
-	return start, len(lines)
+	return -1, len(lines)
 }
 
 func headerOf(line string) (string, bool) {
@@ -107,3 +102,42 @@
 	start, _ := findSection(strings.Split(text, "\n"), header)
 	return start >= 0
 }
+
+// PruneKeys returns the keys document with the latest withdrawn keys kept and older ones dropped. A key that is dropped
+// is as invalid as a withdrawn one; only the list forgets it.
+func PruneKeys(text string, keep int) string {
+	lines := strings.Split(strings.TrimRight(text, "\n"), "\n")
+	starts := withdrawnSections(lines)
+	for _, start := range slices.Backward(starts[:max(0, len(starts)-keep)]) {
+		_, end := sectionAt(lines, start)
+		lines = slices.Delete(lines, start, end)
+	}
+	return joinLines(lines)
+}
+
+// withdrawnSections returns the lines at which the sections of withdrawn keys start.
+func withdrawnSections(lines []string) []int {
+	var starts []int
+	for at, line := range lines {
+		if _, isHeader := headerOf(line); !isHeader {
+			continue
+		}
+		_, end := sectionAt(lines, at)
+		for _, inside := range lines[at:end] {
+			if keyOf(inside) == "withdrawn" && strings.HasSuffix(strings.TrimSpace(inside), "true") {
+				starts = append(starts, at)
+			}
+		}
+	}
+	return starts
+}
+
+// sectionAt returns the range of lines of the section whose header is at the given line.
+func sectionAt(lines []string, start int) (first, end int) {
+	for end = start + 1; end < len(lines); end++ {
+		if _, isHeader := headerOf(lines[end]); isHeader {
+			break
+		}
+	}
+	return start, end
+}
--- a/configurer/edit_test.go
+++ b/configurer/edit_test.go
@@ -46,6 +46,40 @@
 	}
 }
 
+func TestPruneKeys(t *testing.T) {
+	text := ""
+	for at := range 5 {
+		id := fmt.Sprint("k-", at)
+		text = AddKey(text, id, "castaneda", [32]byte{byte(at)}, time.Time{})
+		if at != 1 {
+			text, _ = WithdrawKey(text, id)
+		}
+	}
+	tests := map[string]struct {
+		keep int
+		want string
+	}{
+		"all":  {4, "k-0 k-1 k-2 k-3 k-4"},
+		"some": {2, "k-1 k-3 k-4"},
+		"none": {0, "k-1"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sn, err := NewSnapshot(1, NewDocuments(goodPlans, goodUses, PruneKeys(text, tc.keep)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var ids []string
+			for _, ke := range sn.Keys() {
+				ids = append(ids, ke.ID())
+			}
+			if got := strings.Join(ids, " "); got != tc.want {
+				t.Errorf("got %s", got)
+			}
+		})
+	}
+}
+
 func TestDiff(t *testing.T) {
 	after := strings.Replace(strings.Replace(goodUses, "rate = 10\n", "rate = 20\n", 1), "[service orders]", "# none", 1)
 	var lines []string
--- a/gossiper/simulation_test.go
+++ b/gossiper/simulation_test.go
@@ -87,6 +87,11 @@
 			}
 		}
 	}
+	sm.turns(tick)
+}
+
+// turns lets each member make the calls of one second.
+func (sm *simulation) turns(tick int) {
 	for at, id := range sm.ids {
 		st := sm.states[id]
 		if sm.silent[id] {
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -15,6 +15,9 @@
 	"lovagebank/publisher"
 )
 
+// keptWithdrawn is how many withdrawn keys stay on the list, the latest ones; the audit trail tells of the others.
+const keptWithdrawn = 1000
+
 var (
 	errAlreadyIssued = errors.New("a key was issued under this change id; it was shown then and cannot be shown again: " +
 		"withdraw it and issue another")
@@ -67,6 +70,7 @@
 				}
 				return do, errAlreadyIssued
 			}
+			text = configurer.PruneKeys(text, keptWithdrawn)
 			text = configurer.AddKey(text, ki.ID, ki.Organisation, [32]byte(raw), ki.Expires)
 			return do.With(configurer.DocumentKeys, text), nil
 		},
