--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lovagebank/archiver"
 	"lovagebank/requester"
 	"lovagebank/storer"
 	"lovagebank/wire"
@@ -97,6 +98,7 @@
 // Claimer claims requests and stores their outcomes.
 type Claimer struct {
 	options Options
+	archive *archiver.Archiver
 	mu      sync.Mutex
 	// won holds the claims that this instance won and whose outcome isn't stored yet, by request.
 	won     map[string]*held
@@ -113,7 +115,11 @@
 
 // New makes a claimer.
 func New(options Options) *Claimer {
-	return &Claimer{options: options.withDefaults(), won: make(map[string]*held), done: make(chan struct{})}
+	options = options.withDefaults()
+	return &Claimer{
+		options: options, archive: archiver.New(archiver.Options{Get: options.Get, Commit: options.Commit}),
+		won: make(map[string]*held), done: make(chan struct{}),
+	}
 }
 
 // Claim claims a request just before it is sent. Only when the decision is VerdictWon may the request be sent, once,
--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -60,10 +60,11 @@
 	}
 	switch record.GetState() {
 	case wire.ClaimState_CLAIM_STATE_DONE:
-		if record.GetAnswerDropped() {
+		if record.GetAnswer().GetDropped() {
 			return Decision{verdict: VerdictUnknown}, nil
 		}
-		answer, err := cl.readAnswer(ctx, record)
+		// The place follows from the earlier claim's own time, not from that of this one.
+		answer, err := cl.archive.Read(ctx, placesOf(earlier, cl.options.Window).own, record.GetAnswer())
 		if err != nil {
 			return Decision{}, requester.Unknown(requester.CodeStoreUnavailable, "the stored answer can't be read", storeRetry)
 		}
--- a/claimer/finisher.go
+++ b/claimer/finisher.go
@@ -12,16 +12,6 @@
 	"lovagebank/wire"
 )
 
-// Sizes of stored answers. The store takes values of 512 KiB, in base64.
-const (
-	// inlineAnswer is the largest answer, in bytes, that lies in the claim's record.
-	inlineAnswer = 4 << 10
-	partSize     = 256 << 10
-	// maxParts bounds a stored answer to 2 MiB. Of a larger one only the fact that it was given is kept; a resend is
-	// told that the outcome is unknown.
-	maxParts = 8
-)
-
 var errChanged = errors.New("the claim is not as this instance left it")
 
 // Finish stores the outcome of a won claim, with its answer when the state is done. While the store is away it goes on
@@ -57,9 +47,11 @@
 
 func (cl *Claimer) finish(ctx context.Context, he *held, state wire.ClaimState, answer *wire.Answer) error {
 	record := &wire.ClaimRecord{Claim: he.record.GetClaim(), State: state}
-	if err := cl.writeAnswer(ctx, he, record, answer); err != nil {
+	kept, err := cl.archive.Keep(ctx, he.places.own, record.GetClaim().GetNonce(), answer)
+	if err != nil {
 		return err
 	}
+	record.Answer = kept
 	for {
 		stored, err := cl.replace(ctx, he, record)
 		if err == nil && stored {
@@ -116,84 +108,6 @@
 	return nil, err
 }
 
-// writeAnswer puts a small answer into the record and a large one into parts.
-func (cl *Claimer) writeAnswer(ctx context.Context, he *held, record *wire.ClaimRecord, answer *wire.Answer) error {
-	if answer == nil {
-		return nil
-	}
-	value, err := proto.Marshal(answer)
-	if err != nil {
-		return err
-	}
-	if len(value) <= inlineAnswer {
-		record.Answer = answer
-		return nil
-	}
-	if len(value) > maxParts*partSize {
-		record.AnswerDropped = true
-		return nil
-	}
-	for begin := 0; begin < len(value); begin += partSize {
-		part := &wire.ClaimPart{
-			Nonce: record.GetClaim().GetNonce(), Data: value[begin:min(begin+partSize, len(value))],
-		}
-		if err := cl.writePart(ctx, he.places.partKey(int(record.Parts)), part); err != nil {
-			return err
-		}
-		record.Parts++
-	}
-	return nil
-}
-
-func (cl *Claimer) writePart(ctx context.Context, key string, part *wire.ClaimPart) error {
-	value, err := proto.Marshal(part)
-	if err != nil {
-		return err
-	}
-	var index uint64
-	for {
-		_, err := cl.options.Commit(ctx, storer.Swap(key, value, index))
-		if err == nil {
-			return nil
-		}
-		if en, gerr := cl.options.Get(ctx, key); gerr == nil {
-			if string(en.Value()) == string(value) {
-				return nil
-			}
-			index = en.Index()
-		}
-		if !pause(ctx) {
-			return errors.Join(err, ctx.Err())
-		}
-	}
-}
-
-// readAnswer puts a stored answer together.
-func (cl *Claimer) readAnswer(ctx context.Context, record *wire.ClaimRecord) (*wire.Answer, error) {
-	if record.GetParts() == 0 {
-		return record.GetAnswer(), nil
-	}
-	// The claim's own place follows from its own time, not from that of the resend.
-	pl := placesOf(record.GetClaim(), cl.options.Window)
-	var value []byte
-	for index := range int(record.GetParts()) {
-		en, err := cl.options.Get(ctx, pl.partKey(index))
-		if err != nil {
-			return nil, err
-		}
-		part := &wire.ClaimPart{}
-		if err := proto.Unmarshal(en.Value(), part); err != nil {
-			return nil, err
-		}
-		if part.GetNonce() != record.GetClaim().GetNonce() {
-			return nil, errChanged
-		}
-		value = append(value, part.GetData()...)
-	}
-	answer := &wire.Answer{}
-	return answer, proto.Unmarshal(value, answer)
-}
-
 // Held tells how many claims of this instance have no stored outcome yet, and for how long it has taken at most.
 func (cl *Claimer) Held() (count int, oldest time.Duration) {
 	cl.mu.Lock()
--- a/claimer/key.go
+++ b/claimer/key.go
@@ -80,9 +80,6 @@
 
 func epochPrefix(epoch int64) string { return fmt.Sprintf("%s%d/", storePrefix, epoch) }
 
-// partKey names a part of a large answer.
-func (pl places) partKey(part int) string { return fmt.Sprintf("%s.%d", pl.own, part) }
-
 // all returns the keys to look at for an earlier claim, the likeliest first.
 func (pl places) all() []string { return append([]string{pl.own}, pl.others...) }
 
