--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -97,7 +97,9 @@
 }
 
 // partKey names a part by its run, so that two runs of one request never mix.
-func partKey(key, nonce string, index int32) string { return fmt.Sprintf("%s.%s.%d", key, nonce, index) }
+func partKey(key, nonce string, index int32) string {
+	return fmt.Sprintf("%s.%s.%d", key, nonce, index)
+}
 
 func (ar *Archiver) write(ctx context.Context, key string, part *wire.AnswerPart) error {
 	value, err := proto.Marshal(part)
