Run orders at most once through the whole path

Change: the claimer and its batched writes are joined in; an instance that ends stores outcomes before its writes stop; storer can delete a prefix, which the claimer needs to drop old epochs.

--- a/server/build.go
+++ b/server/build.go
@@ -32,6 +32,8 @@
 	sv.publisher = sv.newPublisher()
 	sv.invoker = invoker.New(invoker.Options{FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime()})
 	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Instances: sv.instancesHere})
+	sv.batcher = sv.newBatcher()
+	sv.claimer = sv.newClaimer()
 	sv.dispatcher = sv.newDispatcher()
 	sv.gossiper = sv.newGossiper()
 	sv.leases = &leases{server: sv}
--- a/server/routing.go
+++ b/server/routing.go
@@ -26,8 +26,8 @@
 		Invoke:          sv.invokeService,
 		Reachable:       reachable,
 		Claim:           sv.claim,
-		Finish:          sv.finishClaim,
-		Release:         sv.releaseClaim,
+		Finish:          sv.claimer.Finish,
+		Release:         sv.claimer.Release,
 		MaxStoredAnswer: int(sv.settings.Limits().AnswerBytes()),
 	})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,8 @@
 	"github.com/charmbracelet/log"
 
 	"lovagebank/auditor"
+	"lovagebank/batcher"
+	"lovagebank/claimer"
 	"lovagebank/configurer"
 	"lovagebank/connector"
 	"lovagebank/dispatcher"
@@ -61,6 +63,8 @@
 	placer     *placer.Placer
 	dispatcher *dispatcher.Dispatcher
 	holdings   *holdings
+	batcher    *batcher.Batcher
+	claimer    *claimer.Claimer
 	reporter   *reporter.Reporter
 	explainer  *explainer.Explainer
 	receiver   *receiver.Receiver
@@ -121,6 +125,9 @@
 	parts, stop := context.WithCancel(context.Background())
 	defer stop()
 	sv.start(parts)
+	writes, stopWrites := context.WithCancel(context.Background())
+	defer stopWrites()
+	go sv.batcher.Run(writes)
 	sv.listeners.serve()
 	sv.logger.Info("Instance started.", "instance", sv.identity, "callers", sv.settings.CallerAddress())
 	select {
@@ -138,7 +145,7 @@
 
 // start runs each part in a goroutine of its own until the context ends.
 func (sv *Server) start(ctx context.Context) {
-	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.watchTargets, sv.measure} {
+	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.claimer.Run, sv.watchTargets, sv.measure} {
 		sv.parts.Go(func() { run(ctx) })
 	}
 }
--- a/storer/counter.go
+++ b/storer/counter.go
@@ -16,6 +16,7 @@
 	OperationTransact Operation = "transact"
 	OperationSession  Operation = "session"
 	OperationHealth   Operation = "health"
+	OperationDelete   Operation = "delete"
 )
 
 // Result names how a call ended in counts.
@@ -34,7 +35,7 @@
 
 var (
 	operations = []Operation{
-		OperationGet, OperationList, OperationWatch, OperationTransact, OperationSession, OperationHealth,
+		OperationGet, OperationList, OperationWatch, OperationTransact, OperationSession, OperationHealth, OperationDelete,
 	}
 	results = []Result{
 		ResultDone, ResultNotFound, ResultConflict, ResultRefused, ResultUnavailable, ResultOverBudget, ResultUnknown,
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -52,6 +52,15 @@
 	return ls, err
 }
 
+// DeletePrefix deletes all keys with a prefix. Deleting none is no error, so it may be repeated after ErrUnknown.
+func (cl *Client) DeletePrefix(ctx context.Context, prefix string) error {
+	query := url.Values{"recurse": {""}}
+	_, err := cl.call(ctx, call{
+		operation: OperationDelete, method: http.MethodDelete, path: keyPath + escape(prefix), query: query,
+	})
+	return err
+}
+
 func (cl *Client) read(ctx context.Context, rq call) (Listing, error) {
 	rq.method = http.MethodGet
 	an, err := cl.call(ctx, rq)
