--- a/placer/demand.go
+++ b/placer/demand.go
@@ -64,13 +64,13 @@
 }
 
 // replicas returns the number of targets that an adapter is spread over, with hysteresis.
-func (ds *demands) replicas(key adapterKey, now time.Time, op Options) int {
+func (ds *demands) replicas(key adapterKey, batch int, now time.Time, op Options) int {
 	de := ds.active[key]
 	if de == nil {
 		return 1
 	}
 	de.decay(now)
-	use := de.mean * float64(op.Instances()) / defaultBatch
+	use := de.mean * float64(op.Instances()) / float64(batch)
 	for de.replicas < op.MaxReplicas && use > growShare*float64(de.replicas) {
 		de.replicas++
 	}
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -12,24 +12,28 @@
 
 const (
 	// spillPicks is the number of preferred targets that are weighed beyond an adapter's replicas.
-	spillPicks = 3
-	// overloadLoad is the load from which another failure domain is weighed.
+	spillPicks = 8
+	// overloadLoad is the load from which another region is weighed.
 	overloadLoad = 1.5
 
 	// The costs that are weighed against each other, in units of a target's full batch.
 	costNotResident = 0.6
+	costSlot        = 1.0
 	costRank        = 0.1
-	costQueued      = 2.0
+	costQueued      = 0.3
+	costWait        = 1.0
+	costOtherDomain = 0.05
 	costRemote      = 0.5
 )
 
 // pick returns the cheapest of an adapter's preferred targets; nil when there is none.
-func (pl *Placer) pick(rq *requester.Request, key adapterKey, replicas int, exclude []string, now time.Time) *targetState {
+func (pl *Placer) pick(rq *requester.Request, key adapterKey, exclude []string, now time.Time) *targetState {
 	po := pl.table[rq.Base()]
 	if po == nil {
 		return nil
 	}
-	ch := chooser{pl: pl, key: key, replicas: replicas, exclude: exclude, now: now}
+	replicas := pl.demands.replicas(key, po.batch, now, pl.options)
+	ch := chooser{pl: pl, key: key, organisation: rq.Organisation(), replicas: replicas, exclude: exclude, now: now}
 	ch.hash = xxhash.Sum64String(rq.Adapter())
 	best, cost := ch.cheapest(po.local)
 	if best != nil && best.load(now) < overloadLoad {
@@ -44,12 +48,13 @@
 
 // chooser weighs targets for one request.
 type chooser struct {
-	pl       *Placer
-	key      adapterKey
-	hash     uint64
-	replicas int
-	exclude  []string
-	now      time.Time
+	pl           *Placer
+	key          adapterKey
+	organisation string
+	hash         uint64
+	replicas     int
+	exclude      []string
+	now          time.Time
 }
 
 func (ch *chooser) cheapest(candidates []candidate) (*targetState, float64) {
@@ -96,12 +101,15 @@
 // cost weighs a target's load, its queue, whether the adapter is there, and how far down the order it is.
 func (ch *chooser) cost(rank int, ts *targetState) float64 {
 	load := ts.load(ch.now)
-	cost := load + costQueued*max(load-1, 0)
+	cost := load + costQueued*max(load-1, 0) + costWait*ts.waitOf(ch.organisation, ch.now)
 	if beyond := rank - ch.replicas + 1; beyond > 0 {
 		cost += costRank * float64(beyond)
 	}
+	if ts.target.GetFailureDomain() != ch.pl.options.FailureDomain {
+		cost += costOtherDomain
+	}
 	if _, ok := ts.resident[ch.key]; !ok {
-		cost += costNotResident
+		cost += costNotResident + costSlot*ts.slotPressure(ch.now)
 	}
 	return cost
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,9 +13,11 @@
 
 // Options sets how targets are picked. Zero values mean defaults.
 type Options struct {
-	// FailureDomain is the instance's own; targets in others are used only when the own ones are overloaded or gone.
+	// FailureDomain and Region are the instance's own. Targets of the region share one order of preference; those of
+	// other regions are used only when the region's are overloaded or gone.
 	FailureDomain string
-	// Instances returns the number of entry instances that share the domain's requests; nil means one.
+	Region        string
+	// Instances returns the number of entry instances that share the region's requests; nil means one.
 	Instances func() int
 	// MaxReplicas bounds the targets that an adapter is spread over before load bounds are hit.
 	MaxReplicas int
@@ -25,11 +27,13 @@
 
 // The defaults of Options.
 const (
-	defaultMaxReplicas   = 8
+	defaultMaxReplicas   = 16
 	defaultEjectionFloor = 0.5
 
 	kindEngine    = "engine"
 	noTargetRetry = 2 * time.Second
+	// fullQueueWait is added to the wait that a refusal for a full queue tells of.
+	fullQueueWait = 5 * time.Second
 )
 
 // Placer picks targets. Its methods may be called from any goroutine.
@@ -80,7 +84,7 @@
 		known[tg.GetId()] = ts
 	}
 	pl.targets = known
-	pl.table = newTable(known, pl.options.FailureDomain)
+	pl.table = newTable(known, pl.options.Region)
 }
 
 // Observe takes the reports of targets' holders. They lag; what this instance has in flight since is added.
@@ -100,8 +104,7 @@
 	defer pl.mu.Unlock()
 	now := time.Now()
 	key := adapterKey{rq.Adapter(), rq.Version()}
-	replicas := pl.demands.replicas(key, now, pl.options)
-	ts := pl.pick(rq, key, replicas, exclude, now)
+	ts := pl.pick(rq, key, exclude, now)
 	if ts == nil {
 		return nil, requester.Refuse(requester.CodeNoTarget, "no target can serve the adapter now", noTargetRetry)
 	}
@@ -124,11 +127,14 @@
 	ts.inFlight = max(ts.inFlight-1, 0)
 	rf := requester.AsRefusal(err)
 	if rf == nil {
+		ts.waited(rq.Organisation(), us.Queued(), now)
 		ts.succeeded(key, us, took-us.Queued())
 		pl.backoff.clear(backoffKey{tg.GetId(), key})
 		return
 	}
 	switch rf.Code() {
+	case requester.CodeQueueFull:
+		ts.waited(rq.Organisation(), took+rf.RetryAfter()+fullQueueWait, now)
 	case requester.CodeTargetLost, requester.CodeTargetFailed:
 		ts.failed(now)
 	case requester.CodeLoadFailed, requester.CodeWrongAdapter:
--- a/placer/table.go
+++ b/placer/table.go
@@ -17,12 +17,14 @@
 type pool struct {
 	local  []candidate
 	remote []candidate
+	// batch is the smallest batch of the targets.
+	batch int
 }
 
 // table holds the targets that may get requests, by base model.
 type table map[string]*pool
 
-func newTable(targets map[string]*targetState, domain string) table {
+func newTable(targets map[string]*targetState, region string) table {
 	tb := table{}
 	for id, ts := range targets {
 		if ts.target.GetLeaving() {
@@ -30,10 +32,11 @@
 		}
 		base := ts.target.GetBase()
 		if tb[base] == nil {
-			tb[base] = &pool{}
+			tb[base] = &pool{batch: ts.batch()}
 		}
+		tb[base].batch = min(tb[base].batch, ts.batch())
 		ca := candidate{xxhash.Sum64String(id), ts}
-		if ts.target.GetFailureDomain() == domain {
+		if ts.target.GetRegion() == region {
 			tb[base].local = append(tb[base].local, ca)
 		} else {
 			tb[base].remote = append(tb[base].remote, ca)
@@ -62,7 +65,7 @@
 }
 
 // pickLimit is the most preferred targets that are weighed for one request.
-const pickLimit = 12
+const pickLimit = 24
 
 type scored struct {
 	score uint64
--- a/placer/target.go
+++ b/placer/target.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"lovagebank/requester"
@@ -27,6 +28,11 @@
 	reportedOwn int
 	reportedAt  time.Time
 	resident    map[adapterKey]struct{}
+	// pinned is the reported number of adapter slots in use.
+	pinned int
+
+	// waits is the time that requests of an organisation lately waited here.
+	waits map[string]wait
 
 	failures     int
 	ejections    int
@@ -36,7 +42,7 @@
 }
 
 func newTargetState(tg *wire.Target) *targetState {
-	return &targetState{target: tg, resident: map[adapterKey]struct{}{}}
+	return &targetState{target: tg, resident: map[adapterKey]struct{}{}, waits: map[string]wait{}}
 }
 
 // load returns the requests on the target by the capacity of its batch.
@@ -48,6 +54,15 @@
 	return float64(requests) / float64(ts.batch())
 }
 
+// slotPressure returns the part of the adapter slots that were in use, or wanted by waiting requests.
+func (ts *targetState) slotPressure(now time.Time) float64 {
+	slots := int(ts.target.GetSlots())
+	if slots == 0 || now.Sub(ts.reportedAt) >= reportMaxAge {
+		return 0
+	}
+	return float64(ts.pinned) / float64(slots)
+}
+
 func (ts *targetState) batch() int {
 	if batch := int(ts.target.GetBatch()); batch > 0 {
 		return batch
@@ -59,8 +74,12 @@
 	ts.reported = int(report.GetRunning() + report.GetQueued())
 	ts.reportedOwn = ts.inFlight
 	ts.reportedAt = now
+	ts.pinned = 0
 	clear(ts.resident)
 	for _, slot := range report.GetAdapters() {
+		if slot.GetRunning()+slot.GetQueued() > 0 {
+			ts.pinned++
+		}
 		if slot.GetState() == "loaded" || slot.GetState() == "loading" {
 			ts.resident[adapterKey{slot.GetAdapter(), slot.GetVersion()}] = struct{}{}
 		}
@@ -91,3 +110,34 @@
 	ts.failures = 0
 	clear(ts.resident)
 }
+
+const (
+	// waitFade is the time constant at which what is known of a wait loses its weight.
+	waitFade   = 5 * time.Second
+	waitWeight = 0.3
+	// maxWaits bounds the organisations whose waits are kept for one target.
+	maxWaits = 64
+)
+
+// wait is a running mean in seconds, as of a time.
+type wait struct {
+	mean float64
+	at   time.Time
+}
+
+// waitOf returns the wait that an organisation can expect here, in seconds; it fades when nothing is heard.
+func (ts *targetState) waitOf(organisation string, now time.Time) float64 {
+	wt := ts.waits[organisation]
+	if wt.mean == 0 {
+		return 0
+	}
+	return wt.mean * math.Exp(-now.Sub(wt.at).Seconds()/waitFade.Seconds())
+}
+
+func (ts *targetState) waited(organisation string, took time.Duration, now time.Time) {
+	if len(ts.waits) >= maxWaits {
+		clear(ts.waits)
+	}
+	mean := ts.waitOf(organisation, now)
+	ts.waits[organisation] = wait{mean + waitWeight*(took.Seconds()-mean), now}
+}
--- a/scheduler/adapter.go
+++ b/scheduler/adapter.go
@@ -77,9 +77,10 @@
 	return ad
 }
 
-// forget drops an entry that no longer says anything.
+// forget drops an entry that no longer says anything. An adapter that left stays known until a newer report has come,
+// so that an older one can't bring it back.
 func (st *state) forget(ad *adapter) {
-	if ad.status == statusAbsent && len(ad.waiting) == 0 && ad.running == 0 && !ad.ordered && ad.failures == 0 {
+	if ad.status == statusAbsent && ad.changed.Before(st.reports.at) && len(ad.waiting) == 0 && ad.running == 0 && !ad.ordered && ad.failures == 0 {
 		delete(st.adapters, ad.model)
 	}
 }
@@ -97,6 +98,9 @@
 func (st *state) setLoaded(ad *adapter, now time.Time) {
 	ad.status, ad.changed, ad.idleSince = statusLoaded, now, now
 	ad.failures, ad.retryAt = 0, time.Time{}
+	if len(ad.waiting) > 0 {
+		st.estimates.waited(now.Sub(ad.waiting[0].arrived))
+	}
 	for _, it := range ad.waiting {
 		if !it.loadWaitFrom.IsZero() {
 			it.loadWait += now.Sub(it.loadWaitFrom)
--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -14,12 +14,15 @@
 	outputShare float64
 	// loadTime is the seconds of an adapter load.
 	loadTime float64
+	// slotWait is the seconds that requests for absent adapters lately waited for a slot and the load.
+	slotWait float64
 	known    bool
 }
 
 const (
 	estimateWeight  = 0.05
 	initialLoadTime = 0.25
+	slotWaitWeight  = 0.2
 )
 
 func newEstimates() estimates { return estimates{outputShare: 1, loadTime: initialLoadTime} }
@@ -44,6 +47,11 @@
 	es.loadTime += estimateWeight * (took.Seconds() - es.loadTime)
 }
 
+// waited learns from a request that waited for a slot.
+func (es *estimates) waited(wait time.Duration) {
+	es.slotWait += slotWaitWeight * (wait.Seconds() - es.slotWait)
+}
+
 // run returns the time that a request will take on the target; zero before anything was measured.
 func (es *estimates) run(rq *requester.Request) time.Duration {
 	left := max(float64(rq.MaxTokens())*es.outputShare-float64(rq.ResumeFrom()), 0)
--- a/scheduler/lane.go
+++ b/scheduler/lane.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -35,6 +36,29 @@
 	items        []*item
 	// virtual is the weighted cost that the organisation was served, in the lane's virtual time.
 	virtual float64
+	// since is when the organisation last had nothing waiting; starts counts its starts, decaying over rateTime.
+	since    time.Time
+	starts   float64
+	startsAt time.Time
+}
+
+// rateTime is the time constant of an organisation's rate of starts.
+const rateTime = 5 * time.Second
+
+// started counts a start.
+func (bl *backlog) started(now time.Time) {
+	bl.starts = bl.starts*math.Exp(-now.Sub(bl.startsAt).Seconds()/rateTime.Seconds()) + 1
+	bl.startsAt = now
+}
+
+// measuredWait returns the seconds that the waiting requests take at the organisation's rate of starts; zero when it
+// did not wait for long enough to know.
+func (bl *backlog) measuredWait(now time.Time) float64 {
+	if len(bl.items) == 0 || now.Sub(bl.since) < rateTime {
+		return 0
+	}
+	starts := bl.starts * math.Exp(-now.Sub(bl.startsAt).Seconds()/rateTime.Seconds())
+	return float64(len(bl.items)) * rateTime.Seconds() / max(starts, 1)
 }
 
 // lane shares the target between organisations by start-time fair queueing over weighted cost.
@@ -50,7 +74,7 @@
 
 func newLane() *lane { return &lane{backlogs: map[string]*backlog{}} }
 
-func (la *lane) push(it *item) {
+func (la *lane) push(it *item, now time.Time) {
 	name := it.rq.Organisation()
 	bl := la.backlogs[name]
 	if bl == nil {
@@ -61,6 +85,7 @@
 	bl.weight = it.rq.Weight()
 	if len(bl.items) == 0 {
 		bl.virtual = max(bl.virtual, la.virtual)
+		bl.since = now
 	}
 	at, _ := slices.BinarySearchFunc(bl.items, it, compareDeadline)
 	for at < len(bl.items) && compareDeadline(bl.items[at], it) == 0 {
@@ -110,8 +135,9 @@
 }
 
 // charge counts a started request as service.
-func (la *lane) charge(it *item) {
+func (la *lane) charge(it *item, now time.Time) {
 	bl := la.backlogs[it.rq.Organisation()]
+	bl.started(now)
 	la.virtual = max(la.virtual, bl.virtual)
 	bl.virtual += it.cost() / bl.weight
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -25,7 +25,7 @@
 		st.refuse(it, rf)
 		return
 	}
-	st.enqueue(it)
+	st.enqueue(it, now)
 	ad := st.adapter(it.model)
 	ad.waiting = append(ad.waiting, it)
 	ad.addDemand(now, st.options.DemandHalfLife)
@@ -51,9 +51,13 @@
 	if rf := st.slotAdmission(it, now); rf != nil {
 		return rf
 	}
-	wait := st.wait(it)
-	if late := now.Add(wait + st.estimates.run(it.rq)).Sub(it.rq.Deadline()); late > 0 && !it.rq.Deadline().IsZero() {
-		return requester.Refuse(requester.CodeDeadline, "the request can't be done by its deadline", max(late, minRetryAfter))
+	wait, run := st.wait(it, now), st.estimates.run(it.rq)
+	if expired(it, run, now) {
+		return requester.Refuse(requester.CodeDeadline, "the request takes longer than its deadline allows", 0)
+	}
+	if expired(it, run+wait, now) {
+		return requester.Refuse(requester.CodeQueueFull, "the queue is too long for the request's deadline",
+			max(now.Add(wait+run).Sub(it.rq.Deadline()), minRetryAfter))
 	}
 	if st.perOrganisation[it.rq.Organisation()] >= st.options.MaxQueuePerOrganisation {
 		return refuseFull(wait)
@@ -70,7 +74,7 @@
 	resident := ad != nil && ad.status == statusLoaded
 	switch {
 	case resident && ad.closing:
-		return requester.Refuse(requester.CodeNoTarget, "the adapter's slot is needed for others here", minRetryAfter)
+		return refuseClosing()
 	case resident:
 		return nil
 	case ad != nil && now.Before(ad.retryAt):
@@ -84,9 +88,13 @@
 
 // wait estimates the time in the queue. A less urgent request goes after all more urgent work, but not later than when
 // it becomes urgent itself.
-func (st *state) wait(it *item) time.Duration {
+func (st *state) wait(it *item, now time.Time) time.Duration {
+	slotWait := 0.0
+	if ad := st.adapters[it.model]; ad == nil || ad.status == statusAbsent {
+		slotWait = st.estimates.slotWait
+	}
 	if st.running+st.queued < st.batch || !st.estimates.known {
-		return 0
+		return seconds(slotWait)
 	}
 	ahead, own := 0.0, 0.0
 	for index := laneUrgent; index < it.lane; index++ {
@@ -95,7 +103,11 @@
 	}
 	own += st.shareWork(it, it.lane)
 	inTurn := ahead + st.shareWork(it, it.lane)
-	return seconds(min(inTurn, own) / float64(st.batch))
+	measured := 0.0
+	if bl := st.lanes[it.lane].backlogs[it.rq.Organisation()]; bl != nil && it.lane == laneUrgent {
+		measured = bl.measuredWait(now)
+	}
+	return seconds(max(min(inTurn, own)/float64(st.batch), slotWait, measured))
 }
 
 func (st *state) laneWork(index laneIndex) float64 {
@@ -161,9 +173,9 @@
 	return float64(len(bl.items)) / bl.weight
 }
 
-func (st *state) enqueue(it *item) {
+func (st *state) enqueue(it *item, now time.Time) {
 	it.state = itemQueued
-	st.lanes[it.lane].push(it)
+	st.lanes[it.lane].push(it, now)
 	st.queued++
 	st.perOrganisation[it.rq.Organisation()]++
 }
@@ -190,6 +202,9 @@
 		for _, it := range la.waiting() {
 			run := st.estimates.run(it.rq)
 			if expired(it, run, now) {
+				if st.adapters[it.model].status == statusAbsent {
+					st.estimates.waited(now.Sub(it.arrived))
+				}
 				st.dequeue(it)
 				st.refuse(it, requester.Refuse(requester.CodeDeadline, "the request can't be done by its deadline any more",
 					minRetryAfter))
@@ -204,7 +219,7 @@
 			}
 			ahead += run.Seconds() / float64(st.batch)
 			if st.isDue(it, run+seconds(ahead), now) {
-				st.promote(it)
+				st.promote(it, now)
 			}
 		}
 	}
@@ -219,10 +234,14 @@
 	return !now.Add(need + dueMargin).Before(it.rq.Deadline())
 }
 
-func (st *state) promote(it *item) {
+func (st *state) promote(it *item, now time.Time) {
 	st.lanes[it.lane].remove(it)
 	it.lane = laneUrgent
-	st.lanes[it.lane].push(it)
+	st.lanes[it.lane].push(it, now)
+}
+
+func refuseClosing() *requester.Refusal {
+	return requester.Refuse(requester.CodeNoTarget, "the adapter's slot is needed for others here", minRetryAfter)
 }
 
 func refuseFull(wait time.Duration) *requester.Refusal {
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -13,6 +13,7 @@
 	seen   bool
 	boot   string
 	got    time.Time
+	at     time.Time
 	failed int
 }
 
@@ -32,7 +33,7 @@
 		st.reports.failed++
 		return
 	}
-	st.reports = reports{seen: true, boot: load.Boot(), got: now}
+	st.reports = reports{seen: true, boot: load.Boot(), got: now, at: load.At()}
 	if load.Slots() > 0 {
 		st.slots = load.Slots()
 	}
@@ -51,8 +52,8 @@
 		}
 		if ad.failures > 0 && now.Sub(ad.retryAt) > maxLoadBackoff {
 			ad.failures = 0
-			st.forget(ad)
 		}
+		st.forget(ad)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,7 +53,7 @@
 	defaultPollInterval   = time.Second
 	defaultSettle         = 3 * time.Second
 	defaultMaxQueue       = 512
-	defaultRotateAfter    = 500 * time.Millisecond
+	defaultRotateAfter    = 100 * time.Millisecond
 	defaultDemandHalfLife = time.Minute
 	organisationQueuePart = 4
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -273,16 +273,28 @@
 				}
 			}
 		},
-		"work that can't be in time is refused at once": func(t *testing.T, be *bench) {
+		"work longer than its deadline is refused at once": func(t *testing.T, be *bench) {
 			<-be.submit(t.Context(), requester.Fields{Adapter: "a"})
 			before := time.Now()
 			an := <-be.submit(t.Context(), requester.Fields{Adapter: "a", Deadline: time.Now().Add(engineRunTime / 2)})
 			rf := requester.AsRefusal(an.err)
-			if rf.Code() != requester.CodeDeadline || rf.Outcome() != requester.OutcomeNotRun || rf.RetryAfter() == 0 {
-				t.Errorf("error %v", an.err)
+			if rf.Code() != requester.CodeDeadline || rf.Outcome() != requester.OutcomeNotRun || time.Now() != before {
+				t.Errorf("error %v after %v", an.err, time.Since(before))
+			}
+		},
+		"a queue too long for the deadline refuses at once and tells when to come back": func(t *testing.T, be *bench) {
+			<-be.submit(t.Context(), requester.Fields{Adapter: "a"})
+			for range 20 {
+				be.submit(t.Context(), requester.Fields{Adapter: "a"})
+			}
+			before := time.Now()
+			an := <-be.submit(t.Context(), requester.Fields{Adapter: "a", Deadline: time.Now().Add(5 * time.Second)})
+			rf := requester.AsRefusal(an.err)
+			if rf.Code() != requester.CodeQueueFull || rf.Outcome() != requester.OutcomeNotRun || time.Now() != before {
+				t.Errorf("error %v after %v", an.err, time.Since(before))
 			}
-			if time.Now() != before {
-				t.Error("refused late")
+			if rf.RetryAfter() < time.Second {
+				t.Errorf("retry after %v", rf.RetryAfter())
 			}
 		},
 		"suspects run one at a time": func(t *testing.T, be *bench) {
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -16,6 +16,8 @@
 	maxLoadBackoff   = time.Minute
 	// standardRotateFactor is how much longer than an urgent request a standard one waits for a slot.
 	standardRotateFactor = 4
+	// starvedFactor is how many times as long a request waits before an adapter of less served organisations is closed.
+	starvedFactor = 4
 )
 
 // mayOrder tells whether load and evict orders may be sent.
@@ -29,27 +31,42 @@
 		return
 	}
 	free, freeing := st.slotCounts()
+	closing := st.closing()
 	skipped := map[*adapter]bool{}
 	for {
 		ad := st.mostWanted(now, skipped)
 		if ad == nil {
-			return
+			break
 		}
 		skipped[ad] = true
-		urgent := ad.urgent()
 		switch {
 		case free > 0:
-			if !st.options.Budget.acquire(now, urgent) {
+			if !st.options.Budget.acquire(now, ad.urgent()) {
 				return
 			}
 			free--
 			st.orderLoad(ad, now)
 		case freeing > 0:
 			freeing--
-		case !st.evictFor(ad, now):
+		case now.Before(st.hold.settled):
+			return
+		case st.evictColdest(now):
+		case closing > 0:
+			closing--
+		case !st.rotate(ad, now):
 			return
 		}
 	}
+	if closing > 0 {
+		st.reopen()
+	}
+}
+
+// reopen lets adapters take new requests again that no longer need to make room.
+func (st *state) reopen() {
+	for _, ad := range st.adapters {
+		ad.closing = false
+	}
 }
 
 // slotCounts returns the slots that are free, and those whose adapter is being unloaded.
@@ -131,19 +148,15 @@
 	st.actions = append(st.actions, action{kind: actionLoad, model: ad.model, fencing: st.hold.fencing})
 }
 
-// evictFor unloads the idle adapter with the least demand. Where none is idle and the request has waited long, it
-// closes the adapter with the least work left instead.
-func (st *state) evictFor(wanted *adapter, now time.Time) bool {
-	if now.Before(st.hold.settled) {
+// evictColdest unloads the idle adapter with the least demand; false where none is idle.
+func (st *state) evictColdest(now time.Time) bool {
+	victim := st.coldest(now)
+	if victim == nil {
 		return false
 	}
-	if victim := st.coldest(now); victim != nil {
-		victim.status, victim.changed, victim.ordered = statusUnloading, now, true
-		st.actions = append(st.actions, action{kind: actionUnload, model: victim.model, fencing: st.hold.fencing})
-		return true
-	}
-	st.rotate(wanted, now)
-	return false
+	victim.status, victim.changed, victim.ordered = statusUnloading, now, true
+	st.actions = append(st.actions, action{kind: actionUnload, model: victim.model, fencing: st.hold.fencing})
+	return true
 }
 
 func (st *state) coldest(now time.Time) *adapter {
@@ -161,35 +174,61 @@
 	return victim
 }
 
-// rotate closes an adapter in use to new requests so that its slot becomes free, one adapter at a time.
-func (st *state) rotate(wanted *adapter, now time.Time) {
+// rotate closes an adapter in use, so that its slot becomes free for one that has waited long. Its queued requests and new
+// ones are refused as not run and go elsewhere; those that run finish. Adapters go first whose requests come from
+// organisations that were served more. Half of the slots stay open.
+func (st *state) rotate(wanted *adapter, now time.Time) bool {
 	it := st.foremost(wanted)
 	patience := st.options.RotateAfter
 	switch it.lane {
 	case laneDeferrable:
-		return
+		return false
 	case laneStandard:
 		patience *= standardRotateFactor
 	}
-	if now.Sub(it.arrived) < patience {
-		return
+	waited := now.Sub(it.arrived)
+	if waited < patience || st.closing() >= max(st.slots/2, 1) {
+		return false
 	}
 	var choice *adapter
 	least := 0
 	for _, ad := range st.adapters {
-		if ad.status != statusLoaded {
+		if ad.status != statusLoaded || ad.closing {
 			continue
 		}
-		if ad.closing {
-			return
+		if waited < starvedFactor*patience && !st.servedMore(ad, it) {
+			continue
 		}
 		if left := len(ad.waiting) + ad.running; choice == nil || left < least || (left == least && ad.model < choice.model) {
 			choice, least = ad, left
 		}
 	}
-	if choice != nil {
-		choice.closing = true
+	if choice == nil {
+		return false
 	}
+	choice.closing = true
+	for len(choice.waiting) > 0 {
+		it := choice.waiting[0]
+		st.dequeue(it)
+		st.refuse(it, refuseClosing())
+	}
+	return true
+}
+
+// closing counts the adapters that make room.
+func (st *state) closing() int {
+	count := 0
+	for _, ad := range st.adapters {
+		if ad.closing {
+			count++
+		}
+	}
+	return count
+}
+
+// servedMore tells whether a request goes before all that wait for an adapter.
+func (st *state) servedMore(ad *adapter, it *item) bool {
+	return len(ad.waiting) == 0 || st.goesBefore(it, st.foremost(ad))
 }
 
 func (st *state) loadDone(model string, err error, now time.Time) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -138,8 +138,7 @@
 	return st.draining || (st.hold.ever && !st.hold.held)
 }
 
-// start sends queued requests to the target while its batch has room. Requests on adapters that make room go first, so
-// that their slots become free.
+// start sends queued requests to the target while its batch has room.
 func (st *state) start(now time.Time) {
 	if st.stopped() || !st.reports.fresh(now, st.options.PollInterval, st.hold.held) {
 		return
@@ -150,7 +149,7 @@
 			return
 		}
 		st.dequeue(it)
-		st.lanes[it.lane].charge(it)
+		st.lanes[it.lane].charge(it, now)
 		ad := st.adapters[it.model]
 		ad.running++
 		st.running++
@@ -165,17 +164,6 @@
 }
 
 func (st *state) nextItem() *item {
-	closing := false
-	for _, ad := range st.adapters {
-		closing = closing || (ad.closing && len(ad.waiting) > 0)
-	}
-	if closing {
-		for _, la := range st.lanes {
-			if it := la.next(st.readyOnClosing); it != nil {
-				return it
-			}
-		}
-	}
 	for _, la := range st.lanes {
 		if it := la.next(st.ready); it != nil {
 			return it
@@ -188,10 +176,6 @@
 	return st.adapters[it.model].status == statusLoaded && (!it.suspect || st.suspected == nil)
 }
 
-func (st *state) readyOnClosing(it *item) bool {
-	return st.ready(it) && st.adapters[it.model].closing
-}
-
 // finish ends a request that was started.
 func (st *state) finish(ms message, now time.Time) {
 	it := ms.item
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -21,14 +21,16 @@
 	held    bool
 	fencing uint64
 	// target is the adapters on the target; true when loaded.
-	target  map[string]bool
-	boot    int
-	past    []invoker.Load
-	orders  []action
-	items   []*item
-	running map[*item]bool
-	onBoot  map[*item]int
-	answers map[*item]int
+	target map[string]bool
+	boot   int
+	// seenBoot is the target's boot as the state knows it.
+	seenBoot int
+	past     []invoker.Load
+	orders   []action
+	items    []*item
+	running  map[*item]bool
+	onBoot   map[*item]int
+	answers  map[*item]int
 }
 
 const (
@@ -44,7 +46,7 @@
 func newModel(rt *rapid.T) *model {
 	options := Options{
 		Target: &wire.Target{Id: "t", Slots: modelSlots, Batch: modelBatch}, MaxQueue: modelQueue,
-		MaxQueuePerOrganisation: modelPerOrg,
+		MaxQueuePerOrganisation: modelPerOrg, Settle: time.Second,
 	}
 	options.setDefaults()
 	now := time.Unix(1000, 0)
@@ -93,6 +95,9 @@
 	if ac.verdict.refusal != nil {
 		return
 	}
+	if mo.seenBoot == mo.boot && !mo.target[ac.item.model] {
+		mo.Fatalf("start on %s, which is not loaded", ac.item.model)
+	}
 	mo.running[ac.item] = true
 	mo.onBoot[ac.item] = mo.boot
 	if len(mo.running) > modelBatch {
@@ -201,17 +206,19 @@
 }
 
 func (mo *model) report(rt *rapid.T) {
-	from := max(len(mo.past)-5, 0)
+	from := max(len(mo.past)-20, 0)
 	load := rapid.SampledFrom(mo.past[from:]).Draw(rt, "report")
 	if load.Boot() != fmt.Sprint(mo.boot) {
 		return
 	}
+	mo.seenBoot = mo.boot
 	mo.st.take(message{kind: messageReported, load: load}, mo.now)
 	mo.step()
 }
 
 func (mo *model) restart(rt *rapid.T) {
 	if rapid.IntRange(0, 4).Draw(rt, "restart") == 0 {
+		mo.now = mo.now.Add(time.Millisecond)
 		mo.boot++
 		clear(mo.target)
 		mo.snapshot()
