--- a/configurer/blocks.go
+++ b/configurer/blocks.go
@@ -121,12 +121,21 @@
 		br.fault(number, "a section's header must be closed by one ] at the end of the line")
 		return
 	}
-	br.header = strings.Join(strings.Fields(inner), " ")
+	br.header = normalised(inner)
 	if br.header == "" {
 		br.fault(number, "a section's header must not be empty")
 	}
 }
 
+// normalised returns a header with single spaces between its words.
+func normalised(header string) string {
+	header = strings.TrimSpace(header)
+	if !strings.Contains(header, "  ") && !strings.ContainsAny(header, "\t\v\f\u00a0") {
+		return header
+	}
+	return strings.Join(strings.Fields(header), " ")
+}
+
 // finish reads the section whose lines were gathered.
 func (br *blockReader) finish() {
 	if !br.started {
--- a/configurer/edit.go
+++ b/configurer/edit.go
@@ -81,7 +81,7 @@
 	if !strings.HasPrefix(line, "[") {
 		return "", false
 	}
-	return strings.Join(strings.Fields(strings.Trim(line, "[]")), " "), true
+	return normalised(strings.Trim(line, "[]")), true
 }
 
 func keyOf(line string) string {
--- a/configurer/table.go
+++ b/configurer/table.go
@@ -99,7 +99,7 @@
 }
 
 func (tb *tableBuilder) list(list []string) uint32 {
-	var key []byte
+	key := make([]byte, 0, 32)
 	for _, text := range list {
 		key = binary.AppendUvarint(key, uint64(tb.text(text)))
 	}
