--- a/wire/wireconnect/leases.connect.go
+++ b/wire/wireconnect/leases.connect.go
@@ -35,12 +35,16 @@
 const (
 	// LeaseServicePromiseProcedure is the fully-qualified name of the LeaseService's Promise RPC.
 	LeaseServicePromiseProcedure = "/lovagebank.leases.LeaseService/Promise"
+	// LeaseServiceNotifyProcedure is the fully-qualified name of the LeaseService's Notify RPC.
+	LeaseServiceNotifyProcedure = "/lovagebank.leases.LeaseService/Notify"
 )
 
 // LeaseServiceClient is a client for the lovagebank.leases.LeaseService service.
 type LeaseServiceClient interface {
 	// Promise asks a successor not to take a record over for a while.
 	Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseResponse], error)
+	// Notify tells a successor that records changed, so that it reads them at once. A hint.
+	Notify(context.Context, *connect.Request[wire.NotifyRequest]) (*connect.Response[wire.NotifyResponse], error)
 }
 
 // NewLeaseServiceClient constructs a client for the lovagebank.leases.LeaseService service. By
@@ -60,12 +64,19 @@
 			connect.WithSchema(leaseServiceMethods.ByName("Promise")),
 			connect.WithClientOptions(opts...),
 		),
+		notify: connect.NewClient[wire.NotifyRequest, wire.NotifyResponse](
+			httpClient,
+			baseURL+LeaseServiceNotifyProcedure,
+			connect.WithSchema(leaseServiceMethods.ByName("Notify")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // leaseServiceClient implements LeaseServiceClient.
 type leaseServiceClient struct {
 	promise *connect.Client[wire.PromiseRequest, wire.PromiseResponse]
+	notify  *connect.Client[wire.NotifyRequest, wire.NotifyResponse]
 }
 
 // Promise calls lovagebank.leases.LeaseService.Promise.
@@ -73,10 +84,17 @@
 	return c.promise.CallUnary(ctx, req)
 }
 
+// Notify calls lovagebank.leases.LeaseService.Notify.
+func (c *leaseServiceClient) Notify(ctx context.Context, req *connect.Request[wire.NotifyRequest]) (*connect.Response[wire.NotifyResponse], error) {
+	return c.notify.CallUnary(ctx, req)
+}
+
 // LeaseServiceHandler is an implementation of the lovagebank.leases.LeaseService service.
 type LeaseServiceHandler interface {
 	// Promise asks a successor not to take a record over for a while.
 	Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseResponse], error)
+	// Notify tells a successor that records changed, so that it reads them at once. A hint.
+	Notify(context.Context, *connect.Request[wire.NotifyRequest]) (*connect.Response[wire.NotifyResponse], error)
 }
 
 // NewLeaseServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +110,18 @@
 		connect.WithSchema(leaseServiceMethods.ByName("Promise")),
 		connect.WithHandlerOptions(opts...),
 	)
+	leaseServiceNotifyHandler := connect.NewUnaryHandler(
+		LeaseServiceNotifyProcedure,
+		svc.Notify,
+		connect.WithSchema(leaseServiceMethods.ByName("Notify")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovagebank.leases.LeaseService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LeaseServicePromiseProcedure:
 			leaseServicePromiseHandler.ServeHTTP(w, r)
+		case LeaseServiceNotifyProcedure:
+			leaseServiceNotifyHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +134,7 @@
 func (UnimplementedLeaseServiceHandler) Promise(context.Context, *connect.Request[wire.PromiseRequest]) (*connect.Response[wire.PromiseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.leases.LeaseService.Promise is not implemented"))
 }
+
+func (UnimplementedLeaseServiceHandler) Notify(context.Context, *connect.Request[wire.NotifyRequest]) (*connect.Response[wire.NotifyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.leases.LeaseService.Notify is not implemented"))
+}
