--- a/storer/transaction.go
+++ b/storer/transaction.go
@@ -128,8 +128,9 @@
 	}
 }
 
-// Transact makes all steps or none. It returns the entries of the steps that have a result (all but checks and
-// deletes), a *Conflict when a step failed, or ErrUnknown. The new index of a written key is in its entry.
+// Transact makes all steps or none. It returns the entries that the store answers with, in the order of the steps, a
+// *Conflict when a step failed, or ErrUnknown. Deletes have no entry, checks may have one. The last entry of a written
+// key has its new index.
 func (cl *Client) Transact(ctx context.Context, steps []Step) ([]Entry, error) {
 	if len(steps) == 0 || len(steps) > MaxOperations {
 		return nil, fmt.Errorf("transaction of %d steps: %w", len(steps), ErrRefused)
