--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -118,13 +118,16 @@
 // state returns what a hand-over carries.
 func (bu *bucket) state(now time.Time) *wire.BucketState {
 	bu.refill(now)
-	return &wire.BucketState{Level: bu.level, Outstanding: bu.outstanding, Fencing: bu.fencing}
+	wait := max(0, bu.updated.Sub(now)) + time.Microsecond - 1
+	return &wire.BucketState{
+		Level: bu.level, Outstanding: bu.outstanding, Fencing: bu.fencing, WaitUs: wait.Microseconds(),
+	}
 }
 
-// absorb takes what the former holder handed over, once, and fills from now on.
+// absorb takes what the former holder handed over, once, and fills from when that one would have.
 func (bu *bucket) absorb(handed *wire.BucketState, now time.Time) {
 	bu.refill(now)
-	bu.previous, bu.updated = handed.GetFencing(), now
+	bu.previous, bu.updated = handed.GetFencing(), now.Add(time.Duration(handed.GetWaitUs())*time.Microsecond)
 	if lent := handed.GetOutstanding(); lent > 0 {
 		bu.outstanding += lent
 		bu.loans = append(bu.loans, loan{tokens: lent, expires: now.Add(loanHold)})
