Set both lists in one change

Cause: a first pair of lists could not be set: adapters with an owner need the plans list, which needs the uses list.

--- a/commander/lists.go
+++ b/commander/lists.go
@@ -76,10 +76,18 @@
 	return dc, err
 }
 
-// propose sends a new text and prints the outcome.
-func (lt listTarget) propose(cn *connection, cg *changing, base uint64, text string) error {
+// other returns the list that the command does not work on.
+func (lt listTarget) other() string {
+	if lt.document == configurer.DocumentPlans {
+		return configurer.DocumentUses
+	}
+	return configurer.DocumentPlans
+}
+
+// propose sends new texts and prints the outcome.
+func propose(cn *connection, cg *changing, base uint64, texts ...operator.DocumentText) error {
 	var ac operator.Accepted
-	ch := operator.Change{ChangeID: cg.id(), Base: base, Document: lt.document, Text: text, DryRun: cg.DryRun}
+	ch := operator.Change{ChangeID: cg.id(), Base: base, Documents: texts, DryRun: cg.DryRun}
 	if err := cn.send(http.MethodPost, "/v1/changes", ch, &ac); err != nil {
 		return changeError(err, cg)
 	}
@@ -131,13 +139,13 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-// text returns the file's text without the line that names its revision, and that revision; known is false without.
-func (fa *fileArgument) text() (text string, revision uint64, known bool, err error) {
+// readList returns a file's text without the line that names its revision, and that revision; known is false without.
+func readList(file string) (text string, revision uint64, known bool, err error) {
 	var content []byte
-	if fa.Positional.File == "-" {
+	if file == "-" {
 		content, err = io.ReadAll(os.Stdin)
 	} else {
-		content, err = os.ReadFile(fa.Positional.File)
+		content, err = os.ReadFile(file)
 	}
 	if err != nil {
 		return "", 0, false, err
@@ -148,7 +156,7 @@
 		return string(content), 0, false, nil
 	}
 	if revision, err = strconv.ParseUint(strings.TrimSpace(digits), 10, 64); err != nil {
-		return "", 0, false, fmt.Errorf("%s:1: bad revision %q", fa.Positional.File, digits)
+		return "", 0, false, fmt.Errorf("%s:1: bad revision %q", file, digits)
 	}
 	return rest, revision, true, nil
 }
@@ -158,26 +166,39 @@
 	listTarget
 	changing
 	fileArgument
+	With string  `long:"with" value-name:"FILE" description:"The other list, replaced in the same change: both lists or none. Needed where each names what only the other one brings."`
 	Base *uint64 `long:"base" value-name:"REVISION" description:"The revision that the file was made from. Without it, the one in the file's first line, else the latest."`
 }
 
 // Execute replaces the list.
 func (sc *setCommand) Execute([]string) error {
-	text, base, known, err := sc.text()
+	text, base, known, err := readList(sc.Positional.File)
 	if err != nil {
 		return err
 	}
-	switch {
-	case sc.Base != nil:
-		base = *sc.Base
-	case !known:
+	texts := []operator.DocumentText{{Name: sc.document, Text: text}}
+	if sc.With != "" {
+		other, revision, named, err := readList(sc.With)
+		if err != nil {
+			return err
+		}
+		if named && known && revision != base {
+			return fmt.Errorf("%s is of revision %d, %s of revision %d", sc.Positional.File, base, sc.With, revision)
+		}
+		base, known = max(base, revision), known || named
+		texts = append(texts, operator.DocumentText{Name: sc.other(), Text: other})
+	}
+	if sc.Base == nil && !known {
 		dc, err := sc.read(&sc.connection)
 		if err != nil {
 			return err
 		}
 		base = dc.Revision
 	}
-	return sc.propose(&sc.connection, &sc.changing, base, text)
+	if sc.Base != nil {
+		base = *sc.Base
+	}
+	return propose(&sc.connection, &sc.changing, base, texts...)
 }
 
 type editCommand struct {
@@ -201,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	return ec.propose(&ec.connection, &ec.changing, dc.Revision, text)
+	return propose(&ec.connection, &ec.changing, dc.Revision, operator.DocumentText{Name: ec.document, Text: text})
 }
 
 func (ec *editCommand) apply(text string) (string, error) {
@@ -242,7 +263,7 @@
 
 // Execute prints what differs.
 func (dc *diffCommand) Execute([]string) error {
-	text, _, _, err := dc.text()
+	text, _, _, err := readList(dc.Positional.File)
 	if err != nil {
 		return err
 	}
--- a/operator/lists.go
+++ b/operator/lists.go
@@ -41,9 +41,16 @@
 	if !checkChangeID(rw, ch.ChangeID) {
 		return
 	}
-	kind, known := kindOf(ch.Document)
-	if !known {
-		writeFailure(rw, http.StatusBadRequest, Failure{Code: CodeBadRequest, Message: "unknown document; allowed: plans, uses"})
+	var texts []publisher.Text
+	for _, dt := range ch.Documents {
+		if _, known := kindOf(dt.Name); !known {
+			writeFailure(rw, http.StatusBadRequest, Failure{Code: CodeBadRequest, Message: "unknown document; allowed: plans, uses"})
+			return
+		}
+		texts = append(texts, publisher.Text{Name: dt.Name, Text: dt.Text})
+	}
+	if len(texts) == 0 {
+		writeFailure(rw, http.StatusBadRequest, Failure{Code: CodeBadRequest, Message: "the change has no documents"})
 		return
 	}
 	ctx, cancel := context.WithTimeout(hr.Context(), proposeTime)
@@ -52,9 +59,9 @@
 		op.tryChange(ctx, rw, ch)
 		return
 	}
+	kind, _ := kindOf(texts[0].Name)
 	revision, err := op.options.Publisher.Propose(ctx, publisher.Change{
-		ID: ch.ChangeID, Author: Name(ctx), Kind: kind, Base: ch.Base,
-		Texts: []publisher.Text{{Name: ch.Document, Text: ch.Text}},
+		ID: ch.ChangeID, Author: Name(ctx), Kind: kind, Base: ch.Base, Texts: texts,
 	})
 	if err != nil {
 		writeError(rw, err)
@@ -66,7 +73,10 @@
 // tryChange checks a change against the latest documents.
 func (op *Operator) tryChange(ctx context.Context, rw http.ResponseWriter, ch Change) {
 	do, revision, _ := op.latest(ctx)
-	if _, err := configurer.NewSnapshot(revision+1, do.With(ch.Document, ch.Text)); err != nil {
+	for _, dt := range ch.Documents {
+		do = do.With(dt.Name, dt.Text)
+	}
+	if _, err := configurer.NewSnapshot(revision+1, do); err != nil {
 		writeError(rw, err)
 		return
 	}
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -11,16 +11,22 @@
 	StoreReachable bool `json:"store-reachable"`
 }
 
-// Change is a request to replace a document.
+// Change is a request to replace one or both lists, both or none.
 type Change struct {
 	ChangeID string `json:"change-id"`
 	Base     uint64 `json:"base"`
-	Document string `json:"document"`
-	Text     string `json:"text"`
+	// Documents are the new texts; the first one's name is the kind of change in the audit trail.
+	Documents []DocumentText `json:"documents"`
 	// DryRun checks the change without making it.
 	DryRun bool `json:"dry-run,omitempty"`
 }
 
+// DocumentText is the new text of one list.
+type DocumentText struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
 // Accepted is the answer to a change.
 type Accepted struct {
 	Revision uint64 `json:"revision"`
