Ask peers sooner at the start, and log errors in one line

Cause: with the store hanging, a starting instance asked peers only after 5 s; an error was logged with its stack, as the logger prints errors in full. Change: the first question to the store takes 1.5 s at the most and doubles; logs carry the error's message. Proof: TestStartsFromSlowStore fails when the bound does not grow.

--- a/gossiper/run.go
+++ b/gossiper/run.go
@@ -149,7 +149,7 @@
 	list, err := ga.options.Registrations(bounded, service)
 	if err != nil {
 		if ga.options.Logger != nil {
-			ga.options.Logger.Debug("Platform's list not read.", "service", service, "error", err)
+			ga.options.Logger.Debug("Platform's list not read.", "service", service, "error", err.Error())
 		}
 		return
 	}
--- a/publisher/fake_test.go
+++ b/publisher/fake_test.go
@@ -24,7 +24,8 @@
 	random  *rand.Rand
 	// faults is the share of calls that fail in some way.
 	faults float64
-	calls  int
+	// slow is added to the time of each read.
+	slow time.Duration
 }
 
 func newFakeStore(seed uint64, faults float64) *fakeStore {
@@ -52,7 +53,6 @@
 func (fs *fakeStore) draw() (fate, time.Duration) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	fs.calls++
 	delay := time.Duration(1+fs.random.IntN(20)) * time.Millisecond
 	if fs.away {
 		return fateUnsent, delay
@@ -63,10 +63,9 @@
 	return fate(1 + fs.random.IntN(3)), delay
 }
 
-func (fs *fakeStore) get(_ context.Context, key string) (storer.Entry, error) {
+func (fs *fakeStore) get(ctx context.Context, key string) (storer.Entry, error) {
 	ft, delay := fs.draw()
-	time.Sleep(delay)
-	if ft != fateGood {
+	if !sleep(ctx, delay+fs.slow) || ft != fateGood {
 		return storer.Entry{}, storer.ErrUnavailable
 	}
 	fs.mu.Lock()
--- a/publisher/learn.go
+++ b/publisher/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
@@ -14,23 +15,24 @@
 
 // start asks the store, then peers, until a configuration is in force.
 func (pu *Publisher) start(ctx context.Context) {
-	for pu.current.Load() == nil && ctx.Err() == nil {
-		pu.ask(ctx)
+	for wait := startTimeout; pu.current.Load() == nil && ctx.Err() == nil; wait = min(2*wait, loadTimeout) {
+		pu.ask(ctx, wait)
 		if pu.current.Load() != nil || !sleep(ctx, retryWait/2+rand.N(retryWait)) {
 			return
 		}
 	}
 }
 
-func (pu *Publisher) ask(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
+// ask asks the store for a bounded time, and then peers.
+func (pu *Publisher) ask(ctx context.Context, wait time.Duration) {
+	bounded, cancel := context.WithTimeout(ctx, wait)
 	_, ve, err := pu.load(bounded)
+	cancel()
 	if ve != nil {
 		return
 	}
 	if err != nil {
-		pu.options.Logger.Warn("Store not read at the start.", "error", err)
+		pu.options.Logger.Warn("Store not read at the start.", "error", err.Error())
 	}
 	peers := pu.options.Peers()
 	for _, at := range rand.Perm(len(peers)) {
@@ -56,7 +58,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			index = 0
-			pu.options.Logger.Debug("Watch failed.", "error", err)
+			pu.options.Logger.Debug("Watch failed.", "error", err.Error())
 			sleep(ctx, repeatWait/2+rand.N(repeatWait))
 		}
 	}
@@ -103,7 +105,7 @@
 				continue
 			}
 			if err := pu.fetch(ctx, si.peer); err != nil {
-				pu.options.Logger.Debug("Fetch failed.", "peer", si.peer, "error", err)
+				pu.options.Logger.Debug("Fetch failed.", "peer", si.peer, "error", err.Error())
 			}
 		}
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -27,6 +27,9 @@
 	repeatWait   = 2 * time.Second
 	fetchTimeout = 2 * time.Second
 	loadTimeout  = 5 * time.Second
+	// startTimeout bounds the first question to the store at the start, after which peers are asked. It doubles with each
+	// further one, up to loadTimeout.
+	startTimeout = 1500 * time.Millisecond
 	// observedRing bounds the revisions of peers that wait to be fetched. When it is full further ones are dropped:
 	// peers tell theirs again every second.
 	observedRing = 16
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -64,6 +64,24 @@
 	})
 }
 
+// TestStartsFromSlowStore expects an instance without peers to wait for a slow store in the end.
+func TestStartsFromSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(newFakeStore(1, 0))
+		if _, err := fl.add("1", true).Propose(t.Context(), change("c-1", 0, 10)); err != nil {
+			t.Fatal(err)
+		}
+		fl.cut["1"] = true
+		fl.store.slow = time.Second
+		late := fl.add("late", false)
+		defer fl.run(t, late)()
+		time.Sleep(15 * time.Second)
+		if late.Ready() != nil || rateOf(late) != 10 {
+			t.Errorf("late: %v, rate %v", late.Ready(), rateOf(late))
+		}
+	})
+}
+
 func TestRacingEditsNameTheWinner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(newFakeStore(1, 0))
--- a/publisher/upload.go
+++ b/publisher/upload.go
@@ -81,14 +81,14 @@
 	}
 	if len(steps) > 0 && len(steps) <= storer.MaxOperations {
 		if _, err := pu.options.Transact(ctx, steps); err != nil {
-			pu.options.Logger.Warn("Replaced parts not deleted.", "error", err)
+			pu.options.Logger.Warn("Replaced parts not deleted.", "error", err.Error())
 		}
 	}
 	if pu.options.Sweep == nil {
 		return
 	}
 	if err := pu.options.Sweep(ctx, after.Revision); err != nil {
-		pu.options.Logger.Warn("Audit trail not swept.", "error", err)
+		pu.options.Logger.Warn("Audit trail not swept.", "error", err.Error())
 	}
 }
 
