--- a/configurer/blocks.go
+++ b/configurer/blocks.go
@@ -44,6 +44,16 @@
 	return Fault{document: bl.document, line: line, section: bl.header, key: key, message: message}
 }
 
+// entryLine returns the line of a key, or of the header if the key is absent.
+func (bl *block) entryLine(key string) int {
+	for _, en := range bl.entries {
+		if en.key == key {
+			return en.line
+		}
+	}
+	return bl.line
+}
+
 var loadOptions = ini.LoadOptions{
 	IgnoreContinuation:         true,
 	IgnoreInlineComment:        true,
--- a/configurer/build.go
+++ b/configurer/build.go
@@ -223,13 +223,3 @@
 func (sb *snapshotBuilder) missing(document, section, key, message string) {
 	sb.fl.add(Fault{document: document, line: sb.lines[section], section: section, key: key, message: message})
 }
-
-// entryLine returns the line of a key, or of the header if the key is absent.
-func (bl *block) entryLine(key string) int {
-	for _, en := range bl.entries {
-		if en.key == key {
-			return en.line
-		}
-	}
-	return bl.line
-}
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -36,7 +36,7 @@
 // add starts an instance in a failure domain.
 func (fl *fleet) add(id, domain, address string) {
 	self := &wire.Member{Id: id, PeerAddress: address, FailureDomain: domain, Region: "north"}
-	ga := New(Options{
+	gs := New(Options{
 		Self: self,
 		Exchange: func(ctx context.Context, to string, rq *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 			return fl.exchange(ctx, domain, address, to, rq)
@@ -53,8 +53,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.members[address], fl.stops[address] = ga, cancel
-	go ga.Run(ctx)
+	fl.members[address], fl.stops[address] = gs, cancel
+	go gs.Run(ctx)
 }
 
 func (fl *fleet) told(id string, count int) {
@@ -66,11 +66,11 @@
 // stop ends an instance without a word.
 func (fl *fleet) stop(address string) {
 	fl.mu.Lock()
-	cancel, ga := fl.stops[address], fl.members[address]
+	cancel, gs := fl.stops[address], fl.members[address]
 	delete(fl.members, address)
 	fl.mu.Unlock()
 	cancel()
-	<-ga.Done()
+	<-gs.Done()
 }
 
 func (fl *fleet) stopAll() {
@@ -85,18 +85,18 @@
 func (fl *fleet) exchange(ctx context.Context, domain, from, to string, rq *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	time.Sleep(time.Millisecond)
 	fl.mu.Lock()
-	ga := fl.members[to]
-	lost := fl.silent[to] || fl.silent[from] || ga != nil && ga.options.Self.FailureDomain != domain &&
-		(fl.cut[domain] || fl.cut[ga.options.Self.FailureDomain])
+	gs := fl.members[to]
+	lost := fl.silent[to] || fl.silent[from] || gs != nil && gs.options.Self.FailureDomain != domain &&
+		(fl.cut[domain] || fl.cut[gs.options.Self.FailureDomain])
 	fl.mu.Unlock()
 	if lost {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if ga == nil {
+	if gs == nil {
 		return nil, fmt.Errorf("connection to %s refused", to)
 	}
-	return ga.ServeExchange(ctx, rq)
+	return gs.ServeExchange(ctx, rq)
 }
 
 func (fl *fleet) set(state map[string]bool, key string, value bool) {
@@ -129,9 +129,9 @@
 // stateOf returns a member's state as another one sees it; 0 for a member that it does not count on.
 func (fl *fleet) stateOf(seenBy, id string) wire.MemberState {
 	fl.mu.Lock()
-	ga := fl.members[seenBy]
+	gs := fl.members[seenBy]
 	fl.mu.Unlock()
-	for _, me := range ga.Members() {
+	for _, me := range gs.Members() {
 		if me.Id == id {
 			return me.State
 		}
@@ -145,8 +145,8 @@
 	fl.mu.Lock()
 	addresses := maps.Clone(fl.members)
 	fl.mu.Unlock()
-	for address, ga := range addresses {
-		if ga.options.Self.Id == id {
+	for address, gs := range addresses {
+		if gs.options.Self.Id == id {
 			continue
 		}
 		if got := fl.stateOf(address, id); got != want {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -89,95 +89,95 @@
 
 // New makes a gossiper that knows itself alone.
 func New(options Options) *Gossiper {
-	ga := &Gossiper{
+	gs := &Gossiper{
 		options: options,
 		asks:    make(chan ask, askRing),
 		ended:   make(chan struct{}),
 		done:    make(chan struct{}),
 		running: make(chan struct{}, mostExchanges),
 	}
-	ga.self.Store(options.Self)
-	ga.members.Store(&[]*wire.Member{})
-	ga.targets.Store(&[]*wire.Target{})
-	return ga
+	gs.self.Store(options.Self)
+	gs.members.Store(&[]*wire.Member{})
+	gs.targets.Store(&[]*wire.Target{})
+	return gs
 }
 
 // Members returns the instances that live or are leaving, this one included, sorted by id. The caller must not change
 // them.
-func (ga *Gossiper) Members() []*wire.Member { return *ga.members.Load() }
+func (gs *Gossiper) Members() []*wire.Member { return *gs.members.Load() }
 
 // Targets returns the targets that live or are leaving, sorted by id. The caller must not change them.
-func (ga *Gossiper) Targets() []*wire.Target { return *ga.targets.Load() }
+func (gs *Gossiper) Targets() []*wire.Target { return *gs.targets.Load() }
 
 // Self returns this instance's word about itself.
-func (ga *Gossiper) Self() *wire.Member { return ga.self.Load() }
+func (gs *Gossiper) Self() *wire.Member { return gs.self.Load() }
 
 // Addresses returns the peer addresses of all other members.
-func (ga *Gossiper) Addresses() []string {
+func (gs *Gossiper) Addresses() []string {
 	var addresses []string
-	for _, me := range ga.Members() {
-		if me.Id != ga.options.Self.Id {
+	for _, me := range gs.Members() {
+		if me.Id != gs.options.Self.Id {
 			addresses = append(addresses, me.PeerAddress)
 		}
 	}
-	return append(addresses, ga.options.Seeds...)
+	return append(addresses, gs.options.Seeds...)
 }
 
 // IsOneOf tells whether this instance is among the given number that its failure domain picks for a duty.
-func (ga *Gossiper) IsOneOf(duty string, count int) bool {
-	self := ga.Self()
-	return self.State == wire.MemberState_MEMBER_STATE_LIVE && isOneOf(self, ga.Members(), duty, count)
+func (gs *Gossiper) IsOneOf(duty string, count int) bool {
+	self := gs.Self()
+	return self.State == wire.MemberState_MEMBER_STATE_LIVE && isOneOf(self, gs.Members(), duty, count)
 }
 
 // Done is closed when Run has returned.
-func (ga *Gossiper) Done() <-chan struct{} { return ga.done }
+func (gs *Gossiper) Done() <-chan struct{} { return gs.done }
 
 // Leave tells peers that this instance takes no new work. It returns once the news is under way.
-func (ga *Gossiper) Leave(ctx context.Context) error {
-	return ga.do(ctx, func(_ context.Context, st *state) { st.say(wire.MemberState_MEMBER_STATE_LEAVING, time.Now()) })
+func (gs *Gossiper) Leave(ctx context.Context) error {
+	return gs.do(ctx, func(_ context.Context, st *state) { st.say(wire.MemberState_MEMBER_STATE_LEAVING, time.Now()) })
 }
 
 // ObserveTarget takes over a target's own word on whether it is leaving.
-func (ga *Gossiper) ObserveTarget(ctx context.Context, id string, leaving bool) error {
-	return ga.do(ctx, func(_ context.Context, st *state) { st.observeTarget(id, leaving, time.Now()) })
+func (gs *Gossiper) ObserveTarget(ctx context.Context, id string, leaving bool) error {
+	return gs.do(ctx, func(_ context.Context, st *state) { st.observeTarget(id, leaving, time.Now()) })
 }
 
 // ObserveFailure tells that a call to a member failed; the member is asked whether it lives.
-func (ga *Gossiper) ObserveFailure(ctx context.Context, id string) error {
-	return ga.do(ctx, func(running context.Context, st *state) {
+func (gs *Gossiper) ObserveFailure(ctx context.Context, id string) error {
+	return gs.do(ctx, func(running context.Context, st *state) {
 		if me := st.table.member(id); me != nil && id != st.self.Id {
-			ga.start(running, st, peer{id: id, address: me.PeerAddress})
+			gs.start(running, st, peer{id: id, address: me.PeerAddress})
 		}
 	})
 }
 
 // Announce has peers know at once that the configuration in force here changed.
-func (ga *Gossiper) Announce() {
+func (gs *Gossiper) Announce() {
 	select {
-	case ga.asks <- ask{run: func(_ context.Context, st *state) { st.urgent = true }, done: make(chan struct{})}:
+	case gs.asks <- ask{run: func(_ context.Context, st *state) { st.urgent = true }, done: make(chan struct{})}:
 	default:
 	}
 }
 
 // ServeExchange answers a peer's exchange.
-func (ga *Gossiper) ServeExchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
-	ex := ga.extras()
+func (gs *Gossiper) ServeExchange(ctx context.Context, rq *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	ex := gs.extras()
 	var rs *wire.ExchangeResponse
-	if err := ga.do(ctx, func(_ context.Context, st *state) { rs = st.serve(rq, ex, time.Now()) }); err != nil {
+	if err := gs.do(ctx, func(_ context.Context, st *state) { rs = st.serve(rq, ex, time.Now()) }); err != nil {
 		return nil, err
 	}
-	ga.tell(rq.Sender, rq.Quarantines, rq.Holders)
+	gs.tell(rq.Sender, rq.Quarantines, rq.Holders)
 	return rs, nil
 }
 
 // do has the owner of the state run a function, and waits for it.
-func (ga *Gossiper) do(ctx context.Context, run func(ctx context.Context, st *state)) error {
+func (gs *Gossiper) do(ctx context.Context, run func(ctx context.Context, st *state)) error {
 	as := ask{run: run, done: make(chan struct{})}
 	select {
-	case ga.asks <- as:
+	case gs.asks <- as:
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-ga.ended:
+	case <-gs.ended:
 		return ErrClosed
 	}
 	select {
@@ -185,33 +185,33 @@
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-ga.ended:
+	case <-gs.ended:
 		return ErrClosed
 	}
 }
 
-func (ga *Gossiper) extras() extras {
+func (gs *Gossiper) extras() extras {
 	var ex extras
-	if ga.options.Quarantines != nil {
-		ex.quarantines = ga.options.Quarantines()
+	if gs.options.Quarantines != nil {
+		ex.quarantines = gs.options.Quarantines()
 		ex.quarantines = ex.quarantines[:min(len(ex.quarantines), mostQuarantines)]
 	}
-	if ga.options.Hints != nil {
-		ex.hints = ga.options.Hints()
+	if gs.options.Hints != nil {
+		ex.hints = gs.options.Hints()
 		ex.hints = ex.hints[:min(len(ex.hints), mostHints)]
 	}
 	return ex
 }
 
 // tell passes on what a message holds for other parts.
-func (ga *Gossiper) tell(owner *wire.Member, quarantines []*wire.Quarantine, hints []*wire.HolderHint) {
-	if ga.options.ObserveRevision != nil && owner != nil {
-		ga.options.ObserveRevision(owner.PeerAddress, owner.ConfigurationRevision)
+func (gs *Gossiper) tell(owner *wire.Member, quarantines []*wire.Quarantine, hints []*wire.HolderHint) {
+	if gs.options.ObserveRevision != nil && owner != nil {
+		gs.options.ObserveRevision(owner.PeerAddress, owner.ConfigurationRevision)
 	}
-	if ga.options.ObserveQuarantines != nil && len(quarantines) > 0 {
-		ga.options.ObserveQuarantines(quarantines)
+	if gs.options.ObserveQuarantines != nil && len(quarantines) > 0 {
+		gs.options.ObserveQuarantines(quarantines)
 	}
-	if ga.options.ObserveHints != nil && len(hints) > 0 {
-		ga.options.ObserveHints(hints)
+	if gs.options.ObserveHints != nil && len(hints) > 0 {
+		gs.options.ObserveHints(hints)
 	}
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -111,9 +111,9 @@
 func TestPollersAreFew(t *testing.T) {
 	inFleet(t, func(t *testing.T, fl *fleet) {
 		chosen := map[string]int{}
-		for _, ga := range fl.members {
-			if ga.IsOneOf("configuration", 2) {
-				chosen[ga.options.Self.FailureDomain]++
+		for _, gs := range fl.members {
+			if gs.IsOneOf("configuration", 2) {
+				chosen[gs.options.Self.FailureDomain]++
 			}
 		}
 		if chosen["a"] != 2 || chosen["b"] != 2 {
@@ -131,9 +131,9 @@
 // expectTarget checks how every instance sees a target; seen is false for one that is gone.
 func (fl *fleet) expectTarget(t *testing.T, id string, seen, isLeaving bool) {
 	t.Helper()
-	for address, ga := range fl.members {
+	for address, gs := range fl.members {
 		var found *wire.Target
-		for _, ta := range ga.Targets() {
+		for _, ta := range gs.Targets() {
 			if ta.Id == id {
 				found = ta
 			}
--- a/gossiper/run.go
+++ b/gossiper/run.go
@@ -11,16 +11,16 @@
 )
 
 // Run keeps membership until the context ends.
-func (ga *Gossiper) Run(ctx context.Context) {
-	defer close(ga.done)
-	defer ga.calls.Wait()
-	defer close(ga.ended)
+func (gs *Gossiper) Run(ctx context.Context) {
+	defer close(gs.done)
+	defer gs.calls.Wait()
+	defer close(gs.ended)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ga.calls.Go(func() { ga.readList(ctx) })
+	gs.calls.Go(func() { gs.readList(ctx) })
 
-	st := newState(proto.CloneOf(ga.options.Self), time.Now())
-	ga.refresh(st)
+	st := newState(proto.CloneOf(gs.options.Self), time.Now())
+	gs.refresh(st)
 	// Instances that start together must not exchange in step.
 	ticker := time.NewTimer(rand.N(nearPeriod))
 	defer ticker.Stop()
@@ -30,96 +30,96 @@
 		select {
 		case <-ctx.Done():
 			return
-		case as := <-ga.asks:
+		case as := <-gs.asks:
 			as.run(ctx, st)
 			close(as.done)
 		case <-ticker.C:
 			ticker.Reset(nearPeriod)
 			tick++
-			ga.tick(ctx, st, tick)
+			gs.tick(ctx, st, tick)
 		case <-urgent.C:
 			urgent.Reset(urgentPause)
-			ga.hurry(ctx, st)
+			gs.hurry(ctx, st)
 		}
-		ga.refresh(st)
+		gs.refresh(st)
 	}
 }
 
 // refresh publishes what changed.
-func (ga *Gossiper) refresh(st *state) {
+func (gs *Gossiper) refresh(st *state) {
 	if st.membersChanged {
 		st.membersChanged = false
 		members := st.members()
-		ga.members.Store(&members)
-		ga.self.Store(st.self)
+		gs.members.Store(&members)
+		gs.self.Store(st.self)
 	}
 	if st.targetsChanged {
 		st.targetsChanged = false
 		targets := st.targets()
-		ga.targets.Store(&targets)
+		gs.targets.Store(&targets)
 	}
 }
 
-func (ga *Gossiper) tick(ctx context.Context, st *state, tick int) {
+func (gs *Gossiper) tick(ctx context.Context, st *state, tick int) {
 	st.tick(time.Now())
-	ga.startAll(ctx, st, pick(st.peers(true), 1))
+	gs.startAll(ctx, st, pick(st.peers(true), 1))
 	if tick%farTicks == 0 {
-		ga.startAll(ctx, st, pick(st.peers(false), 1))
+		gs.startAll(ctx, st, pick(st.peers(false), 1))
 	}
 	if tick%strangerTicks == 0 {
-		ga.startAll(ctx, st, pick(st.strangers(ga.options.Seeds), 1))
+		gs.startAll(ctx, st, pick(st.strangers(gs.options.Seeds), 1))
 	}
 }
 
 // hurry spreads urgent news out of turn.
-func (ga *Gossiper) hurry(ctx context.Context, st *state) {
+func (gs *Gossiper) hurry(ctx context.Context, st *state) {
 	if !st.urgent {
 		return
 	}
 	st.urgent = false
-	ga.startAll(ctx, st, pick(st.peers(true), urgentNear))
-	ga.startAll(ctx, st, pick(st.peers(false), urgentFar))
+	gs.startAll(ctx, st, pick(st.peers(true), urgentNear))
+	gs.startAll(ctx, st, pick(st.peers(false), urgentFar))
 }
 
-func (ga *Gossiper) startAll(ctx context.Context, st *state, peers []peer) {
+func (gs *Gossiper) startAll(ctx context.Context, st *state, peers []peer) {
 	for _, pe := range peers {
-		ga.start(ctx, st, pe)
+		gs.start(ctx, st, pe)
 	}
 }
 
 // start begins an exchange, unless too many are under way.
-func (ga *Gossiper) start(ctx context.Context, st *state, pe peer) {
+func (gs *Gossiper) start(ctx context.Context, st *state, pe peer) {
 	select {
-	case ga.running <- struct{}{}:
+	case gs.running <- struct{}{}:
 	default:
 		return
 	}
-	if ga.options.Revision != nil {
-		st.haveRevision(ga.options.Revision())
+	if gs.options.Revision != nil {
+		st.haveRevision(gs.options.Revision())
 	}
-	rq := st.request(ga.extras())
-	ga.calls.Go(func() {
-		defer func() { <-ga.running }()
-		ga.exchange(ctx, pe, rq)
+	rq := st.request(gs.extras())
+	gs.calls.Go(func() {
+		defer func() { <-gs.running }()
+		gs.exchange(ctx, pe, rq)
 	})
 }
 
 // exchange calls a peer, and goes on while the tables have to be compared further.
-func (ga *Gossiper) exchange(ctx context.Context, pe peer, rq *wire.ExchangeRequest) {
+func (gs *Gossiper) exchange(ctx context.Context, pe peer, rq *wire.ExchangeRequest) {
 	for range syncRounds {
 		bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		rs, err := ga.options.Exchange(bounded, pe.address, rq)
+		rs, err := gs.options.Exchange(bounded, pe.address, rq)
 		cancel()
 		if err != nil {
-			_ = ga.do(ctx, func(_ context.Context, st *state) { st.suspect(pe.id, time.Now()) })
+			_ = gs.do(ctx, func(_ context.Context, st *state) { st.suspect(pe.id, time.Now()) })
 			return
 		}
 		var next *wire.ExchangeRequest
 		take := func(_ context.Context, st *state) { next = st.answered(pe.address, rs, time.Now()) }
-		if err := ga.do(ctx, take); err != nil {
+		if err := gs.do(ctx, take); err != nil {
 			return
 		}
-		ga.tell(rs.Receiver, rs.Quarantines, rs.Holders)
+		gs.tell(rs.Receiver, rs.Quarantines, rs.Holders)
 		if next == nil {
 			return
 		}
@@ -128,12 +128,12 @@
 }
 
 // readList reads the platform's list, less often the more instances share the work.
-func (ga *Gossiper) readList(ctx context.Context) {
+func (gs *Gossiper) readList(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, service := range []string{ListInstances, KindEngine, KindService} {
-			ga.readService(ctx, service)
+			gs.readService(ctx, service)
 		}
-		period := max(leastListPeriod, listPeriod*time.Duration(len(ga.Members())))
+		period := max(leastListPeriod, listPeriod*time.Duration(len(gs.Members())))
 		timer := time.NewTimer(period/2 + rand.N(period))
 		select {
 		case <-ctx.Done():
@@ -143,17 +143,17 @@
 	}
 }
 
-func (ga *Gossiper) readService(ctx context.Context, service string) {
+func (gs *Gossiper) readService(ctx context.Context, service string) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := ga.options.Registrations(bounded, service)
+	list, err := gs.options.Registrations(bounded, service)
 	if err != nil {
-		if ga.options.Logger != nil {
-			ga.options.Logger.Debug("Platform's list not read.", "service", service, "error", err.Error())
+		if gs.options.Logger != nil {
+			gs.options.Logger.Debug("Platform's list not read.", "service", service, "error", err.Error())
 		}
 		return
 	}
-	_ = ga.do(ctx, func(_ context.Context, st *state) {
+	_ = gs.do(ctx, func(_ context.Context, st *state) {
 		if service == ListInstances {
 			st.listInstances(list)
 			return
--- a/publisher/propose.go
+++ b/publisher/propose.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 
+	"lovagebank/auditor"
 	"lovagebank/configurer"
 	"lovagebank/storer"
 	"lovagebank/wire"
@@ -274,14 +275,11 @@
 	names, all := cp.Organisations()
 	return &wire.AuditEntry{
 		RevisionBefore: next.revision() - 1, RevisionAfter: next.revision(), AtMs: time.Now().UnixMilli(),
-		Author: pr.author, ChangeId: pr.id, Kind: string(pr.kind), Summary: cp.Summary(longestSummary),
+		Author: pr.author, ChangeId: pr.id, Kind: string(pr.kind), Summary: cp.Summary(auditor.LongestSummary),
 		Organisations: names, AllOrganisations: all,
 	}
 }
 
-// longestSummary bounds the summary of an audit entry, in bytes.
-const longestSummary = 400
-
 // raise sets a counter to a value unless it is higher already.
 func raise(counter *atomic.Uint64, value uint64) {
 	for {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,7 @@
 // New makes a publisher that knows no configuration yet. Propose works without Run.
 func New(options Options) *Publisher {
 	if options.Logger == nil {
-		options.Logger = log.New(discard{})
+		options.Logger = log.New(io.Discard)
 	}
 	return &Publisher{
 		options:  options,
@@ -92,11 +93,6 @@
 	}
 }
 
-type discard struct{}
-
-// Write drops what is logged.
-func (discard) Write(line []byte) (int, error) { return len(line), nil }
-
 // Run learns of changes until the context ends.
 func (pu *Publisher) Run(ctx context.Context) {
 	defer close(pu.done)
