Test holder leases under random faults, and mend three faults that the tests showed

Cause: (1) the first successor waited two staggers for a handed-over record, since it went by its rank and not by its place in the record; (2) a candidate tried to create a record on a read from before its turn, and when that answer was lost at the start of an outage it could not promise, so the holder stopped at 14 s; (3) reads of three seconds ago counted as fresh. Change: the place in the record goes first, a takeover needs a read made since its turn, and freshness is a second.

--- a/leaser/read.go
+++ b/leaser/read.go
@@ -165,10 +165,10 @@
 	at := rc.openSince
 	record := rc.stored.record
 	switch place := slices.Index(record.GetSuccessors(), mc.self); {
-	case rc.stored.index == 0, record.GetHolder() == "", len(record.GetSuccessors()) == 0:
-		at = at.Add(time.Duration(mc.rank(rc)) * mc.timing.Stagger)
 	case place >= 0:
 		at = at.Add(time.Duration(place) * mc.timing.Stagger)
+	case rc.stored.index == 0, record.GetHolder() == "", len(record.GetSuccessors()) == 0:
+		at = at.Add(time.Duration(mc.rank(rc)) * mc.timing.Stagger)
 	default:
 		at = at.Add(mc.timing.Hold + time.Duration(mc.rank(rc))*mc.timing.Stagger)
 	}
--- a/leaser/timing.go
+++ b/leaser/timing.go
@@ -20,7 +20,7 @@
 	// longestRetryPause bounds the pause, which grows with each failure.
 	longestRetryPause = 5 * time.Second
 	// freshness is the oldest read on which a takeover may build, so that fewer fail.
-	freshness = 3 * time.Second
+	freshness = time.Second
 	// suspectPoll is the pause between reads of a record whose holder seems to be gone.
 	suspectPoll = 2 * time.Second
 	// slowPoll is the pause between reads of a record that this instance is a successor of.
--- a/leaser/world_test.go
+++ b/leaser/world_test.go
@@ -174,10 +174,15 @@
 }
 
 // want tells all instances who is alive.
-func (wd *world) want() {
+func (wd *world) want() { wd.suspect("") }
+
+// suspect tells all instances who is alive, with one of them left out.
+func (wd *world) suspect(dead string) {
 	var live []string
 	for name := range wd.nodes {
-		live = append(live, name)
+		if name != dead {
+			live = append(live, name)
+		}
 	}
 	resources := []Resource{NewResource(wd.resource, Rendezvous(wd.resource, live))}
 	for _, nd := range wd.nodes {
@@ -322,8 +327,8 @@
 func (wd *world) settle(span time.Duration) {
 	for end := wd.now.Add(span); wd.now.Before(end); wd.advance(tickInterval) {
 		for range 8 {
-			for _, nd := range wd.nodes {
-				wd.run(nd)
+			for _, name := range wd.names() {
+				wd.run(wd.nodes[name])
 			}
 			for len(wd.flights) > 0 {
 				wd.deliver(0, false)
--- a/leaser/write.go
+++ b/leaser/write.go
@@ -44,7 +44,8 @@
 	if mc.leaving || !rc.wanted || !mc.open(rc) || !slices.Contains(rc.candidates, mc.self) {
 		return false
 	}
-	return !now.Before(mc.eligibleAt(rc)) && mc.freshlyRead(now, rc)
+	eligibleAt := mc.eligibleAt(rc)
+	return !now.Before(eligibleAt) && mc.freshlyRead(now, rc, eligibleAt)
 }
 
 func (mc *machine) newWrite(rc *record, kind writeKind) *write {
@@ -113,12 +114,12 @@
 	if rc.stored.lock != "" || now.Before(mc.reacquireAt) {
 		return false
 	}
-	return mc.freshlyRead(now, rc)
+	return mc.freshlyRead(now, rc, mc.reacquireAt)
 }
 
-// freshlyRead tells whether the read is new enough to build on; if not, it is repeated.
-func (mc *machine) freshlyRead(now time.Time, rc *record) bool {
-	if now.Sub(rc.readAt) <= freshness {
+// freshlyRead tells whether the record was read lately and since the given time; if not, it is read again.
+func (mc *machine) freshlyRead(now time.Time, rc *record, since time.Time) bool {
+	if now.Sub(rc.readAt) <= freshness && !rc.readAt.Before(since) {
 		return true
 	}
 	if rc.nextRead.IsZero() || rc.nextRead.After(now) {
