Run a fleet with real processes through failures

Cause: the promises have to hold while instances, targets and the platform fail under load. The demo's test now asks for all answers. A domain cut off from the other domains' instances is not covered yet.

--- a/cmd/demo/demo_test.go
+++ b/cmd/demo/demo_test.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(en.URLs()) != instanceCount || re.All.Done == 0 || re.Violations.Any() {
+	if len(en.URLs()) != instanceCount || re.All.Done == 0 || re.All.Done != re.All.Issued || re.Violations.Any() {
 		t.Errorf("got %+v from %s", re, strings.Join(en.URLs(), " "))
 	}
 	cancel()
--- /dev/null
+++ b/failures/fleet_test.go
@@ -0,0 +1,214 @@
+package failures
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lovagebank/faker"
+	"lovagebank/loader"
+	"lovagebank/seeder"
+)
+
+// The bounds on what a fleet takes to start and its processes to end.
+const (
+	startBound = 30 * time.Second
+	endBound   = 30 * time.Second
+	pollPeriod = 20 * time.Millisecond
+)
+
+const sampleAdapters = 40
+
+var domains = []string{"a", "b", "c"}
+
+// process is one instance.
+type process struct {
+	options faker.InstanceOptions
+	path    string
+	logs    *bytes.Buffer
+	cmd     *exec.Cmd
+}
+
+func (pr *process) url() string { return "http://" + pr.options.CallerAddress }
+
+// fleet is a platform of stand-ins in the test's process, and instances in processes of their own.
+type fleet struct {
+	platform  *faker.Platform
+	processes []*process
+	folder    string
+	// links lie between each domain's instances and the store and list.
+	links map[string][]*faker.Link
+}
+
+// startFleet starts two instances in each failure domain and waits until they are ready.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	pf, err := faker.StartPlatform(faker.PlatformOptions{
+		Domains: domains, Bases: []string{faker.BaseCastaneda, faker.BaseIndus},
+		Engine: faker.EngineOptions{
+			Slots: 6, Batch: 16, TokenTime: 4 * time.Millisecond, PrefillTime: 20 * time.Microsecond,
+			RestartTime: 500 * time.Millisecond, ReportLag: 200 * time.Millisecond, ChecksFencing: true,
+		},
+		WorkerTime: 10 * time.Millisecond,
+		Store:      faker.StoreOptions{Rate: 2000, Latency: time.Millisecond},
+		List:       faker.ListOptions{Lag: time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl := &fleet{platform: pf, folder: t.TempDir(), links: map[string][]*faker.Link{}}
+	t.Cleanup(func() { fl.stop(t) })
+	sa := faker.NewSample(sampleAdapters)
+	if err := seeder.Seed(t.Context(), pf.StoreURL(), seeder.Lists{Plans: sa.Plans(), Uses: sa.Uses(), Keys: sa.Keys()}); err != nil {
+		t.Fatal(err)
+	}
+	for number := range 2 * len(domains) {
+		fl.addInstance(t, number)
+	}
+	pf.List().ShowAll()
+	for _, pr := range fl.processes {
+		fl.launch(t, pr)
+	}
+	for _, pr := range fl.processes {
+		pr.awaitReady(t)
+	}
+	return fl
+}
+
+// addInstance prepares an instance: its ports, its settings and its listing.
+func (fl *fleet) addInstance(t *testing.T, number int) {
+	t.Helper()
+	ports := freeAddresses(t, 3)
+	pr := &process{logs: &bytes.Buffer{}, options: faker.InstanceOptions{
+		ID: fmt.Sprintf("instance-%d", number+1), Domain: domains[number%len(domains)], LogLevel: "info",
+		CallerAddress: ports[0], PeerAddress: ports[1], OperatorAddress: ports[2],
+		Limits: []string{"drain-time = 20s", "silence-time = 1s"},
+	}}
+	pr.path = filepath.Join(fl.folder, pr.options.ID+".ini")
+	settings := fl.platform.Settings(pr.options)
+	for _, url := range []string{fl.platform.StoreURL(), fl.platform.ListURL()} {
+		lk, err := faker.NewLink("127.0.0.1:0", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fl.links[pr.options.Domain] = append(fl.links[pr.options.Domain], lk)
+		settings = strings.Replace(settings, url, "http://"+lk.Address(), 1)
+	}
+	if err := os.WriteFile(pr.path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fl.processes = append(fl.processes, pr)
+	fl.platform.RegisterInstance(pr.options.ID, pr.options.Domain, pr.options.PeerAddress)
+}
+
+// freeAddresses returns addresses on loopback that nobody listens on.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, count)
+	for index := range addresses {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = socket.Close() }()
+		addresses[index] = socket.Addr().String()
+	}
+	return addresses
+}
+
+// launch starts an instance's process.
+func (fl *fleet) launch(t *testing.T, pr *process) {
+	t.Helper()
+	pr.cmd = exec.Command(binary, "serve", "--settings", pr.path)
+	pr.cmd.Stderr = pr.logs
+	if err := pr.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitReady waits until the instance says that it is ready.
+func (pr *process) awaitReady(t *testing.T) {
+	t.Helper()
+	for bound := time.Now().Add(startBound); time.Now().Before(bound); time.Sleep(pollPeriod) {
+		answer, err := http.Get(pr.url() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("%s is not ready", pr.options.ID)
+}
+
+// signal sends a signal to the instance.
+func (pr *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := pr.cmd.Process.Signal(signal); err != nil {
+		t.Errorf("%s: %v", pr.options.ID, err)
+	}
+}
+
+// end waits for the instance's end and returns its error; one that does not end in time is killed.
+func (pr *process) end() error {
+	timer := time.AfterFunc(endBound, func() { _ = pr.cmd.Process.Kill() })
+	defer timer.Stop()
+	return pr.cmd.Wait()
+}
+
+// stop ends all processes and the platform, and shows the logs of a run that failed.
+func (fl *fleet) stop(t *testing.T) {
+	for _, pr := range fl.processes {
+		if pr.cmd != nil && pr.cmd.ProcessState == nil {
+			_ = pr.cmd.Process.Kill()
+			_ = pr.cmd.Wait()
+		}
+		if t.Failed() {
+			t.Logf("%s:\n%s", pr.options.ID, lastLines(pr.logs.String()))
+		}
+	}
+	for _, domain := range domains {
+		for _, lk := range fl.links[domain] {
+			_ = lk.Close()
+		}
+	}
+	if err := fl.platform.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// shownLines is the lines of each log that a failed run shows.
+const shownLines = 30
+
+func lastLines(text string) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return strings.Join(lines[max(0, len(lines)-shownLines):], "\n")
+}
+
+// environment describes the fleet to the loader.
+func (fl *fleet) environment(t *testing.T) loader.Environment {
+	t.Helper()
+	var lines strings.Builder
+	for index, pr := range fl.processes {
+		fmt.Fprintf(&lines, "DEMO_URL_%d=%s\n", index+1, pr.url())
+	}
+	fmt.Fprintf(&lines, "DEMO_CONTROL_URL=%s\n", fl.platform.ControlURL())
+	path := filepath.Join(fl.folder, "fleet.env")
+	if err := os.WriteFile(path, []byte(lines.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	en, err := loader.ReadEnvironment(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return en
+}
