Reach three other failure domains with urgent news

Each instance told one peer elsewhere, and all four could pass that domain over; the regular call comes every five seconds only. Ruled out: fetches and the ring of sightings; the instances that lacked the change had not heard of it. Change: urgent news goes to a peer in each of up to three other domains.

--- a/gossiper/choose.go
+++ b/gossiper/choose.go
@@ -1,7 +1,7 @@
 package gossiper
 
 import (
-	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,6 +12,7 @@
 type peer struct {
 	id      string
 	address string
+	domain  string
 }
 
 // peers returns whom to exchange with: members that are not dead, in this failure domain or in the others.
@@ -23,7 +24,7 @@
 			continue
 		}
 		if (me.FailureDomain == st.self.FailureDomain) == near {
-			found = append(found, peer{id: me.Id, address: me.PeerAddress})
+			found = append(found, peer{id: me.Id, address: me.PeerAddress, domain: me.FailureDomain})
 		}
 	}
 	return found
@@ -60,11 +61,23 @@
 }
 
 // pick returns up to count of the peers, at random.
-func pick(peers []peer, count int) []peer {
-	rand.Shuffle(len(peers), func(left, right int) { peers[left], peers[right] = peers[right], peers[left] })
+func pick(peers []peer, count int, shuffle func(count int, swap func(left, right int))) []peer {
+	shuffle(len(peers), func(left, right int) { peers[left], peers[right] = peers[right], peers[left] })
 	return peers[:min(count, len(peers))]
 }
 
+// pickDomains returns a peer of each of up to count failure domains, at random.
+func pickDomains(peers []peer, count int, shuffle func(count int, swap func(left, right int))) []peer {
+	var found []peer
+	for _, pe := range pick(peers, len(peers), shuffle) {
+		other := func(picked peer) bool { return picked.domain == pe.domain }
+		if len(found) < count && !slices.ContainsFunc(found, other) {
+			found = append(found, pe)
+		}
+	}
+	return found
+}
+
 // isOneOf tells whether an instance is among those that members of a failure domain pick for a duty. Instances whose
 // views differ for a moment may pick too many or too few.
 func isOneOf(self *wire.Member, members []*wire.Member, duty string, count int) bool {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -27,8 +27,10 @@
 	listTimeout     = 5 * time.Second
 	// urgentPause is the least time between two rounds of exchanges out of turn.
 	urgentPause = 200 * time.Millisecond
-	urgentNear  = 3
-	urgentFar   = 1
+	// urgentNear and urgentFar are how many peers of this failure domain, and how many other failure domains, one round
+	// reaches. With one other domain alone, a domain of two instances was often passed over.
+	urgentNear = 3
+	urgentFar  = 3
 	// listPeriod is the mean time between two readings of the platform's list by the whole deployment.
 	listPeriod = 500 * time.Millisecond
 	// leastListPeriod is the least time between two readings by one instance.
--- a/gossiper/run.go
+++ b/gossiper/run.go
@@ -62,12 +62,12 @@
 
 func (gs *Gossiper) tick(ctx context.Context, st *state, tick int) {
 	st.tick(time.Now())
-	gs.startAll(ctx, st, pick(st.peers(true), 1))
+	gs.startAll(ctx, st, pick(st.peers(true), 1, rand.Shuffle))
 	if tick%farTicks == 0 {
-		gs.startAll(ctx, st, pick(st.peers(false), 1))
+		gs.startAll(ctx, st, pick(st.peers(false), 1, rand.Shuffle))
 	}
 	if tick%strangerTicks == 0 {
-		gs.startAll(ctx, st, pick(st.strangers(gs.options.Seeds), 1))
+		gs.startAll(ctx, st, pick(st.strangers(gs.options.Seeds), 1, rand.Shuffle))
 	}
 }
 
@@ -77,8 +77,8 @@
 		return
 	}
 	st.urgent = false
-	gs.startAll(ctx, st, pick(st.peers(true), urgentNear))
-	gs.startAll(ctx, st, pick(st.peers(false), urgentFar))
+	gs.startAll(ctx, st, pick(st.peers(true), urgentNear, rand.Shuffle))
+	gs.startAll(ctx, st, pickDomains(st.peers(false), urgentFar, rand.Shuffle))
 }
 
 func (gs *Gossiper) startAll(ctx context.Context, st *state, peers []peer) {
--- a/gossiper/simulation_test.go
+++ b/gossiper/simulation_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,16 +118,17 @@
 	}
 }
 
+// call has a state exchange with peers that it picks as in run.go.
 func (sm *simulation) call(st *state, near bool, count int) {
 	peers := st.peers(near)
-	slices.SortFunc(peers, func(left, right peer) int {
-		if left.id < right.id {
-			return -1
-		}
-		return 1
-	})
-	for range min(count, len(peers)) {
-		sm.exchange(st, peers[sm.random.IntN(len(peers))])
+	slices.SortFunc(peers, func(left, right peer) int { return strings.Compare(left.id, right.id) })
+	if near {
+		peers = pick(peers, count, sm.random.Shuffle)
+	} else {
+		peers = pickDomains(peers, count, sm.random.Shuffle)
+	}
+	for _, pe := range peers {
+		sm.exchange(st, pe)
 	}
 }
 
