--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -182,7 +182,9 @@
 			entry.ClearedAgeMs = now.Sub(su.cleared).Milliseconds() + 1
 		}
 		for _, de := range su.deaths {
-			entry.Deaths = append(entry.Deaths, &wire.TargetDeath{Target: de.target, AgeMs: now.Sub(de.at).Milliseconds()})
+			entry.Deaths = append(entry.Deaths, &wire.TargetDeath{
+				Target: de.target, AgeMs: now.Sub(de.at).Milliseconds(), SpanMs: de.at.Sub(de.from).Milliseconds(),
+			})
 		}
 		entries = append(entries, entry)
 	}
@@ -208,7 +210,7 @@
 		}
 		for _, td := range entry.GetDeaths() {
 			at := now.Add(-milliseconds(td.GetAgeMs()))
-			su.add(death{td.GetTarget(), at.Add(-gossipedSpan), at})
+			su.add(death{td.GetTarget(), at.Add(-milliseconds(td.GetSpanMs())), at})
 		}
 	}
 }
--- /dev/null
+++ b/dispatcher/quarantine_test.go
@@ -0,0 +1,159 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lovagebank/requester"
+)
+
+var quarantineStart = time.Unix(1000, 0)
+
+func at(seconds int) time.Time { return quarantineStart.Add(time.Duration(seconds) * time.Second) }
+
+// ran is a request's run on a target that died, in seconds.
+type ran struct {
+	fingerprint string
+	target      string
+	from, to    int
+}
+
+func TestQuarantine(t *testing.T) {
+	tests := map[string]struct {
+		ran     []ran
+		stopped string
+		free    string
+	}{
+		"the second crash stops a request": {ran: []ran{{"p", "t1", 0, 1}, {"p", "t2", 2, 3}}, stopped: "p"},
+		"one crash does not":               {ran: []ran{{"p", "t1", 0, 1}}, free: "p"},
+		"a crash of the same target again": {ran: []ran{{"p", "t1", 0, 1}, {"p", "t1", 2, 3}}, stopped: "p"},
+		"two copies in one crash":          {ran: []ran{{"p", "t1", 0, 5}, {"p", "t1", 1, 5}}, free: "p"},
+		"a neighbour goes free": {
+			ran:     []ran{{"p", "t1", 0, 1}, {"n", "t1", 0, 1}, {"p", "t2", 2, 3}},
+			stopped: "p", free: "n",
+		},
+		"a neighbour of two crashing requests goes free": {
+			ran: []ran{
+				{"p", "t1", 0, 1}, {"n", "t1", 0, 1}, {"q", "t2", 2, 3}, {"n", "t2", 2, 3}, {"p", "t3", 4, 5}, {"q", "t4", 4, 5},
+			},
+			stopped: "pq", free: "n",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qu, peer := newQuarantine(time.Hour), newQuarantine(time.Hour)
+			for index, ra := range test.ran {
+				here := qu
+				if index%2 == 1 {
+					here = peer
+				}
+				here.died(ra.fingerprint, death{ra.target, at(ra.from), at(ra.to)})
+			}
+			now := at(60)
+			qu.merge(peer.entries(now), now)
+			peer.merge(qu.entries(now), now)
+			for _, one := range []*quarantine{qu, peer} {
+				for _, fingerprint := range test.stopped {
+					if !one.quarantined(string(fingerprint), now) {
+						t.Errorf("%c runs on", fingerprint)
+					}
+				}
+				for _, fingerprint := range test.free {
+					if one.quarantined(string(fingerprint), now) {
+						t.Errorf("%c is stopped", fingerprint)
+					}
+				}
+			}
+			if test.stopped != "" && qu.quarantined(test.stopped[:1], now.Add(2*time.Hour)) {
+				t.Error("stopped for good")
+			}
+		})
+	}
+}
+
+func TestQuarantineOutcome(t *testing.T) {
+	qu := newQuarantine(time.Hour)
+	if rf := qu.enter("p", at(0)); rf != nil {
+		t.Fatal(rf)
+	}
+	qu.died("p", death{"t1", at(0), at(1)})
+	qu.died("p", death{"t2", at(2), at(3)})
+	if rf := qu.enter("p", at(4)); rf == nil || rf.Outcome() != requester.OutcomeUnknown {
+		t.Errorf("while a copy runs: %v", rf)
+	}
+	qu.leave("p")
+	if rf := qu.enter("p", at(4)); rf == nil || rf.Outcome() != requester.OutcomeNotRun || rf.RetryAfter() == 0 {
+		t.Errorf("when none runs: %v", rf)
+	}
+}
+
+// TestQuarantineNeighbours plays crashing requests among innocent ones as the holders run them: at most one suspect on a
+// target at a time. A crashing request crashes no more than two targets; an innocent one is never refused for good.
+func TestQuarantineNeighbours(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		qu := newQuarantine(time.Hour)
+		crashing := map[string]bool{"p": true, "q": rapid.Bool().Draw(rt, "two crashing")}
+		var waiting []string
+		for index := range 12 {
+			waiting = append(waiting, fmt.Sprint("n", index))
+		}
+		waiting = rapid.Permutation(append(waiting, "p", "q")).Draw(rt, "order")
+		crashes := map[string]int{}
+		now := 0
+		for round := 0; len(waiting) > 0 && round < 200; round++ {
+			now += 10
+			batch, rest := drawBatch(rt, qu, waiting, at(now))
+			waiting = rest
+			var culprit string
+			for _, fingerprint := range batch {
+				if crashing[fingerprint] {
+					culprit = fingerprint
+				}
+			}
+			if culprit == "" {
+				for _, fingerprint := range batch {
+					qu.exonerate(fingerprint, at(now+1))
+				}
+				continue
+			}
+			crashes[culprit]++
+			for _, fingerprint := range batch {
+				qu.died(fingerprint, death{fmt.Sprint("t", round%4), at(now), at(now + 1)})
+			}
+			for _, fingerprint := range batch {
+				if !crashing[fingerprint] || !qu.quarantined(fingerprint, at(now+1)) {
+					waiting = append(waiting, fingerprint)
+				}
+			}
+		}
+		if len(waiting) > 0 {
+			rt.Fatalf("never ran: %v", waiting)
+		}
+		for fingerprint, count := range crashes {
+			if count > crashesToStop {
+				rt.Fatalf("%s crashed %d targets", fingerprint, count)
+			}
+		}
+	})
+}
+
+// drawBatch takes some of the waiting requests that may run now, with at most one suspect among them.
+func drawBatch(rt *rapid.T, qu *quarantine, waiting []string, now time.Time) (batch, rest []string) {
+	size := rapid.IntRange(1, 4).Draw(rt, "size")
+	suspects := 0
+	for _, fingerprint := range waiting {
+		suspect := qu.suspect(fingerprint, now)
+		if len(batch) == size || qu.quarantined(fingerprint, now) || suspect && suspects > 0 {
+			rest = append(rest, fingerprint)
+			continue
+		}
+		if suspect {
+			suspects++
+		}
+		batch = append(batch, fingerprint)
+	}
+	return batch, rest
+}
--- a/dispatcher/suspicion.go
+++ b/dispatcher/suspicion.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// gossipedSpan is the span before a death in which a request that another instance reports is taken to have started.
-const gossipedSpan = 2 * time.Second
-
 // death is a target's death as seen by a request that ran on it, from the start of the run to its loss.
 type death struct {
 	target string
