Bound how long callers may send a body and take no answer

Cause: a caller that stopped sending or reading held its place for good. Change: a read deadline on bodies, a write deadline before each part. Ruled out: clearing the read deadline after a failed read; net/http then waits for the rest of the body before it answers, and the test hung.

--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -72,10 +72,12 @@
 	control *http.ResponseController
 	stream  bool
 	opened  bool
+	// patience is how long the caller may take no byte.
+	patience time.Duration
 }
 
-func newAnswer(rw http.ResponseWriter, stream bool) *answer {
-	return &answer{rw: rw, control: http.NewResponseController(rw), stream: stream}
+func (rc *Receiver) newAnswer(rw http.ResponseWriter, stream bool) *answer {
+	return &answer{rw: rw, control: http.NewResponseController(rw), stream: stream, patience: rc.options.Limits.SilenceTime}
 }
 
 func (an *answer) sink() requester.Sink {
@@ -96,7 +98,10 @@
 	return nil
 }
 
+// data writes a part of the answer. A caller that takes nothing for too long counts as gone, which frees its place on
+// the target.
 func (an *answer) data(chunk []byte) error {
+	_ = an.control.SetWriteDeadline(time.Now().Add(an.patience))
 	if _, err := an.rw.Write(chunk); err != nil {
 		return err
 	}
--- a/receiver/model.go
+++ b/receiver/model.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 // modelHandler serves chat and text completions.
 func (rc *Receiver) modelHandler(kind requester.Kind) http.HandlerFunc {
 	return func(rw http.ResponseWriter, hr *http.Request) {
-		rq, err := rc.readModelRequest(hr, kind)
+		rq, err := rc.readModelRequest(rw, hr, kind)
 		if err != nil {
 			writeRefusal(rw, requester.AsRefusal(err))
 			return
@@ -27,7 +28,7 @@
 }
 
 // readModelRequest checks a model request in the order that tells a stranger least: key, form, adapter, plan.
-func (rc *Receiver) readModelRequest(hr *http.Request, kind requester.Kind) (*requester.Request, error) {
+func (rc *Receiver) readModelRequest(rw http.ResponseWriter, hr *http.Request, kind requester.Kind) (*requester.Request, error) {
 	sn, err := rc.snapshot()
 	if err != nil {
 		return nil, err
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := rc.readBody(hr)
+	body, err := rc.readBody(rw, hr)
 	if err != nil {
 		return nil, err
 	}
@@ -124,12 +125,22 @@
 	return hex.EncodeToString(hash.Sum(nil))
 }
 
-func (rc *Receiver) readBody(hr *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, hr.Body, rc.options.Limits.BodyBytes))
+// readBody reads a request's body within the bounds on its size and time.
+func (rc *Receiver) readBody(rw http.ResponseWriter, hr *http.Request) ([]byte, error) {
+	control := http.NewResponseController(rw)
+	_ = control.SetReadDeadline(time.Now().Add(rc.options.Limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(rw, hr.Body, rc.options.Limits.BodyBytes))
+	if err == nil {
+		// A deadline left in place would look like a caller that went away while the request runs. After an error it
+		// stays, since net/http reads the rest of the body before it answers.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, requester.Refuse(requester.CodeTooLarge, "The body is too large.", 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, requester.Refuse(requester.CodeTooSlow, "The body took too long to arrive.", 0)
 	case err != nil:
 		return nil, badRequest("the body could not be read")
 	default:
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -43,6 +43,10 @@
 type Limits struct {
 	// BodyBytes is the largest body that is read.
 	BodyBytes int64
+	// BodyTime is how long a caller may take to send a body.
+	BodyTime time.Duration
+	// SilenceTime is how long a caller may take no byte of its answer before it counts as gone.
+	SilenceTime time.Duration
 	// DefaultMaxTokens is the most that is generated when the caller names no bound.
 	DefaultMaxTokens int64
 	// MaxTokens is the largest bound that a caller may name.
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -121,7 +121,7 @@
 		},
 		Finished: func(*requester.Request, requester.Usage, *requester.Refusal, time.Duration) {},
 		Ready:    func() error { return nil },
-		Limits:   receiver.Limits{BodyBytes: 4096, DefaultMaxTokens: 16, MaxTokens: 64, DefaultDeadline: time.Minute},
+		Limits:   receiver.Limits{BodyBytes: 4096, BodyTime: 500 * time.Millisecond, SilenceTime: 500 * time.Millisecond, DefaultMaxTokens: 16, MaxTokens: 64, DefaultDeadline: time.Minute},
 		Logger:   log.New(io.Discard),
 	})
 	return be
--- a/receiver/run.go
+++ b/receiver/run.go
@@ -18,7 +18,7 @@
 		rc.deferRequest(rw, hr, rq)
 		return
 	}
-	an := newAnswer(rw, rq.Stream())
+	an := rc.newAnswer(rw, rq.Stream())
 	us, err := rc.chargeAndDispatch(rc.options.Begin(hr.Context(), rq), rq, an.sink())
 	rf := requester.AsRefusal(err)
 	rc.options.Finished(rq, us, rf, time.Since(started))
@@ -92,7 +92,7 @@
 		_ = json.NewEncoder(rw).Encode(deferredBody{ID: id, Status: "running"})
 		return
 	}
-	an := newAnswer(rw, false)
+	an := rc.newAnswer(rw, false)
 	if err := an.head(de.status, de.header); err == nil {
 		_ = an.data(de.body)
 	}
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -16,7 +16,7 @@
 
 // serveService passes a request to a plain service.
 func (rc *Receiver) serveService(rw http.ResponseWriter, hr *http.Request) {
-	rq, err := rc.readServiceRequest(hr)
+	rq, err := rc.readServiceRequest(rw, hr)
 	if err != nil {
 		writeRefusal(rw, requester.AsRefusal(err))
 		return
@@ -24,7 +24,7 @@
 	rc.run(rw, hr, rq)
 }
 
-func (rc *Receiver) readServiceRequest(hr *http.Request) (*requester.Request, error) {
+func (rc *Receiver) readServiceRequest(rw http.ResponseWriter, hr *http.Request) (*requester.Request, error) {
 	sn, err := rc.snapshot()
 	if err != nil {
 		return nil, err
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := rc.readBody(hr)
+	body, err := rc.readBody(rw, hr)
 	if err != nil {
 		return nil, err
 	}
--- a/requester/refusal.go
+++ b/requester/refusal.go
@@ -33,6 +33,7 @@
 	CodeOutcomeUnknown   Code = "outcome-unknown"
 	CodeKeyExpired       Code = "key-expired"
 	CodeTooLarge         Code = "too-large"
+	CodeTooSlow          Code = "too-slow"
 	CodeRateExceeded     Code = "rate-exceeded"
 	CodeQueueFull        Code = "queue-full"
 	CodeDeadline         Code = "deadline"
@@ -61,6 +62,7 @@
 	CodeOutcomeUnknown:   http.StatusConflict,
 	CodeKeyExpired:       http.StatusConflict,
 	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeTooSlow:          http.StatusRequestTimeout,
 	CodeRateExceeded:     http.StatusTooManyRequests,
 	CodeQueueFull:        http.StatusServiceUnavailable,
 	CodeDeadline:         http.StatusGatewayTimeout,
