Hold targets and rates under leases, and run deferred work

Cause: holders were picked by rendezvous without leases, so two instances that did not know each other yet both lent a fresh burst and both ordered loads. Change: the leaser decides; hand-overs at shutdown carry the buckets' state; readiness waits until targets and rates have holders. A target of a dead holder is served for the adapters it has until its lease is taken over. Requests that may wait are kept and run by the deferrer. Found on the way: a request sent to an instance without the lease waited until its deadline where it should have been refused at once (scheduler), and a target of another failure domain was served when no member of that domain was known.

--- a/receiver/run.go
+++ b/receiver/run.go
@@ -33,24 +33,10 @@
 		return requester.Usage{}, err
 	}
 	us, err := rc.options.Dispatch(ctx, rq, sink)
-	settle(usedTokens(rq, us, err))
+	settle(requester.TokensUsed(rq, us, err))
 	return us, err
 }
 
-// usedTokens returns what to keep of a charge: what the target counted, nothing for a request that did not run, and
-// all of it where nobody can tell.
-func usedTokens(rq *requester.Request, us requester.Usage, err error) int64 {
-	rf := requester.AsRefusal(err)
-	switch {
-	case rf == nil:
-		return us.Total()
-	case rf.Outcome() == requester.OutcomeNotRun:
-		return 0
-	default:
-		return rq.Cost()
-	}
-}
-
 // deferredLocation is where a caller polls for the answer of a deferred request.
 const deferredLocation = "/v1/deferred/"
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -80,7 +80,7 @@
 	case ad != nil && now.Before(ad.retryAt):
 		return refuseLoadFailed(ad.retryAt.Sub(now))
 	case !st.hold.held && st.reports.seen:
-		return requester.Refuse(requester.CodeNoTarget, "the target has no holder to load the adapter", minRetryAfter)
+		return refuseUnheld()
 	default:
 		return nil
 	}
@@ -240,6 +240,10 @@
 	st.lanes[it.lane].push(it, now)
 }
 
+func refuseUnheld() *requester.Refusal {
+	return requester.Refuse(requester.CodeNoTarget, "the target has no holder to load the adapter", minRetryAfter)
+}
+
 func refuseClosing() *requester.Refusal {
 	return requester.Refuse(requester.CodeNoTarget, "the adapter's slot is needed for others here", minRetryAfter)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -120,6 +120,9 @@
 	if st.reports.lost() {
 		st.refuseAll(refuseLost())
 	}
+	if !st.hold.held && st.reports.seen {
+		st.refuseAbsent()
+	}
 	if !now.Before(st.scanAt) {
 		st.scan(now)
 	}
@@ -230,6 +233,18 @@
 	}
 }
 
+// refuseAbsent refuses the requests whose adapter is not there, while nobody here may order its load.
+func (st *state) refuseAbsent() {
+	for _, la := range st.lanes {
+		for _, it := range la.waiting() {
+			if st.adapters[it.model].status == statusAbsent {
+				st.dequeue(it)
+				st.refuse(it, refuseUnheld())
+			}
+		}
+	}
+}
+
 // wakeAt returns when decide is to be called if no message comes before.
 func (st *state) wakeAt(now time.Time) time.Time {
 	if st.queued == 0 {
--- a/server/build.go
+++ b/server/build.go
@@ -40,10 +40,11 @@
 	sv.claimer = sv.newClaimer()
 	sv.dispatcher = sv.newDispatcher()
 	sv.gossiper = sv.newGossiper()
-	sv.leases = &leases{server: sv}
+	sv.leases = sv.newLeaser()
 	sv.limiter = sv.newLimiter()
 	sv.limiter.SetDomains(st.FailureDomains())
 	sv.holdings = newHoldings(sv)
+	sv.deferrer = sv.newDeferrer()
 	sv.receiver = sv.newReceiver()
 }
 
@@ -78,7 +79,7 @@
 		},
 		Charge:   sv.charge,
 		Dispatch: sv.dispatch,
-		Defer:    sv.deferRequest,
+		Defer:    sv.deferrer.Accept,
 		Look:     sv.lookDeferred,
 		Finished: sv.finished,
 		Ready:    sv.ready,
--- a/server/candidates.go
+++ b/server/candidates.go
@@ -6,12 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lovagebank/leaser"
 	"lovagebank/wire"
 )
 
-// targetResource names the lease of a target's adapter slots.
-func targetResource(target string) string { return "target/" + target }
-
 // ranked is a member with its rendezvous weight for one resource.
 type ranked struct {
 	id     string
@@ -42,14 +40,9 @@
 	return ids
 }
 
-// targetCandidates returns the instances that may hold a target: those of its failure domain or, when it has none,
-// all.
+// targetCandidates returns the instances that may hold a target: those of its failure domain.
 func (sv *Server) targetCandidates(tg *wire.Target) []string {
-	resource := targetResource(tg.GetId())
-	if ids := sv.domainCandidates(resource, tg.GetFailureDomain()); len(ids) > 0 {
-		return ids
-	}
-	return sv.homeCandidates(resource)
+	return sv.domainCandidates(leaser.TargetName(tg.GetId()), tg.GetFailureDomain())
 }
 
 // homeCandidates returns the instances that may hold a resource of the whole deployment. The first of each failure
--- a/server/drain.go
+++ b/server/drain.go
@@ -9,6 +9,9 @@
 // before callers do.
 const drainNotice = 2 * time.Second
 
+// handOverTimeout bounds handing leases over.
+const handOverTimeout = 5 * time.Second
+
 // leaveTimeout bounds telling peers that this instance leaves.
 const leaveTimeout = time.Second
 
@@ -19,6 +22,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sv.settings.Limits().DrainTime())
 	defer cancel()
 	sv.leave(ctx)
+	sv.handOver(ctx)
 	notice := time.NewTimer(drainNotice)
 	defer notice.Stop()
 	sv.holdings.drain(ctx)
@@ -26,14 +30,25 @@
 	case <-notice.C:
 	case <-ctx.Done():
 	}
-	return sv.listeners.drainCallers(ctx)
+	err := sv.listeners.drainCallers(ctx)
+	sv.settleJobs(ctx)
+	return err
 }
 
 func (sv *Server) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := sv.gossiper.Leave(ctx); err != nil {
-		sv.logger.Warn("Peers were not told of the leave.", "cause", err)
+		sv.logger.Warn("Peers were not told of the leave.", "error", err.Error())
+	}
+}
+
+// handOver gives the leases to their successors; what can't be handed over in time lapses.
+func (sv *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := sv.leases.HandOver(ctx); err != nil {
+		sv.logger.Warn("Leases lapse instead of being handed over.", "error", err.Error())
 	}
 }
 
--- a/server/holdings.go
+++ b/server/holdings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagebank/invoker"
+	"lovagebank/leaser"
 	"lovagebank/requester"
 	"lovagebank/scheduler"
 	"lovagebank/wire"
@@ -46,10 +47,10 @@
 // submit runs a request on a target, if this instance may serve it.
 func (ho *holdings) submit(ctx context.Context, target string, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
 	tg := ho.server.findTarget(target)
-	if tg == nil {
-		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "The target is not known here.", peerRetry)
+	if tg == nil || tg.GetFailureDomain() != ho.server.settings.FailureDomain() {
+		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "The target is not served here.", peerRetry)
 	}
-	if holder, ok := ho.server.leases.Holder(targetResource(target)); ok && holder != ho.server.identity {
+	if ho.server.heldElsewhere(target) {
 		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "Another instance holds the target.", 0)
 	}
 	hd := ho.acquire(tg)
@@ -60,6 +61,13 @@
 	return hd.scheduler.Submit(ctx, rq, sink)
 }
 
+// heldElsewhere tells whether another live instance is the likely holder of a target. While the holder is gone and its
+// lease has not been taken over, the target is served for the adapters that it has, without orders.
+func (sv *Server) heldElsewhere(target string) bool {
+	holder, ok := sv.leases.Holder(leaser.TargetName(target))
+	return ok && holder != sv.identity && sv.findMember(holder) != nil
+}
+
 func (ho *holdings) acquire(tg *wire.Target) *holding {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
@@ -85,7 +93,7 @@
 func (ho *holdings) start(tg *wire.Target) *holding {
 	sv := ho.server
 	id := tg.GetId()
-	resource := targetResource(id)
+	resource := leaser.TargetName(id)
 	sc := scheduler.New(scheduler.Options{
 		Target:   tg,
 		Instance: sv.identity,
@@ -119,7 +127,7 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	for id, hd := range ho.byTarget {
-		_, _, held := ho.server.leases.Holds(targetResource(id))
+		_, _, held := ho.server.leases.Holds(leaser.TargetName(id))
 		if held && ho.server.findTarget(id) != nil {
 			continue
 		}
--- a/server/insight.go
+++ b/server/insight.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"lovagebank/leaser"
 	"lovagebank/limiter"
 	"lovagebank/operator"
 	"lovagebank/wire"
@@ -30,7 +31,7 @@
 	reports := sv.reportsByTarget()
 	for _, tg := range sv.gossiper.Targets() {
 		st.Targets = append(st.Targets, sv.describeTarget(tg, reports[tg.GetId()]))
-		resource := targetResource(tg.GetId())
+		resource := leaser.TargetName(tg.GetId())
 		if fencing, until, ok := sv.leases.Holds(resource); ok {
 			st.Leases = append(st.Leases, operator.Lease{Resource: resource, Fencing: fencing, Until: until})
 		}
@@ -57,7 +58,7 @@
 		Running: report.GetRunning(), Queued: report.GetQueued(),
 	}
 	if tg.GetKind() == targetKindEngine {
-		described.Holder, _ = sv.leases.Holder(targetResource(tg.GetId()))
+		described.Holder, _ = sv.leases.Holder(leaser.TargetName(tg.GetId()))
 	}
 	for _, slot := range report.GetAdapters() {
 		described.Adapters = append(described.Adapters, operator.Slot{
--- a/server/limits.go
+++ b/server/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -78,21 +79,26 @@
 	return gr.Settle, nil
 }
 
+// organisationSet is the organisations of one configuration, sorted.
+type organisationSet struct {
+	names []string
+}
+
 // adopt puts the plans of a configuration in force. An organisation that is gone loses its rate.
 func (sv *Server) adopt(sn *configurer.Snapshot) {
-	named := make(map[string]bool)
+	next := &organisationSet{}
 	for _, name := range sn.Organisations() {
 		if pl, ok := sn.PlanOf(name); ok {
-			named[name] = true
+			next.names = append(next.names, name)
 			sv.limiter.SetPlan(name, pl.Rate(), pl.Burst())
 		}
 	}
-	previous := sv.organisations.Swap(&named)
+	previous := sv.organisations.Swap(next)
 	if previous == nil {
 		return
 	}
-	for name := range *previous {
-		if !named[name] {
+	for _, name := range previous.names {
+		if _, known := slices.BinarySearch(next.names, name); !known {
 			sv.limiter.SetPlan(name, 0, 0)
 		}
 	}
--- a/server/members.go
+++ b/server/members.go
@@ -10,6 +10,7 @@
 
 	"lovagebank/explainer"
 	"lovagebank/gossiper"
+	"lovagebank/leaser"
 	"lovagebank/requester"
 	"lovagebank/wire"
 )
@@ -115,7 +116,7 @@
 			continue
 		}
 		engines++
-		if _, _, ok := sv.leases.Holds(targetResource(tg.GetId())); ok {
+		if _, _, ok := sv.leases.Holds(leaser.TargetName(tg.GetId())); ok {
 			held++
 		}
 	}
--- a/server/peering.go
+++ b/server/peering.go
@@ -26,6 +26,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewExecutionServiceHandler(pe, guard))
 	mux.Handle(wireconnect.NewLimitServiceHandler(pe, guard))
+	mux.Handle(wireconnect.NewLeaseServiceHandler(pe, guard))
 	mux.Handle(wireconnect.NewClaimServiceHandler(pe, guard))
 	mux.Handle(wireconnect.NewConfigurationServiceHandler(pe, guard))
 	mux.Handle(wireconnect.NewMembershipServiceHandler(pe, guard))
--- a/server/routing.go
+++ b/server/routing.go
@@ -8,6 +8,7 @@
 
 	"lovagebank/dispatcher"
 	"lovagebank/explainer"
+	"lovagebank/leaser"
 	"lovagebank/requester"
 	"lovagebank/wire"
 )
@@ -58,7 +59,7 @@
 
 // holderOf names the instance to ask for a target: the known holder while it lives, or else the first candidate.
 func (sv *Server) holderOf(tg *wire.Target) string {
-	if holder, ok := sv.leases.Holder(targetResource(tg.GetId())); ok && sv.findMember(holder) != nil {
+	if holder, ok := sv.leases.Holder(leaser.TargetName(tg.GetId())); ok && sv.findMember(holder) != nil {
 		return holder
 	}
 	candidates := sv.targetCandidates(tg)
--- a/server/server.go
+++ b/server/server.go
@@ -17,10 +17,12 @@
 	"lovagebank/claimer"
 	"lovagebank/configurer"
 	"lovagebank/connector"
+	"lovagebank/deferrer"
 	"lovagebank/dispatcher"
 	"lovagebank/explainer"
 	"lovagebank/gossiper"
 	"lovagebank/invoker"
+	"lovagebank/leaser"
 	"lovagebank/limiter"
 	"lovagebank/placer"
 	"lovagebank/publisher"
@@ -38,6 +40,7 @@
 var (
 	errLeaving   = errors.New("the instance is leaving")
 	errNoTargets = errors.New("no target is known yet")
+	errNoHolders = errors.New("the holders of targets and rates are not known yet")
 )
 
 // Server is one entry instance.
@@ -50,6 +53,8 @@
 	leaving atomic.Bool
 	// placing is set once the placer knows targets.
 	placing atomic.Bool
+	// settled is set once the wanted resources have holders.
+	settled atomic.Bool
 
 	store      *storer.Client
 	list       *storer.Client
@@ -57,7 +62,7 @@
 	auditor    *auditor.Auditor
 	publisher  *publisher.Publisher
 	gossiper   *gossiper.Gossiper
-	leases     *leases
+	leases     *leaser.Leaser
 	limiter    *limiter.Limiter
 	invoker    *invoker.Invoker
 	placer     *placer.Placer
@@ -65,6 +70,7 @@
 	holdings   *holdings
 	batcher    *batcher.Batcher
 	claimer    *claimer.Claimer
+	deferrer   *deferrer.Deferrer
 	reporter   *reporter.Reporter
 	explainer  *explainer.Explainer
 	receiver   *receiver.Receiver
@@ -76,9 +82,11 @@
 	storeFailed   int64
 
 	// organisations are those of the configuration that was adopted last.
-	organisations atomic.Pointer[map[string]bool]
-	parts         sync.WaitGroup
-	done          chan struct{}
+	organisations atomic.Pointer[organisationSet]
+	// stopJobs has the deferrer start nothing more.
+	stopJobs context.CancelFunc
+	parts    sync.WaitGroup
+	done     chan struct{}
 }
 
 // New builds an instance and opens its sockets; Run starts it.
@@ -128,6 +136,9 @@
 	writes, stopWrites := context.WithCancel(context.Background())
 	defer stopWrites()
 	go sv.batcher.Run(writes)
+	var jobs context.Context
+	jobs, sv.stopJobs = context.WithCancel(writes)
+	go sv.deferrer.Run(jobs)
 	sv.listeners.serve()
 	sv.logger.Info("Instance started.", "instance", sv.identity, "callers", sv.settings.CallerAddress())
 	select {
@@ -145,7 +156,10 @@
 
 // start runs each part in a goroutine of its own until the context ends.
 func (sv *Server) start(ctx context.Context) {
-	for _, run := range []func(context.Context){sv.publisher.Run, sv.gossiper.Run, sv.limiter.Run, sv.claimer.Run, sv.watchTargets, sv.measure} {
+	for _, run := range []func(context.Context){
+		sv.publisher.Run, sv.gossiper.Run, sv.leases.Run, sv.limiter.Run, sv.claimer.Run,
+		sv.watchTargets, sv.wantLeases, sv.followLeases, sv.measure,
+	} {
 		sv.parts.Go(func() { run(ctx) })
 	}
 }
@@ -164,5 +178,8 @@
 	if !sv.placing.Load() {
 		return errNoTargets
 	}
+	if !sv.settled.Load() {
+		return errNoHolders
+	}
 	return nil
 }
