--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -324,3 +324,20 @@
 		})
 	}
 }
+
+// TestQueuedBeforeFirstReportWithoutLease queues a request before the first load report has come. Without a lease
+// nobody may load its adapter, so it must be sent elsewhere and not wait for its deadline.
+func TestQueuedBeforeFirstReportWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		be := startBench(t)
+		be.en.set(func() { be.en.held = false })
+		started := time.Now()
+		an := <-be.submit(t.Context(), requester.Fields{ID: "r", Adapter: "a"})
+		if rf := requester.AsRefusal(an.err); rf == nil || rf.Code() != requester.CodeNoTarget {
+			t.Fatalf("ended with %v, want a refusal that goes elsewhere", an.err)
+		}
+		if waited := time.Since(started); waited > 5*time.Second {
+			t.Errorf("refused after %s", waited)
+		}
+	})
+}
--- a/server/leasing.go
+++ b/server/leasing.go
@@ -137,9 +137,10 @@
 	sv.settled.Store(true)
 }
 
+// held tells whether each resource has a holder that is a known member, so that it can be asked.
 func (sv *Server) held(wanted []leaser.Resource) bool {
 	for _, rs := range wanted {
-		if _, ok := sv.leases.Holder(rs.Name()); !ok {
+		if holder, ok := sv.leases.Holder(rs.Name()); !ok || sv.findMember(holder) == nil {
 			return false
 		}
 	}
