--- a/leaser/read.go
+++ b/leaser/read.go
@@ -19,17 +19,38 @@
 		mc.emit(listRecords{})
 		return
 	}
+	names := mc.readable(now)
+	if len(names) > 0 {
+		names = fill(names, mc.readable(now.Add(readAhead)))
+		mc.reading = true
+		mc.emit(readRecords{names})
+	}
+}
+
+// readable names the records to be read by a time.
+func (mc *machine) readable(by time.Time) []string {
 	var names []string
 	for _, rc := range mc.records {
-		if !rc.nextRead.IsZero() && !now.Before(rc.nextRead) && len(names) < maxRead {
+		if !rc.nextRead.IsZero() && !by.Before(rc.nextRead) {
 			names = append(names, rc.name)
 		}
 	}
-	if len(names) > 0 {
-		slices.Sort(names)
-		mc.reading = true
-		mc.emit(readRecords{names})
+	slices.Sort(names)
+	return names
+}
+
+// fill adds records that are due soon to one read of those that are due, so that they need no call of their own.
+func fill(due, soon []string) []string {
+	due = due[:min(len(due), maxRead)]
+	for _, name := range soon {
+		if len(due) == maxRead {
+			break
+		}
+		if !slices.Contains(due, name) {
+			due = append(due, name)
+		}
 	}
+	return due
 }
 
 // answerRead takes records that were read. Records of an older index than known are left aside.
--- a/leaser/timing.go
+++ b/leaser/timing.go
@@ -25,6 +25,8 @@
 	suspectPoll = 2 * time.Second
 	// slowPoll is the pause between reads of a record that this instance is a successor of.
 	slowPoll = time.Minute
+	// readAhead is how early a record may be read along with others.
+	readAhead = slowPoll / 2
 	// settling is how long a successor must be missing before another one takes its place.
 	settling = 5 * time.Second
 	// doubt is how late a renewal's answer must be before promises are asked for.
--- a/leaser/write.go
+++ b/leaser/write.go
@@ -131,7 +131,11 @@
 // successorMissing tells that a successor has been gone for a while, or that the record could name more of them.
 func (mc *machine) successorMissing(now time.Time, rc *record) bool {
 	listed := rc.stored.record.GetSuccessors()
-	missing := len(listed) < len(mc.successors(rc))
+	others := len(rc.candidates)
+	if slices.Contains(rc.candidates, mc.self) {
+		others--
+	}
+	missing := len(listed) < min(others, successorCount)
 	for _, successor := range listed {
 		missing = missing || !slices.Contains(rc.candidates, successor)
 	}
