Keep held resources through a moment of empty lists, and hand over to the preferred candidates

Cause: a resource that was missing from one list was handed over at once, so that a momentarily empty list of targets or organisations would have given everything up; and a hand-over went to the successors of the takeover, which may be far from the preferred ones by then. Change: a held resource is given up after 30 s unwanted (at once when the instance leaves), and a handed-over record names the preferred candidates. Test: fails with the delay taken out.

--- a/leaser/handover.go
+++ b/leaser/handover.go
@@ -6,9 +6,10 @@
 )
 
 // stepHold starts the hand-over of a record that this instance gives up.
-func (mc *machine) stepHold(rc *record) {
+func (mc *machine) stepHold(now time.Time, rc *record) {
 	hl := rc.hold
-	if hl == nil || hl.surrendering || (rc.wanted && !mc.leaving) {
+	kept := rc.wanted || now.Sub(rc.lastWanted) < keepUnwanted
+	if hl == nil || hl.surrendering || (kept && !mc.leaving) {
 		return
 	}
 	// From here on the instance does not act; only then is the owner told to stop and to give its state.
--- a/leaser/machine.go
+++ b/leaser/machine.go
@@ -52,6 +52,7 @@
 	name       string
 	candidates []string
 	wanted     bool
+	lastWanted time.Time
 	// known tells that stored was read.
 	known  bool
 	stored stored
@@ -130,11 +131,13 @@
 // want replaces the resources that this instance is a candidate for or looks up.
 func (mc *machine) want(now time.Time, resources []Resource) {
 	for _, rc := range mc.records {
-		rc.wanted = false
+		if rc.wanted {
+			rc.wanted, rc.lastWanted = false, now
+		}
 	}
 	for _, rs := range resources {
 		rc := mc.record(rs.name)
-		rc.wanted = true
+		rc.wanted, rc.lastWanted = true, now
 		rc.candidates = rs.candidates
 		mc.changed[rs.name] = true
 		if !rc.known && !mc.nextList.IsZero() && rc.nextRead.IsZero() && mc.rank(rc) <= successorCount {
@@ -173,7 +176,7 @@
 	mc.stepReads(now)
 	var writes []*write
 	for _, rc := range mc.records {
-		mc.stepHold(rc)
+		mc.stepHold(now, rc)
 		if wr := mc.stepWrite(now, rc); wr != nil {
 			writes = append(writes, wr)
 		}
--- a/leaser/protocol_test.go
+++ b/leaser/protocol_test.go
@@ -160,6 +160,20 @@
 	}
 }
 
+func TestResourceOutlivesAMomentOfEmptyLists(t *testing.T) {
+	ct := settled(t, 3)
+	mc := ct.holder.machine
+	mc.want(ct.now, nil)
+	ct.settle(keepUnwanted / 2)
+	if acting := ct.acting(); len(acting) != 1 {
+		t.Fatalf("given up at once: %v", ct.world)
+	}
+	ct.settle(keepUnwanted)
+	if acting := ct.acting(); len(acting) != 1 || acting[0] == mc.self {
+		t.Errorf("not handed over: %v", ct.world)
+	}
+}
+
 func TestAnotherIdentityPromisesNothing(t *testing.T) {
 	ct := settled(t, 3)
 	request := &wire.PromiseRequest{
--- a/leaser/timing.go
+++ b/leaser/timing.go
@@ -29,6 +29,8 @@
 	readAhead = slowPoll / 2
 	// settling is how long a successor must be missing before another one takes its place.
 	settling = 5 * time.Second
+	// keepUnwanted is how long a held resource must be unwanted before it is given up: lists may be empty for a moment.
+	keepUnwanted = 30 * time.Second
 	// doubt is how late a renewal's answer must be before promises are asked for.
 	doubt = 2 * time.Second
 	// driftShare is the part of the hold time that covers the drift of clocks.
--- a/leaser/write.go
+++ b/leaser/write.go
@@ -96,6 +96,9 @@
 	case hl.surrendered:
 		wr := mc.newWrite(rc, release)
 		wr.record.Holder, wr.record.Session, wr.record.HandedOver = "", "", hl.handedState
+		if preferred := mc.successors(rc); len(preferred) > 0 {
+			wr.record.Successors = preferred // they go first, and may not be the ones of the takeover
+		}
 		return wr
 	case hl.surrendering:
 		return nil
