Count prompt tokens by bytes, and let organisations have deadlines of their own

Cause: the stand-in counted a token for each word; sample words of 20 bytes made an instance's estimate by bytes several times too high, and refusals by it looked wrongful. Overnight work was judged by an interactive deadline. Conclusion: measures of wrongful refusals now compare like with like.

--- a/faker/engine_cache.go
+++ b/faker/engine_cache.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -62,12 +61,11 @@
 
 // touch puts a prompt's blocks into the cache and returns how many of its tokens were there.
 func (pc *prefixCache) touch(model, prompt string) (cached int) {
-	words := strings.Fields(prompt)
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	hit := true
-	for end := cacheBlockTokens; end <= len(words); end += cacheBlockTokens {
-		block := cacheBlock{model, xxhash.Sum64String(strings.Join(words[:end], " "))}
+	for end := cacheBlockTokens * bytesPerToken; end <= len(prompt); end += cacheBlockTokens * bytesPerToken {
+		block := cacheBlock{model, xxhash.Sum64String(prompt[:end])}
 		place := slices.Index(pc.blocks, block)
 		hit = hit && place >= 0
 		if hit {
--- a/faker/tokens.go
+++ b/faker/tokens.go
@@ -23,5 +23,8 @@
 	return text.String()
 }
 
-// CountTokens returns the tokens of a prompt as the stand-in counts them: one for each word.
-func CountTokens(prompt string) int { return len(strings.Fields(prompt)) }
+// bytesPerToken is the length of a prompt's token, as is usual for English text.
+const bytesPerToken = 4
+
+// CountTokens returns the tokens of a prompt as the stand-in counts them: one for each four bytes.
+func CountTokens(prompt string) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
--- a/loader/arrivals.go
+++ b/loader/arrivals.go
@@ -14,6 +14,9 @@
 // sharedPrompt is the part of a prompt, in tokens, that the requests for an adapter share.
 const sharedPrompt = 48
 
+// bytesPerToken is the length of a token of a prompt.
+const bytesPerToken = 4
+
 // Arrival is one request to come.
 type Arrival struct {
 	// Number counts the arrivals of a run from 0, in order of time.
@@ -32,6 +35,14 @@
 	WithinRate bool
 }
 
+// Deadline returns when an answer is late, from the arrival on.
+func (ar *Arrival) Deadline() time.Duration {
+	if ar.Organisation.Deadline > 0 {
+		return ar.Organisation.Deadline
+	}
+	return ar.Kind.Deadline
+}
+
 // Cost returns the tokens that the arrival is charged.
 func (ar *Arrival) Cost() float64 {
 	if ar.Adapter == "" {
@@ -156,15 +167,15 @@
 	return true
 }
 
-// prompt returns a prompt of the kind's size, which ends in the arrival's ID.
+// prompt returns a prompt of about the kind's size, which ends in the arrival's ID. Requests for an adapter share its
+// first part.
 func prompt(ar *Arrival) string {
 	var text strings.Builder
-	for index := range ar.Kind.PromptTokens - 1 {
-		if index < sharedPrompt {
-			fmt.Fprintf(&text, "%s/%d ", ar.Adapter, index)
-		} else {
-			fmt.Fprintf(&text, "detail%d ", index)
-		}
+	for text.Len() < sharedPrompt*bytesPerToken && text.Len() < ar.Kind.PromptTokens*bytesPerToken {
+		text.WriteString(ar.Adapter + " ")
+	}
+	for text.Len()+len(ar.ID) < ar.Kind.PromptTokens*bytesPerToken {
+		text.WriteString("and ")
 	}
 	text.WriteString(ar.ID)
 	return text.String()
--- a/loader/driver.go
+++ b/loader/driver.go
@@ -132,7 +132,7 @@
 
 // insist sends an arrival until it has a final answer: a refusal that says "not run" is one, as the caller was told.
 func (dr *Driver) insist(ctx context.Context, ar *Arrival) Result {
-	ctx, cancel := context.WithTimeout(ctx, ar.Kind.Deadline+deadlineGrace)
+	ctx, cancel := context.WithTimeout(ctx, ar.Deadline()+deadlineGrace)
 	defer cancel()
 	began := time.Now()
 	result := Result{Arrival: ar, OnlyNotRun: true}
--- a/loader/report.go
+++ b/loader/report.go
@@ -167,12 +167,12 @@
 	}
 	ms.Done++
 	ms.weightDone += ar.Kind.Weight
-	if result.Total <= ar.Kind.Deadline {
+	if result.Total <= ar.Deadline() {
 		ms.weightInTime += ar.Kind.Weight
 		ms.value += ar.Kind.Weight
 	} else {
 		ms.Late++
-		ms.value += ar.Kind.Weight * ar.Kind.Deadline.Seconds() / result.Total.Seconds()
+		ms.value += ar.Kind.Weight * ar.Deadline().Seconds() / result.Total.Seconds()
 	}
 	_ = ms.total.RecordValue(min(result.Total.Microseconds(), highestLatency))
 	if ar.Adapter == "" || !ar.Kind.Stream {
