Mend four faults of the limiter, and set the floors by measurement

- A holder that gives up a lease says so after it may not act: its bucket was dropped by then and never handed over.
It is now kept, and is resumed when the lease comes back under the same number (a never-held bucket would have filled a second time).
- A request was refused by a forecast made before any holder had told of a shortage; a large request at an instance without tokens was so refused while the bucket was full.
- Tokens given back within 275 ms of the charge found no room, since the loan that paid still counted as unspent.
The return now says that it was spent.
- Run ended before its calls to others.

Floors: a share of 0.1 of the rate and 0.2 of the burst (0.2 of both before).

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -47,6 +47,9 @@
 	upstreams    map[string]*upstream
 	meter        meter
 	answered     map[string]*answer
+	// lapsed holds buckets that this instance may not use at present: it hands them over, or resumes them if it holds
+	// them again under the same fencing number, since then nobody else held them between.
+	lapsed map[string]*bucket
 	// handedOver holds buckets that this instance gave away, by the fencing number it had.
 	handedOver map[string]uint64
 	// unreachableSince is when tokens were first wanted and no holder answered; zero while one does.
@@ -60,7 +63,8 @@
 func newAccount(organisation string, reserve float64) *account {
 	return &account{
 		organisation: organisation, pool: pool{reserve: reserve},
-		upstreams: make(map[string]*upstream), answered: make(map[string]*answer), handedOver: make(map[string]uint64),
+		upstreams: make(map[string]*upstream), answered: make(map[string]*answer),
+		lapsed: make(map[string]*bucket), handedOver: make(map[string]uint64),
 	}
 }
 
@@ -156,14 +160,19 @@
 }
 
 // forecast tells when the given tokens beyond those available will be there. A part that can't be reached counts for
-// nothing: the estimate is then what the reachable parts give.
+// nothing: the estimate is then what the reachable parts give. As long as no answer told of a shortage, the tokens may
+// be there at once.
 func (ac *account) forecast(missing int64, now time.Time) forecast {
 	if ac.pool.home != nil {
 		rate := ac.ownRate()
 		for _, up := range ac.upstreams {
-			if up.reachable() && up.kind == upstreamSurplus {
-				rate += up.rate
+			if up.kind != upstreamSurplus || !up.reachable() {
+				continue
 			}
+			if up.flight != nil && !up.short {
+				return forecast{0, ac.rate, true}
+			}
+			rate += up.rate
 		}
 		return forecast{timeFor(missing, rate), rate, true}
 	}
@@ -172,8 +181,8 @@
 		rate := ac.ownRate()
 		return forecast{timeFor(missing, rate), rate, ac.pool.floor != nil}
 	}
-	if !up.answered {
-		return forecast{timeFor(missing, ac.rate), ac.rate, true}
+	if !up.short {
+		return forecast{0, ac.rate, true}
 	}
 	rate := up.rate + ac.ownRate()
 	return forecast{up.waitFor(missing, rate, now), rate, true}
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -76,12 +76,12 @@
 	return max(0, int64(bu.level-reserve*bu.burst))
 }
 
-// spend takes tokens that are used at once.
-func (bu *bucket) spend(tokens int64) { bu.level -= float64(tokens) }
-
-// lend takes tokens that may be spent elsewhere within loanValidity.
-func (bu *bucket) lend(tokens int64, number uint64, now time.Time) {
+// take takes tokens that are used at once, or under the number of a loan may be spent elsewhere within loanValidity.
+func (bu *bucket) take(tokens int64, number uint64, now time.Time) {
 	bu.level -= float64(tokens)
+	if number == 0 {
+		return
+	}
 	bu.outstanding += float64(tokens)
 	bu.loans = append(bu.loans, loan{number, float64(tokens), now.Add(loanHold)})
 }
@@ -89,6 +89,13 @@
 // takeLoan takes unspent tokens of a loan back, and returns how many. A loan that expired meanwhile has made room for
 // other tokens already, and its own are lost.
 func (bu *bucket) takeLoan(tokens int64, number, fencing uint64, now time.Time) int64 {
+	accepted := bu.closeLoan(tokens, number, fencing, now)
+	bu.level = min(max(0, bu.burst-bu.outstanding), bu.level+float64(accepted))
+	return accepted
+}
+
+// closeLoan stops counting tokens of a loan as unspent, and returns how many were counted.
+func (bu *bucket) closeLoan(tokens int64, number, fencing uint64, now time.Time) int64 {
 	bu.refill(now)
 	for index := range bu.loans {
 		ln := &bu.loans[index]
@@ -98,7 +105,6 @@
 		accepted := min(float64(tokens), ln.tokens)
 		ln.tokens -= accepted
 		bu.outstanding -= accepted
-		bu.level = min(max(0, bu.burst-bu.outstanding), bu.level+accepted)
 		return int64(accepted)
 	}
 	return 0
--- a/limiter/bucket_test.go
+++ b/limiter/bucket_test.go
@@ -21,3 +21,35 @@
 		t.Errorf("%d tokens half a second later, want 500", tokens)
 	}
 }
+
+// A holder that lost its lease and holds it again under the same number goes on with what it had; the first number
+// doesn't fill the bucket a second time. What it lost it can still hand over, once.
+func TestLapsedBucketIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holds := true
+	st := newState(Options{
+		Instance: "i0", Domain: "d0", Holder: func(string) (string, bool) { return "i0", true },
+		Holds: func(string) (uint64, time.Time, bool) { return firstFencing, now.Add(time.Second), holds },
+	}.withDefaults())
+	st.setPlan(testOrganisation, 1, 1000, now)
+	st.tick(now)
+	wa := &waiter{cost: 600, deadline: now.Add(time.Second), done: make(chan result, 1)}
+	st.charge(testOrganisation, wa, now)
+	ac := st.accounts[testOrganisation]
+	left := ac.pool.available(scopeLocal, now)
+	for _, step := range []bool{false, true} {
+		holds = step
+		st.tick(now)
+	}
+	if got := ac.pool.available(scopeLocal, now); got != left {
+		t.Errorf("%d tokens after the lease came back, %d before", got, left)
+	}
+	holds = false
+	st.tick(now)
+	if state := st.handOver(HomeBucket(testOrganisation), now); state.GetLevel() >= 900 || state.GetLevel() <= 0 {
+		t.Errorf("handed over %v", state)
+	}
+	if state := st.handOver(HomeBucket(testOrganisation), now); state != nil {
+		t.Errorf("handed over again %v", state)
+	}
+}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -311,7 +311,7 @@
 
 // takeBack lets a holder take tokens back; requests that waited for them are charged after the credit.
 func (fl *fleet) takeBack(no *node, rq *wire.ReturnRequest) {
-	if accepted := no.st.takeBack(rq, fl.now).GetAccepted(); rq.GetLoan() == 0 {
+	if accepted := no.st.takeBack(rq, fl.now).GetAccepted(); rq.GetLoan() == 0 || rq.GetSpent() > 0 {
 		fl.credit(accepted)
 	}
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -25,19 +25,25 @@
 type Limiter struct {
 	options Options
 	ring    chan message
+	// stopped is closed when no message is taken any more, done when the calls under way have ended too.
+	stopped chan struct{}
 	done    chan struct{}
+	calls   sync.WaitGroup
 }
 
 // New makes a limiter without plans; an organisation without a plan gets no tokens.
 func New(options Options) *Limiter {
 	return &Limiter{
-		options: options.withDefaults(), ring: make(chan message, ringSize), done: make(chan struct{}),
+		options: options.withDefaults(), ring: make(chan message, ringSize),
+		stopped: make(chan struct{}), done: make(chan struct{}),
 	}
 }
 
 // Run does the limiter's work until the context ends.
 func (lm *Limiter) Run(ctx context.Context) {
 	defer close(lm.done)
+	defer lm.calls.Wait()
+	defer close(lm.stopped)
 	st := newState(lm.options)
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
@@ -60,7 +66,7 @@
 			}
 		}
 		for _, cl := range st.drain() {
-			go lm.send(ctx, cl)
+			lm.calls.Go(func() { lm.send(ctx, cl) })
 		}
 	}
 }
@@ -89,7 +95,7 @@
 	select {
 	case lm.ring <- ms:
 		return true
-	case <-lm.done:
+	case <-lm.stopped:
 		return false
 	}
 }
@@ -109,7 +115,7 @@
 	limiter      *Limiter
 	organisation string
 	cost         int64
-	paid         []part
+	paid         []chunk
 	once         sync.Once
 }
 
@@ -125,13 +131,13 @@
 	var rs result
 	select {
 	case rs = <-wa.done:
-	case <-lm.done:
+	case <-lm.stopped:
 		return nil, requester.Refuse(requester.CodeShuttingDown, "the instance is shutting down", unreachableRetry)
 	case <-ctx.Done():
 		lm.post(func(st *state, now time.Time) { st.cancel(organisation, wa, now) })
 		select {
 		case rs = <-wa.done:
-		case <-lm.done:
+		case <-lm.stopped:
 			return nil, requester.Refuse(requester.CodeShuttingDown, "the instance is shutting down", unreachableRetry)
 		}
 	}
@@ -209,7 +215,7 @@
 	select {
 	case rs := <-reply:
 		return rs
-	case <-lm.done:
+	case <-lm.stopped:
 		return otherwise
 	}
 }
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -56,8 +56,10 @@
 	ringSize           = 4096
 	maxWaiters         = 1024
 	maxPending         = 1024
-	// defaultFloorShare is the part of rate and burst that is split over the failure domains.
-	defaultFloorShare = 0.2
+	// defaultFloorRate and defaultFloorBurst are the parts of rate and burst that are split over the failure domains. A
+	// floor's burst has to pay for whole requests while its domain is cut off.
+	defaultFloorRate  = 0.1
+	defaultFloorBurst = 0.2
 	// defaultReserve is the part of a floor's burst that isn't lent to other domains.
 	defaultReserve = 0.5
 )
@@ -78,8 +80,10 @@
 	Borrow func(ctx context.Context, instance string, rq *wire.BorrowRequest) (*wire.BorrowResponse, error)
 	// Return calls Return on another instance.
 	Return func(ctx context.Context, instance string, rq *wire.ReturnRequest) (*wire.ReturnResponse, error)
-	// FloorShare is the part of rate and burst that is split over the failure domains; zero means the default.
-	FloorShare float64
+	// FloorRate and FloorBurst are the parts of rate and burst that are split over the failure domains; zero means the
+	// default. All instances must have the same.
+	FloorRate  float64
+	FloorBurst float64
 	// Reserve is the part of a floor's burst that isn't lent to other domains; zero means the default.
 	Reserve float64
 	// BatchHorizon is the time whose demand is borrowed ahead; zero means the default.
@@ -87,8 +91,11 @@
 }
 
 func (op Options) withDefaults() Options {
-	if op.FloorShare == 0 {
-		op.FloorShare = defaultFloorShare
+	if op.FloorRate == 0 {
+		op.FloorRate = defaultFloorRate
+	}
+	if op.FloorBurst == 0 {
+		op.FloorBurst = defaultFloorBurst
 	}
 	if op.Reserve == 0 {
 		op.Reserve = defaultReserve
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -11,9 +11,10 @@
 	tokens  int64
 }
 
-// chunk is a borrowed amount that may be spent until it expires.
+// chunk is an amount taken from a bucket: a borrowed one may be spent until it expires.
 type chunk struct {
 	part
+	// loan is the loan's number at the bucket's holder, or zero for tokens spent there.
 	loan    uint64
 	expires time.Time
 }
@@ -83,17 +84,18 @@
 }
 
 // spend takes exactly the given tokens for a request that runs now; it must be available.
-func (po *pool) spend(tokens int64, now time.Time) []part {
-	return parts(po.take(tokens, scopeLocal, now, (*bucket).spend))
+func (po *pool) spend(tokens int64, now time.Time) []chunk {
+	return po.take(tokens, scopeLocal, 0, now)
 }
 
 // lend takes exactly the given tokens for another instance; it must be available.
 func (po *pool) lend(tokens int64, sc scope, now time.Time) []chunk {
 	po.loans++
-	return po.take(tokens, sc, now, func(bu *bucket, tokens int64) { bu.lend(tokens, po.loans, now) })
+	return po.take(tokens, sc, po.loans, now)
 }
 
-func (po *pool) take(tokens int64, sc scope, now time.Time, from func(*bucket, int64)) []chunk {
+// take takes tokens out of the sources: under the number of a loan, or to be spent now when that is zero.
+func (po *pool) take(tokens int64, sc scope, loan uint64, now time.Time) []chunk {
 	var taken []chunk
 	for _, so := range po.sources(sc, now) {
 		amount := min(tokens, so.most)
@@ -102,9 +104,9 @@
 		}
 		tokens -= amount
 		if so.bucket != nil {
-			from(so.bucket, amount)
+			so.bucket.take(amount, loan, now)
 			piece := part{so.bucket.name, so.bucket.fencing, amount}
-			taken = append(taken, chunk{piece, po.loans, now.Add(loanValidity)})
+			taken = append(taken, chunk{piece, loan, now.Add(loanValidity)})
 			continue
 		}
 		ch := &po.chunks[so.chunk]
@@ -138,11 +140,3 @@
 	po.expire(now)
 	return back
 }
-
-func parts(chunks []chunk) []part {
-	list := make([]part, 0, len(chunks))
-	for _, ch := range chunks {
-		list = append(list, ch.part)
-	}
-	return list
-}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -106,7 +106,7 @@
 	ac.waiters = slices.DeleteFunc(ac.waiters, func(wa *waiter) bool { return wa.settled })
 }
 
-func (wa *waiter) grant(paid []part) {
+func (wa *waiter) grant(paid []chunk) {
 	wa.settled = true
 	wa.done <- result{parts: paid}
 }
--- a/limiter/refusal_bench_test.go
+++ b/limiter/refusal_bench_test.go
@@ -121,7 +121,10 @@
 // BenchmarkWrongfulRefusals reports the requests that the fleet refused and one exact bucket with the same arrivals
 // admits, in percent of arrivals, and the tokens granted over rate and burst.
 func BenchmarkWrongfulRefusals(b *testing.B) {
-	cutOff := func(fl *fleet) { fl.cut[fl.domains[2]] = true }
+	cutOff := func(fl *fleet) {
+		fl.moveHome(fl.domains[0])
+		fl.cut[fl.domains[2]] = true
+	}
 	outage := func(fl *fleet) {
 		// The store is away for ten minutes: holders live on promises, and nobody takes over from those that die.
 		for range 3 {
@@ -147,6 +150,7 @@
 		"outage-home-lost":  {domains: 3, instances: 8, load: 0.9, only: -1, start: homeLost},
 		"cut-off-all":       {domains: 3, instances: 8, load: 0.9, only: -1, start: cutOff},
 		"cut-off-main-side": {domains: 3, instances: 8, load: 0.6, only: 1, start: cutOff},
+		"cut-off-far-side":  {domains: 3, instances: 8, load: 0.03, only: 2, start: cutOff},
 	}
 	for name, ex := range cases {
 		b.Run(name, func(b *testing.B) {
@@ -186,3 +190,10 @@
 	}
 	return false
 }
+
+// moveHome hands the home over to an instance of a failure domain.
+func (fl *fleet) moveHome(domain string) {
+	for fl.leases[HomeBucket(testOrganisation)].node.domain != domain {
+		fl.handOver(HomeBucket(testOrganisation))
+	}
+}
--- a/limiter/returner.go
+++ b/limiter/returner.go
@@ -11,14 +11,18 @@
 type returnKey struct {
 	bucket  string
 	fencing uint64
-	// loan is zero for tokens that were charged.
+	// loan is zero when no holder counts the loan any more.
 	loan uint64
+	// charged tells tokens of a charge from those of an unspent loan, which must not be taken back late.
+	charged bool
 }
 
 // returned is an amount on its way back.
 type returned struct {
 	tokens int64
-	since  time.Time
+	// spent is what requests were charged of the loan.
+	spent int64
+	since time.Time
 }
 
 // returns gathers given-back tokens until they are sent.
@@ -26,37 +30,46 @@
 
 // settle gives back what a request was charged and didn't use, to the buckets that paid last. It returns how much
 // went into buckets held here; the rest is on its way.
-func (st *state) settle(organisation string, paid []part, unused int64, now time.Time) (accepted int64) {
+func (st *state) settle(organisation string, paid []chunk, unused int64, now time.Time) (accepted int64) {
 	ac := st.accounts[organisation]
 	if ac == nil {
 		return 0
 	}
 	st.hold(ac, now)
 	for index := len(paid) - 1; index >= 0 && unused > 0; index-- {
-		pt := paid[index]
-		pt.tokens = min(pt.tokens, unused)
-		unused -= pt.tokens
-		accepted += st.giveBack(ac, pt, now)
+		back := min(paid[index].tokens, unused)
+		unused -= back
+		accepted += st.giveBack(ac, paid[index], back, now)
 	}
 	st.serve(ac, now)
 	return accepted
 }
 
-// giveBack puts tokens back into their bucket, or on the way to it.
-func (st *state) giveBack(ac *account, pt part, now time.Time) (accepted int64) {
-	if bu := ac.held(pt.bucket); bu != nil {
-		return bu.giveBack(pt.tokens, pt.fencing, now)
+// giveBack puts tokens of a charge back into their bucket, or on the way to it. While the holder may count the loan
+// that paid as unspent, it is told that it was spent, or it would have no room.
+func (st *state) giveBack(ac *account, paid chunk, tokens int64, now time.Time) (accepted int64) {
+	if bu := ac.held(paid.bucket); bu != nil {
+		bu.closeLoan(paid.tokens, paid.loan, paid.fencing, now)
+		return bu.giveBack(tokens, paid.fencing, now)
+	}
+	if now.Sub(paid.expires) > loanHold {
+		paid.loan = 0
+	}
+	rt := st.returns.at(paid, true, now)
+	rt.tokens += tokens
+	if paid.loan != 0 {
+		rt.spent += paid.tokens
 	}
-	st.returns.add(pt, 0, now)
 	return 0
 }
 
-func (rt returns) add(pt part, loan uint64, now time.Time) {
-	key := returnKey{pt.bucket, pt.fencing, loan}
+// at returns the amount on its way back to where a chunk came from.
+func (rt returns) at(ch chunk, charged bool, now time.Time) *returned {
+	key := returnKey{ch.bucket, ch.fencing, ch.loan, charged}
 	if rt[key] == nil {
 		rt[key] = &returned{since: now}
 	}
-	rt[key].tokens += pt.tokens
+	return rt[key]
 }
 
 // held returns the bucket of a name if this instance holds it.
@@ -73,7 +86,7 @@
 // tokens stay lost.
 func (st *state) flush(now time.Time) {
 	for key, rt := range st.returns {
-		if key.loan == 0 && now.Sub(rt.since) < flushInterval {
+		if key.charged && now.Sub(rt.since) < flushInterval {
 			continue
 		}
 		instance, ok := st.options.Holder(key.bucket)
@@ -89,6 +102,7 @@
 		organisation, _ := bucketOwner(key.bucket)
 		st.send(call{organisation: organisation, instance: instance, id: id, giveBack: &wire.ReturnRequest{
 			Bucket: key.bucket, Borrower: st.options.Instance, RequestId: id, Tokens: rt.tokens, Fencing: key.fencing, Loan: key.loan,
+			Spent: rt.spent,
 		}})
 	}
 }
@@ -106,9 +120,10 @@
 		return &wire.ReturnResponse{}
 	}
 	var accepted int64
-	if rq.GetLoan() != 0 {
+	if rq.GetLoan() != 0 && rq.GetSpent() == 0 {
 		accepted = bu.takeLoan(rq.GetTokens(), rq.GetLoan(), rq.GetFencing(), now)
 	} else {
+		bu.closeLoan(rq.GetSpent(), rq.GetLoan(), rq.GetFencing(), now)
 		accepted = bu.giveBack(rq.GetTokens(), rq.GetFencing(), now)
 	}
 	st.serve(ac, now)
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -11,7 +11,7 @@
 
 // result is the end of a charge: the parts that paid for it, or a refusal.
 type result struct {
-	parts   []part
+	parts   []chunk
 	refusal *requester.Refusal
 }
 
@@ -88,12 +88,12 @@
 	case now.Sub(ac.shareSince) >= shareDelay:
 		ac.share, ac.shareSince = share, time.Time{}
 	}
-	floors := st.options.FloorShare
+	rate, burst := ac.rate*st.options.FloorRate, ac.burst*st.options.FloorBurst
 	if bu := ac.pool.floor; bu != nil {
-		bu.setPlan(ac.rate*floors*ac.share, ac.burst*floors*ac.share, now)
+		bu.setPlan(rate*ac.share, burst*ac.share, now)
 	}
 	if bu := ac.pool.home; bu != nil {
-		bu.setPlan(ac.rate*(1-floors), ac.burst*(1-floors), now)
+		bu.setPlan(ac.rate-rate, ac.burst-burst, now)
 	}
 }
 
@@ -125,15 +125,21 @@
 func (st *state) holdOne(ac *account, bu *bucket, name string, now time.Time) *bucket {
 	fencing, until, ok := st.options.Holds(name)
 	if !ok || !now.Before(until) || ac.handedOver[name] == fencing {
+		if bu != nil {
+			ac.lapsed[name] = bu
+		}
 		return nil
 	}
+	if bu == nil {
+		bu = ac.lapsed[name]
+	}
+	delete(ac.lapsed, name)
 	switch {
-	case bu == nil:
-		bu = newBucket(name, fencing, now)
-	case bu.fencing != fencing && now.Before(bu.until):
+	case bu != nil && bu.fencing == fencing:
+	case bu != nil && now.Before(bu.until):
 		// The lease was renewed under a new number before the old one ended: nobody else held it between.
 		bu.previous, bu.fencing = bu.fencing, fencing
-	case bu.fencing != fencing:
+	default:
 		bu = newBucket(name, fencing, now)
 	}
 	bu.until = until
@@ -156,23 +162,27 @@
 	st.serve(ac, now)
 }
 
-// handOver gives a bucket away. Nothing is taken from it afterwards, until it is acquired under another number.
+// handOver gives a bucket away. Nothing is taken from it afterwards, until it is acquired under another number. By then
+// this instance may not use the bucket any more, but nobody else holds it yet.
 func (st *state) handOver(name string, now time.Time) *wire.BucketState {
 	organisation, domain := bucketOwner(name)
 	ac := st.accounts[organisation]
 	if ac == nil {
 		return nil
 	}
-	st.hold(ac, now)
 	bu := ac.held(name)
-	if bu == nil {
-		return nil
-	}
-	if domain != "" {
+	switch {
+	case bu == nil:
+		bu = ac.lapsed[name]
+	case domain != "":
 		ac.pool.floor = nil
-	} else {
+	default:
 		ac.pool.home = nil
 	}
+	delete(ac.lapsed, name)
+	if bu == nil {
+		return nil
+	}
 	ac.handedOver[name] = bu.fencing
 	return bu.state(now)
 }
@@ -225,7 +235,7 @@
 func (st *state) tickAccount(ac *account, now time.Time) (busy bool) {
 	st.hold(ac, now)
 	for _, ch := range ac.pool.unspent(now) {
-		st.returns.add(ch.part, ch.loan, now)
+		st.returns.at(ch, false, now).tokens += ch.tokens
 	}
 	for id, an := range ac.answered {
 		if now.Sub(an.at) > loanHold {
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -30,8 +30,8 @@
 	nextAsk time.Time
 	// backoff is zero while the holder answers.
 	backoff time.Duration
-	// answered tells that readyAt, least and rate hold the last answer.
-	answered   bool
+	// short tells that the last answer, which the following fields hold, gave less than what waits.
+	short      bool
 	answeredAt time.Time
 	// The first least tokens are expected at readyAt, all that wait at allAt, and more at the rate after that.
 	readyAt time.Time
@@ -72,7 +72,7 @@
 func (up *upstream) failed(now time.Time) {
 	up.backoff = min(max(failureBackoff, 2*up.backoff), failureBackoffMax)
 	up.nextAsk = now.Add(up.backoff)
-	up.answered = false
+	up.short = false
 }
 
 // call is a message for another instance, sent by the plumbing. Exactly one of borrow and giveBack is set.
@@ -148,7 +148,7 @@
 		return
 	}
 	if now.Sub(up.answeredAt) > answerFresh {
-		up.answered = false
+		up.short = false
 	}
 	st.sequence++
 	up.flight = &flight{id: strconv.FormatUint(st.sequence, 36), sentAt: now, least: least, waiting: short}
@@ -180,7 +180,7 @@
 		st.serve(ac, now)
 		return
 	}
-	up.backoff, up.answered, up.answeredAt = 0, true, now
+	up.backoff, up.short, up.answeredAt = 0, rs.GetTokens() < fl.waiting, now
 	up.rate, up.least, up.readyAt = rs.GetRate(), 0, now
 	up.waiting = max(0, fl.waiting-rs.GetTokens())
 	up.allAt = now.Add(time.Duration(rs.GetBacklogMs()) * time.Millisecond)
