--- a/leaser/protocol_test.go
+++ b/leaser/protocol_test.go
@@ -165,7 +165,7 @@
 	mc := ct.holder.machine
 	mc.want(ct.now, nil)
 	ct.settle(keepUnwanted / 2)
-	if acting := ct.acting(); len(acting) != 1 {
+	if acting := ct.acting(); len(acting) != 1 || acting[0] != mc.self {
 		t.Fatalf("given up at once: %v", ct.world)
 	}
 	ct.settle(keepUnwanted)
