--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -48,7 +48,7 @@
 
 // The defaults of Options.
 const (
-	defaultMaxAttempts     = 5
+	defaultMaxAttempts     = 6
 	defaultRetryShare      = 0.1
 	defaultRetryBurst      = 50
 	defaultRunLimit        = 2 * time.Minute
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -69,7 +70,7 @@
 
 func (at *attempts) dispatcher() *Dispatcher {
 	return New(Options{
-		Choose: at.choose, Execute: at.send, Invoke: at.send,
+		Choose: at.choose, Execute: at.send, Invoke: at.send, MaxAttempts: testAttempts,
 		Services: func(string) []*wire.Target { return []*wire.Target{{Id: "s0"}, {Id: "s1"}} },
 		Claim:    func(context.Context, *requester.Request) (*wire.Answer, error) { return nil, nil },
 		Finish: func(_ context.Context, _ *requester.Request, state wire.ClaimState, answer *wire.Answer) error {
@@ -86,6 +87,8 @@
 		"\"usage\":{\"completion_tokens\":%d}}\n\n", id, index, index+1)
 }
 
+const testAttempts = 5
+
 const done = "data: [DONE]\n\n"
 
 func wholeStream(length int) string {
@@ -109,7 +112,7 @@
 	const length = 12
 	rapid.Check(t, func(rt *rapid.T) {
 		at := &attempts{}
-		cuts := rapid.IntRange(0, defaultMaxAttempts-1).Draw(rt, "cuts")
+		cuts := rapid.IntRange(0, testAttempts-1).Draw(rt, "cuts")
 		for index := range cuts + 1 {
 			at.steps = append(at.steps, func(rq *requester.Request, sink requester.Sink) error {
 				name := "first"
@@ -217,6 +220,28 @@
 	return list
 }
 
+// TestAllRefuse has the only targets refuse for a passing reason: they are asked again within the deadline.
+func TestAllRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := requester.Refuse(requester.CodeNoTarget, "making room", 0)
+		at := &attempts{steps: steps(refuses(busy), refuses(busy), answers("{}"))}
+		di := at.dispatcher()
+		di.options.Choose = func(_ *requester.Request, exclude []string) (*wire.Target, error) {
+			if len(exclude) == 2 {
+				return nil, requester.Refuse(requester.CodeNoTarget, "none", time.Second)
+			}
+			return &wire.Target{Id: fmt.Sprint("t", len(exclude))}, nil
+		}
+		ca := &caller{}
+		_, err := di.Dispatch(t.Context(), requester.New(requester.Fields{
+			Kind: requester.KindChat, Adapter: "a", Version: "1", Repeatable: true, Deadline: time.Now().Add(time.Second),
+		}), ca.sink())
+		if err != nil || ca.body.String() != "{}" || len(at.sent) != 3 {
+			t.Errorf("error %v, sent to %v", err, at.sent)
+		}
+	})
+}
+
 func TestGivingUp(t *testing.T) {
 	loadFailed := requester.Refuse(requester.CodeLoadFailed, "failed", 0)
 	lost := requester.Unknown(requester.CodeTargetLost, "lost", 0)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -21,8 +21,16 @@
 	deaths int
 	// held counts answers of former holders, after which the same target is asked again.
 	held int
+	// rounds counts how often all targets had refused.
+	rounds int
 }
 
+const (
+	// firstPause is the time before all targets are tried again; it doubles up to maxRounds.
+	firstPause = 100 * time.Millisecond
+	maxRounds  = 3
+)
+
 func (di *Dispatcher) newRun(rq *requester.Request, sink requester.Sink) *run {
 	return &run{di: di, rq: rq, relay: newRelay(rq, sink)}
 }
@@ -31,14 +39,19 @@
 func (ru *run) attempts(ctx context.Context) (requester.Usage, error) {
 	var last *requester.Refusal
 	for range ru.di.options.MaxAttempts {
-		us, rf := ru.attempt(ctx)
+		tg, err := ru.chooseAgain(ctx)
+		if err != nil {
+			if last == nil {
+				last = requester.AsRefusal(err)
+			}
+			break
+		}
+		us, rf := ru.attempt(ctx, tg)
 		if rf == nil {
 			ru.di.budget.succeeded()
 			return us, nil
 		}
-		if noOther := rf.Code() == requester.CodeNoTarget && last != nil; !noOther {
-			last = rf
-		}
+		last = rf
 		if !ru.goesOn(ctx, rf) {
 			break
 		}
@@ -46,12 +59,30 @@
 	return ru.relay.delivered(), ru.final(last)
 }
 
-// attempt sends the request to one target.
-func (ru *run) attempt(ctx context.Context) (requester.Usage, *requester.Refusal) {
-	tg, err := ru.choose()
-	if err != nil {
-		return requester.Usage{}, requester.AsRefusal(err)
+// chooseAgain picks a target. When all have refused, it pauses and begins again with all of them, as long as the
+// deadline allows: what they refused for, such as a slot that is being freed, passes soon.
+func (ru *run) chooseAgain(ctx context.Context) (*wire.Target, error) {
+	for {
+		tg, err := ru.choose()
+		if err == nil || len(ru.exclude) == 0 || ru.rounds == maxRounds {
+			return tg, err
+		}
+		pause := firstPause << ru.rounds
+		if deadline := ru.rq.Deadline(); !deadline.IsZero() && time.Until(deadline) < pause {
+			return nil, err
+		}
+		ru.rounds++
+		ru.exclude = nil
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, err
+		}
 	}
+}
+
+// attempt sends the request to one target.
+func (ru *run) attempt(ctx context.Context, tg *wire.Target) (requester.Usage, *requester.Refusal) {
 	rq := ru.rq.WithAttempt(ru.deaths, ru.relay.tokens)
 	started := time.Now()
 	ru.relay.begin()
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -65,7 +65,6 @@
 	tokens       int64
 	inTime       bool
 	ended        time.Time
-	code         requester.Code
 }
 
 type simulation struct {
@@ -238,9 +237,6 @@
 		organisation: int(rq.Organisation()[4] - '0'), arrived: arrived, queued: us.Queued(), loadWait: us.LoadWait(),
 		tokens: us.GeneratedTokens(), inTime: err == nil, ended: time.Now(),
 	}
-	if err != nil {
-		record.code = requester.AsRefusal(err).Code()
-	}
 	sm.mu.Lock()
 	defer sm.mu.Unlock()
 	sm.records = append(sm.records, record)
@@ -254,20 +250,18 @@
 
 // simResult is a row of the table.
 type simResult struct {
-	stalled       float64
-	waits         [3]time.Duration
-	batch         float64
-	worstShare    float64
-	worstWait     time.Duration
-	goodput       float64
-	refused       map[requester.Code]int
-	violations    int
-	loads, peak   int
-	served, asked [simOrgs]float64
+	stalled     float64
+	waits       [3]time.Duration
+	batch       float64
+	worstShare  float64
+	worstWait   time.Duration
+	goodput     float64
+	violations  int
+	loads, peak int
 }
 
 func (sm *simulation) result() simResult {
-	re := simResult{refused: map[requester.Code]int{}, loads: sm.weights.total, peak: sm.weights.peak}
+	re := simResult{loads: sm.weights.total, peak: sm.weights.peak}
 	var waits []time.Duration
 	var served, asked [simOrgs]float64
 	queued := make([][]time.Duration, simOrgs)
@@ -281,7 +275,6 @@
 		}
 		asked[rc.organisation]++
 		if !rc.inTime {
-			re.refused[rc.code]++
 			continue
 		}
 		served[rc.organisation]++
@@ -300,7 +293,6 @@
 	}
 	re.goodput = float64(done) / (simEnd - simWarmup).Seconds()
 	re.worstShare = math.Inf(1)
-	re.served, re.asked = served, asked
 	entitled := simEntitlements(asked, float64(arrived))
 	for organisation := range simOrgs {
 		re.worstShare = min(re.worstShare, served[organisation]/entitled[organisation])
@@ -389,8 +381,12 @@
 
 // row returns a result as a row of the page's table; waits are in milliseconds.
 func (re simResult) row(config simConfig) string {
-	return fmt.Sprintf("| %d | %.1f | %v | %s | %.1f%% | %d / %d / %d | %.2f | %.2f | %d | %.1f | %d | %d | %v | bad %d %v %v",
-		config.workers, config.load, config.burst, config.policy, 100*re.stalled, re.waits[0].Milliseconds(),
+	arrivals := "even"
+	if config.burst {
+		arrivals = "burst"
+	}
+	return fmt.Sprintf("| %d | %.1f | %s | %s | %.1f %% | %d / %d / %d | %.2f | %.2f | %d | %.1f | %d | %d | %d |",
+		config.workers, config.load, arrivals, config.policy, 100*re.stalled, re.waits[0].Milliseconds(),
 		re.waits[1].Milliseconds(), re.waits[2].Milliseconds(), re.batch, re.worstShare, re.worstWait.Milliseconds(),
-		re.goodput, re.loads, re.peak, re.refused, re.violations, re.served, re.asked)
+		re.goodput, re.loads, re.peak, re.violations)
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -77,7 +77,7 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		log.WithPrefix("scheduler").Warn("Adapter order failed.", "target", sc.options.Target.GetId(),
-			"adapter", ac.model, "error", err)
+			"adapter", ac.model, "error", err.Error())
 	}
 	sc.tell(ctx, message{kind: done, model: ac.model, err: err})
 }
