Work out what each role costs at the full size

Cause: the design is made for 370 instances, 2,400 targets and 35,000 adapters, and nothing said what its parts cost then. Nothing is mended here.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -190,3 +190,17 @@
 		pl.Finished(tg, rq, us, time.Second, nil)
 	}
 }
+
+// BenchmarkUpdate measures the taking over of the targets from the membership, which an instance does four times a second.
+func BenchmarkUpdate(b *testing.B) {
+	for _, count := range []int{18, 400, 2400} {
+		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
+			pl := New(Options{FailureDomain: "domain-0", Region: "region-0"})
+			all := newTargets(count)
+			b.ReportAllocs()
+			for b.Loop() {
+				pl.Update(all)
+			}
+		})
+	}
+}
