--- a/loader/attempt.go
+++ b/loader/attempt.go
@@ -38,6 +38,8 @@
 	detail string
 	status int
 	first  time.Time
+	// cut tells that an answer ended before it was whole, or never came.
+	cut bool
 }
 
 // chatBody is an OpenAI-style chat request.
@@ -103,7 +105,7 @@
 			continue
 		}
 		if err != nil {
-			return attempt{verdict: VerdictBroken, detail: err.Error()}
+			return attempt{verdict: VerdictBroken, detail: err.Error(), cut: true}
 		}
 		at := judge(ar, answer)
 		_ = answer.Body.Close()
@@ -135,10 +137,14 @@
 	}
 	at.verdict = VerdictDone
 	var wrong *wrongAnswer
-	if errors.As(err, &wrong) {
+	var failed *failedStream
+	switch {
+	case errors.As(err, &wrong):
 		at.verdict, at.detail = VerdictWrong, wrong.reason
-	} else if err != nil {
-		at.verdict, at.detail = VerdictBroken, err.Error()
+	case errors.As(err, &failed):
+		at.verdict, at.code, at.detail, at.cut = VerdictUnknown, failed.code, failed.message, true
+	case err != nil:
+		at.verdict, at.detail, at.cut = VerdictBroken, err.Error(), true
 	}
 	return at
 }
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -15,6 +15,14 @@
 // errBroken is an answer that ended before it was whole.
 var errBroken = errors.New("the answer was cut off")
 
+// failedStream is a stream that ended with an error, which says that the request may have run.
+type failedStream struct {
+	code, message string
+}
+
+// Error tells the reason.
+func (fs *failedStream) Error() string { return fs.code + ": " + fs.message }
+
 // wrongAnswer is an answer that is not the one to the request.
 type wrongAnswer struct {
 	reason string
@@ -29,6 +37,7 @@
 
 // completion is the part of an OpenAI-style answer or chunk that is checked.
 type completion struct {
+	refusalBody
 	Model   string `json:"model"`
 	Choices []struct {
 		Message struct {
@@ -92,8 +101,8 @@
 		if err := json.Unmarshal([]byte(event), &chunk); err != nil {
 			return first, wrongf("not a chunk: %.80s", event)
 		}
-		if strings.HasPrefix(event, `{"error"`) {
-			return first, errBroken
+		if code, message := chunk.Error.Code, chunk.Error.Message; code+message != "" {
+			return first, &failedStream{code, message}
 		}
 		if model != "" && chunk.Model != model {
 			return first, wrongf("the stream changed from %s to %s", model, chunk.Model)
--- a/loader/driver.go
+++ b/loader/driver.go
@@ -13,8 +13,8 @@
 	resends = 4
 	// resendPause is the time between a request's attempts.
 	resendPause = 250 * time.Millisecond
-	// deadlineGrace is what a request gets beyond its deadline before its caller gives up.
-	deadlineGrace = 10 * time.Second
+	// deadlineGrace is what a request gets beyond its deadline, for all its attempts, before its caller gives up.
+	deadlineGrace = 25 * time.Second
 	// maxConnections is the connections to each instance that are kept for later requests.
 	maxConnections = 256
 )
@@ -142,7 +142,7 @@
 		result.Verdict, result.Code, result.Detail = at.verdict, at.code, at.detail
 		result.OnlyNotRun = result.OnlyNotRun && at.verdict == VerdictNotRun
 		result.FirstToken, result.Total = at.first.Sub(began), time.Since(began)
-		if at.verdict == VerdictBroken {
+		if at.cut {
 			result.Broken++
 		}
 		final := at.verdict == VerdictDone || at.verdict == VerdictNotRun || at.verdict == VerdictWrong
