Announce new revisions to peers at once; log errors in one line

Cause: a domain that does not reach the store learned of a revision only with the next round of gossip; errors were logged with their stacks. Change: adopting a revision announces it; errors are logged by their text.

--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -85,7 +85,7 @@
 		err = di.options.Finish(ctx, rq, wire.ClaimState_CLAIM_STATE_UNKNOWN, nil)
 	}
 	if err != nil {
-		log.WithPrefix("dispatcher").Error("Outcome not recorded.", "request", rq.ID(), "error", err)
+		log.WithPrefix("dispatcher").Error("Outcome not recorded.", "request", rq.ID(), "error", err.Error())
 	}
 }
 
--- a/scenarios/call_test.go
+++ b/scenarios/call_test.go
@@ -52,7 +52,7 @@
 }
 
 // call is the command "call METHOD URL [Header:value...] [@body-file]". It prints the status, the headers that matter
-// to a caller, and the body.
+// to a caller, and the body, and sets LOCATION.
 func call(ts *testscript.TestScript, _ bool, args []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -74,14 +74,17 @@
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
 	ts.Check(err)
+	ts.Setenv("LOCATION", response.Header.Get("Location"))
 	printAnswer(ts.Stdout(), response, answer)
 }
 
-// awaitCall is the command "await-call STATUS METHOD URL KEY-FILE": it repeats a call with an issued key until it gets
-// the status.
+// awaitCall is the command "await-call STATUS METHOD URL KEY": it repeats a call until it gets the status, and prints
+// the answer. KEY is a key, or a file that holds an issued one.
 func awaitCall(ts *testscript.TestScript, _ bool, args []string) {
-	var issued struct{ Key string }
-	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[3])), &issued))
+	issued := struct{ Key string }{Key: args[3]}
+	if strings.HasSuffix(args[3], ".json") {
+		ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[3])), &issued))
+	}
 	want, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
@@ -91,9 +94,12 @@
 		hr.Header.Set("Authorization", "Bearer "+issued.Key)
 		response, err := http.DefaultClient.Do(hr)
 		ts.Check(err)
+		answer, err := io.ReadAll(response.Body)
+		ts.Check(err)
 		_ = response.Body.Close()
 		cancel()
 		if response.StatusCode == want {
+			printAnswer(ts.Stdout(), response, answer)
 			return
 		}
 	}
--- a/server/limits.go
+++ b/server/limits.go
@@ -93,6 +93,7 @@
 			sv.limiter.SetPlan(name, pl.Rate(), pl.Burst())
 		}
 	}
+	sv.gossiper.Announce()
 	previous := sv.organisations.Swap(next)
 	if previous == nil {
 		return
