--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -135,18 +136,38 @@
 	caller, peer, operator string
 }
 
-// reserve picks ports that are free now.
+// The ports of instances lie below those that the system gives to outgoing connections, which could take a port
+// between its reservation and its use.
+const (
+	firstPort       = 20000
+	portsPerProcess = 100
+	processes       = 100
+)
+
+var nextPort atomic.Int64
+
+// reserve picks ports that are free now and that no other scenario of this process uses.
 func reserve(ts *testscript.TestScript) instanceAddresses {
 	var picked [3]string
 	for at := range picked {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer func() { _ = socket.Close() }()
-		picked[at] = socket.Addr().String()
+		picked[at] = freeAddress(ts)
 	}
 	return instanceAddresses{caller: picked[0], peer: picked[1], operator: picked[2]}
 }
 
+func freeAddress(ts *testscript.TestScript) string {
+	base := int64(firstPort + os.Getpid()%processes*portsPerProcess)
+	for range portsPerProcess {
+		address := fmt.Sprintf("127.0.0.1:%d", base+nextPort.Add(1)%portsPerProcess)
+		if socket, err := net.Listen("tcp", address); err == nil {
+			_ = socket.Close()
+			return address
+		}
+	}
+	ts.Fatalf("no free port")
+	return ""
+}
+
 func (fl *fleet) instance(ts *testscript.TestScript, number int, domains []string, address instanceAddresses) {
 	name := fmt.Sprintf("instance-%d", number)
 	settings := fmt.Sprintf(`[instance]
@@ -194,7 +215,8 @@
 		url := ts.Getenv(fmt.Sprintf("URL_%d", number)) + "/readyz"
 		for !answersOK(url) {
 			if time.Now().After(deadline) {
-				ts.Fatalf("instance %d is not ready", number)
+				logs, _ := os.ReadFile(ts.MkAbs(fmt.Sprintf("instance-%d.log", number)))
+				ts.Fatalf("instance %d is not ready; its log:\n%s", number, logs)
 			}
 			time.Sleep(pollInterval)
 		}
