Take the instances' ports below the range of connections

Cause: in a rolling replacement an instance could not start again, as a connection had taken its port. Change: ports are tried one by one between 20,000 and 32,000.

--- a/failures/fleet_test.go
+++ b/failures/fleet_test.go
@@ -109,17 +109,34 @@
 	fl.platform.RegisterInstance(pr.options.ID, pr.options.Domain, pr.options.PeerAddress)
 }
 
+// The ports of instances lie below those that the system gives to connections, so that nobody takes one while its
+// instance is replaced.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort is the next port to try; it starts at a place of this process's own.
+var nextPort = firstPort + os.Getpid()*37%(lastPort-firstPort)
+
 // freeAddresses returns addresses on loopback that nobody listens on.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	addresses := make([]string, count)
-	for index := range addresses {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
+	var addresses []string
+	for tries := 0; len(addresses) < count && tries < lastPort-firstPort; tries++ {
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		socket, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer func() { _ = socket.Close() }()
-		addresses[index] = socket.Addr().String()
+		_ = socket.Close()
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < count {
+		t.Fatal("no free ports")
 	}
 	return addresses
 }
