--- a/model/model_test.go
+++ b/model/model_test.go
@@ -25,6 +25,9 @@
 	memoryArgument = "-DMEMLIM=4000" // MB
 )
 
+// checkers is how many checkers run at a time; each takes less than a gigabyte of memory.
+const checkers = 3
+
 type specification struct {
 	file    string
 	defines string
@@ -37,8 +40,12 @@
 			t.Skipf("%s is not installed", tool)
 		}
 	}
+	running := make(chan struct{}, checkers)
 	for name, sp := range specifications {
 		t.Run(strings.TrimSuffix(sp.file, ".pml")+"/"+name, func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			if got, output := check(t, sp); got != sp.want {
 				t.Errorf("%s with %q: %q, want %q\n%s", sp.file, sp.defines, got, sp.want, output)
 			}
