Start nothing on a target in doubt; test a crashing request among others

Cause: after a crash the holder let the next suspect start on the engine that was already dead. A lost connection now stops starts until two more load reports have come; the first may have been on its way before the death.

--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -86,14 +86,18 @@
 
 // ask sends one stream and returns the text of the answer.
 func (fl *fleet) ask(ctx context.Context, index, adapter int) (string, error) {
+	return fl.askPrompt(ctx, index, adapter, fmt.Sprint(fleetPrompt, " ", index))
+}
+
+func (fl *fleet) askPrompt(ctx context.Context, index, adapter int, prompt string) (string, error) {
 	var stream strings.Builder
 	body := fmt.Sprintf(`{"model":"ad%d","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-		adapter, fleetTokens, fmt.Sprint(fleetPrompt, " ", index))
+		adapter, fleetTokens, prompt)
 	_, err := fl.di.Dispatch(ctx, requester.New(requester.Fields{
 		ID: fmt.Sprint(index), Organisation: fmt.Sprint("o", index%3), Kind: requester.KindChat, Adapter: fmt.Sprint("ad", adapter),
 		Version: "1", Base: "base", Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body), Stream: true,
 		MaxTokens: fleetTokens, Urgency: requester.UrgencyInteractive, Deadline: time.Now().Add(30 * time.Second),
-		Repeatable: true, Fingerprint: fmt.Sprint(index),
+		Repeatable: true, Fingerprint: prompt,
 	}), requester.Sink{Head: simHead, Data: func(chunk []byte) error { stream.Write(chunk); return nil }})
 	var text strings.Builder
 	for event := range strings.SplitSeq(stream.String(), "\n\n") {
@@ -131,3 +135,43 @@
 		t.Logf("engine %d: %+v", index, st)
 	}
 }
+
+// TestFleetPoison sends a request that crashes engines among others, and sends it again: it crashes two engines and is
+// then refused; the others get their answers.
+func TestFleetPoison(t *testing.T) {
+	const requests, adapters, poisoned = 60, 6, "poison pill"
+	fl := newFleet(t)
+	for _, en := range fl.engines {
+		en.SetPoison(poisoned)
+	}
+	var wait sync.WaitGroup
+	for index := range requests {
+		wait.Go(func() {
+			if _, err := fl.ask(t.Context(), index, index%adapters); err != nil {
+				t.Errorf("request %d: %v", index, err)
+			}
+		})
+		if index%(requests/3) == requests/6 {
+			wait.Go(func() {
+				_, err := fl.askPrompt(t.Context(), requests, 0, poisoned)
+				if rf := requester.AsRefusal(err); rf == nil {
+					t.Error("the crashing request was answered")
+				}
+			})
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+	wait.Wait()
+	_, err := fl.askPrompt(t.Context(), requests, 0, poisoned)
+	if rf := requester.AsRefusal(err); rf.Code() != requester.CodeQuarantined || rf.Outcome() != requester.OutcomeNotRun {
+		t.Errorf("sent again: %v", err)
+	}
+	crashes := 0
+	for _, en := range fl.engines {
+		crashes += en.Stats().Crashes
+	}
+	if crashes != 2 {
+		t.Errorf("%d crashes", crashes)
+	}
+}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -12,6 +12,7 @@
 const (
 	messageArrived messageKind = iota + 1
 	messageCancelled
+	messageDoubted
 	messageFinished
 	messageLoaded
 	messageUnloaded
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -15,15 +15,21 @@
 	got    time.Time
 	at     time.Time
 	failed int
+	// doubts is the reports to come before requests are started again, after a connection to the target was lost.
+	doubts int
 }
 
+// doubtedReports is two because the first one may have been on its way before the target died. A request that is started
+// on a dead target would be taken for one that was there at the death.
+const doubtedReports = 2
+
 func (re *reports) lost() bool { return re.failed >= lostAfterPolls }
 
 // fresh tells whether requests may be started on what the reports say. A holder needs one report; an instance that
 // serves a target without a holder needs a recent one.
 func (re *reports) fresh(now time.Time, interval time.Duration, held bool) bool {
 	const missed = 2
-	return re.seen && (held || now.Sub(re.got) <= missed*interval)
+	return re.seen && re.doubts == 0 && (held || now.Sub(re.got) <= missed*interval)
 }
 
 // reported corrects the slots by a load report; a target that restarted lists none of its adapters. What this holder
@@ -33,7 +39,11 @@
 		st.reports.failed++
 		return
 	}
-	st.reports = reports{seen: true, boot: load.Boot(), got: now, at: load.At()}
+	doubts := max(st.reports.doubts-1, 0)
+	if doubts > 0 {
+		st.actions = append(st.actions, action{kind: actionPoll})
+	}
+	st.reports = reports{doubts: doubts, seen: true, boot: load.Boot(), got: now, at: load.At()}
 	if load.Slots() > 0 {
 		st.slots = load.Slots()
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -144,6 +144,7 @@
 	if rf == nil || rf.Code() != requester.CodeTargetLost || rf.Outcome() != requester.OutcomeUnknown {
 		return err
 	}
+	sc.send(message{kind: messageDoubted})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sc.options.PollInterval)
 	defer cancel()
 	load, pollErr := sc.options.Poll(ctx)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -75,6 +75,9 @@
 			st.dequeue(ms.item)
 			st.refuse(ms.item, requester.Refuse(requester.CodeCancelled, "the request was cancelled in the queue", 0))
 		}
+	case messageDoubted:
+		st.reports.doubts = doubtedReports
+		st.actions = append(st.actions, action{kind: actionPoll})
 	case messageFinished:
 		st.finish(ms, now)
 	case messageLoaded:
