--- a/limiter/account.go
+++ b/limiter/account.go
@@ -28,6 +28,8 @@
 	scope    scope
 	least    int64
 	waiting  int64
+	// steps are the amounts that pay for one more of the requests that wait.
+	steps []int64
 	// request and reply are nil while the borrower isn't asking; its place is kept for a while.
 	request *wire.BorrowRequest
 	reply   func(*wire.BorrowResponse)
@@ -139,6 +141,32 @@
 	ac.pendings = kept
 }
 
+// steps returns the amounts beyond the given one that pay for one more of the requests and borrowers that wait.
+func (ac *account) steps(available int64) []int64 {
+	var list []int64
+	sum := -available
+	for _, pe := range ac.pendings {
+		for _, step := range pe.steps {
+			if sum+step > 0 && len(list) < maxSteps {
+				list = append(list, sum+step)
+			}
+		}
+		sum += pe.waiting
+	}
+	return list
+}
+
+// costs returns the summed costs of the first waiters.
+func (ac *account) costs() []int64 {
+	list := make([]int64, 0, min(len(ac.waiters), maxSteps))
+	var sum int64
+	for _, wa := range ac.waiters[:min(len(ac.waiters), maxSteps)] {
+		sum += wa.cost
+		list = append(list, sum)
+	}
+	return list
+}
+
 // forecast is when tokens will be there, as far as this instance can tell.
 type forecast struct {
 	wait  time.Duration
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -64,6 +64,7 @@
 	}
 	pe.least = max(1, rq.GetLeast())
 	pe.waiting = max(pe.least, rq.GetWaiting())
+	pe.steps = rq.GetSteps()
 	st.serve(ac, now)
 }
 
@@ -88,6 +89,14 @@
 // answerLoan gives a borrower that asks its loan, and all of its request if there is enough.
 func (pe *pending) answerLoan(ac *account, available int64, now time.Time) {
 	tokens := min(pe.request.GetTokens(), available)
+	if available < pe.waiting {
+		tokens = pe.least
+		for _, step := range pe.steps {
+			if step <= available {
+				tokens = max(tokens, step)
+			}
+		}
+	}
 	ac.meter.add(tokens, now)
 	pe.waiting = max(0, pe.waiting-tokens)
 	rs := ac.loan(pe.request, ac.held(pe.request.GetBucket()), tokens, ac.forecast(0, now).rate, pe.scope, now)
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -55,7 +55,9 @@
 	forecastSlackLeast = 100 * time.Millisecond
 	ringSize           = 4096
 	maxWaiters         = 1024
-	maxPending         = 1024
+	// maxSteps bounds the amounts that a request for tokens lists.
+	maxSteps   = 32
+	maxPending = 1024
 	// defaultFloorRate and defaultFloorBurst are the parts of rate and burst that are split over the failure domains. A
 	// floor's burst has to pay for whole requests while its domain is cut off.
 	defaultFloorRate  = 0.1
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -53,6 +53,7 @@
 	}
 	if pe := ac.place(self, ac.waiters[0].deadline, now); pe != nil {
 		pe.scope, pe.least, pe.waiting = scopeLocal, ac.waiters[0].cost, ac.waiting()
+		pe.steps = ac.costs()
 	}
 }
 
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -156,6 +156,7 @@
 		Bucket: bucket, Borrower: st.options.Instance, RequestId: up.flight.id,
 		Tokens: short + ac.meter.ahead(st.options.BatchHorizon, now), Least: least, Waiting: short,
 		Surplus: kind == upstreamSurplus, LeftMs: ac.due().Sub(now).Milliseconds(),
+		Steps: ac.steps(ac.pool.available(scopeLocal, now)),
 	}
 	if kind == upstreamSurplus {
 		rq.Tokens = short
