Keep the floors and the home equally full, and set the floors again

The home stood full and lost its refill, while the floors, spent first, stood at their reserve. A holder now tells how full its bucket is, and a floor gives only what it has above that.

--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -70,6 +70,15 @@
 	return int64(bu.level)
 }
 
+// fill returns how full the bucket is, from 0 to 1; what is lent counts as in it.
+func (bu *bucket) fill(now time.Time) float64 {
+	bu.refill(now)
+	if bu.burst <= 0 {
+		return 0
+	}
+	return min(1, (bu.level+bu.outstanding)/bu.burst)
+}
+
 // surplus returns the whole tokens above the reserve that a floor keeps for its own domain.
 func (bu *bucket) surplus(now time.Time, reserve float64) int64 {
 	bu.refill(now)
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -78,7 +78,7 @@
 	rs := &wire.BorrowResponse{}
 	if bu := ac.held(pe.request.GetBucket()); bu != nil {
 		fc := ac.forecast(ac.ahead(pe.borrower)+pe.least-ac.pool.available(pe.scope, now), now)
-		rs.Held, rs.Fencing = true, bu.fencing
+		rs.Held, rs.Fencing, rs.Fill = true, bu.fencing, bu.fill(now)
 		rs.RetryAfterMs, rs.Rate = retryMillis(fc.wait), fc.rate
 		rs.BacklogMs = retryMillis(ac.backlog(now))
 	}
@@ -108,7 +108,7 @@
 func (ac *account) loan(
 	rq *wire.BorrowRequest, bu *bucket, tokens int64, rate float64, sc scope, now time.Time,
 ) *wire.BorrowResponse {
-	rs := &wire.BorrowResponse{Held: true, Fencing: bu.fencing, Rate: rate}
+	rs := &wire.BorrowResponse{Held: true, Fencing: bu.fencing, Rate: rate, Fill: bu.fill(now)}
 	if tokens <= 0 {
 		return rs
 	}
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -60,10 +60,10 @@
 	maxPending = 1024
 	// defaultFloorRate and defaultFloorBurst are the parts of rate and burst that are split over the failure domains. A
 	// floor's burst has to pay for whole requests while its domain is cut off.
-	defaultFloorRate  = 0.1
+	defaultFloorRate  = 0.2
 	defaultFloorBurst = 0.2
 	// defaultReserve is the part of a floor's burst that isn't lent to other domains.
-	defaultReserve = 0.5
+	defaultReserve = 0.1
 )
 
 // Options configures a Limiter. All functions may be called from any goroutine and must not block, but for Borrow and
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -34,9 +34,11 @@
 // pool is what an instance can spend for one organisation: the buckets that it holds, and loans.
 type pool struct {
 	reserve float64
-	floor   *bucket
-	home    *bucket
-	chunks  []chunk
+	// homeFill is how full the home was when it last answered, from 0 to 1.
+	homeFill float64
+	floor    *bucket
+	home     *bucket
+	chunks   []chunk
 	// loans numbers the loans of the held buckets.
 	loans uint64
 }
@@ -55,7 +57,7 @@
 	list := make([]source, 0, len(po.chunks)+3)
 	var rest int64
 	if po.floor != nil {
-		spare := po.floor.surplus(now, po.reserve)
+		spare := po.floor.surplus(now, po.floorKept(sc, now))
 		rest = po.floor.tokens(now) - spare
 		list = append(list, source{bucket: po.floor, most: spare})
 	}
@@ -74,6 +76,18 @@
 	return list
 }
 
+// floorKept is the part of the floor's burst that goes last. The floor and the home are kept equally full, since a full
+// bucket loses its refill; but a home that asks gets all above the reserve.
+func (po *pool) floorKept(sc scope, now time.Time) float64 {
+	if sc == scopeSurplus {
+		return po.reserve
+	}
+	if po.home != nil {
+		po.homeFill = po.home.fill(now)
+	}
+	return max(po.reserve, po.homeFill)
+}
+
 // available returns the whole tokens that a taker could have.
 func (po *pool) available(sc scope, now time.Time) int64 {
 	var sum int64
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -186,6 +186,9 @@
 	up.waiting = max(0, fl.waiting-rs.GetTokens())
 	up.allAt = now.Add(time.Duration(rs.GetBacklogMs()) * time.Millisecond)
 	ac.unreachableSince = time.Time{}
+	if cl.upstream == upstreamHome {
+		ac.pool.homeFill = rs.GetFill()
+	}
 	ac.receive(rs.GetParts(), fl.sentAt)
 	if rs.GetTokens() == 0 {
 		retry := time.Duration(rs.GetRetryAfterMs()) * time.Millisecond
