Take a large request from floor and home so that both end equally full

Where one instance holds both, the source was picked by the fill before the request: a request of half the burst came from the home alone, and the full floor lost its refill (600 tokens took 1.25 s in place of 1.0 s; the bound in the test of waiting requests caught it).

--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -52,12 +52,12 @@
 
 // sources lists where a taker gets its tokens from, in order. A floor's surplus would run over, so it goes first; its
 // reserve is what a cut-off domain lives on, so it goes last.
-func (po *pool) sources(sc scope, now time.Time) []source {
+func (po *pool) sources(sc scope, tokens int64, now time.Time) []source {
 	po.expire(now)
 	list := make([]source, 0, len(po.chunks)+3)
 	var rest int64
 	if po.floor != nil {
-		spare := po.floor.surplus(now, po.floorKept(sc, now))
+		spare := po.floor.surplus(now, po.floorKept(sc, tokens, now))
 		rest = po.floor.tokens(now) - spare
 		list = append(list, source{bucket: po.floor, most: spare})
 	}
@@ -78,12 +78,14 @@
 
 // floorKept is the part of the floor's burst that goes last. The floor and the home are kept equally full, since a full
 // bucket loses its refill; but a home that asks gets all above the reserve.
-func (po *pool) floorKept(sc scope, now time.Time) float64 {
+func (po *pool) floorKept(sc scope, tokens int64, now time.Time) float64 {
 	if sc == scopeSurplus {
 		return po.reserve
 	}
 	if po.home != nil {
-		po.homeFill = po.home.fill(now)
+		// What both will hold once the tokens are taken.
+		left := po.home.fill(now)*po.home.burst + po.floor.fill(now)*po.floor.burst - float64(tokens)
+		po.homeFill = max(0, left/max(1, po.home.burst+po.floor.burst))
 	}
 	return max(po.reserve, po.homeFill)
 }
@@ -91,7 +93,7 @@
 // available returns the whole tokens that a taker could have.
 func (po *pool) available(sc scope, now time.Time) int64 {
 	var sum int64
-	for _, so := range po.sources(sc, now) {
+	for _, so := range po.sources(sc, 0, now) {
 		sum += so.most
 	}
 	return sum
@@ -111,7 +113,7 @@
 // take takes tokens out of the sources: under the number of a loan, or to be spent now when that is zero.
 func (po *pool) take(tokens int64, sc scope, loan uint64, now time.Time) []chunk {
 	var taken []chunk
-	for _, so := range po.sources(sc, now) {
+	for _, so := range po.sources(sc, tokens, now) {
 		amount := min(tokens, so.most)
 		if amount <= 0 {
 			continue
