Let orders to a target end before its lease is handed over; place over the region

Cause: a surrendered target could still get an evict order that was on its way; the placer took its failure domain for the whole region; deferred work shared the writes of claims, which go out more often. Change: an order checks the lease under a lock that the surrender waits for; the placer knows the region and its instances; deferred work has a batcher of its own with 200 ms between writes.

--- a/server/build.go
+++ b/server/build.go
@@ -7,6 +7,7 @@
 
 	"lovagebank/auditor"
 	"lovagebank/authenticator"
+	"lovagebank/batcher"
 	"lovagebank/connector"
 	"lovagebank/invoker"
 	"lovagebank/placer"
@@ -35,8 +36,9 @@
 	sv.auditor = auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
 	sv.publisher = sv.newPublisher()
 	sv.invoker = invoker.New(invoker.Options{FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime()})
-	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Instances: sv.instancesHere})
-	sv.batcher = sv.newBatcher()
+	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Region: st.Region(), Instances: sv.instancesNear})
+	sv.batcher = sv.newBatcher(batcher.DefaultInterval)
+	sv.jobBatcher = sv.newBatcher(jobWriteInterval)
 	sv.claimer = sv.newClaimer()
 	sv.dispatcher = sv.newDispatcher()
 	sv.gossiper = sv.newGossiper()
--- a/server/claims.go
+++ b/server/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -28,8 +29,11 @@
 	})
 }
 
-func (sv *Server) newBatcher() *batcher.Batcher {
-	return batcher.New(batcher.Options{Transact: sv.store.Transact})
+// jobWriteInterval is the least time between two writes of deferred work, which can wait.
+const jobWriteInterval = 200 * time.Millisecond
+
+func (sv *Server) newBatcher(interval time.Duration) *batcher.Batcher {
+	return batcher.New(batcher.Options{Transact: sv.store.Transact, Interval: interval})
 }
 
 // liveMembers returns the identities of the instances that take new work.
--- a/server/deferred.go
+++ b/server/deferred.go
@@ -17,7 +17,7 @@
 		Instance:     sv.identity,
 		Get:          sv.store.Get,
 		List:         sv.store.List,
-		Commit:       sv.batcher.Commit,
+		Commit:       sv.jobBatcher.Commit,
 		DeletePrefix: sv.store.DeletePrefix,
 		Members:      sv.liveMembers,
 		Gone:         sv.memberGone,
--- a/server/holdings.go
+++ b/server/holdings.go
@@ -32,8 +32,10 @@
 type holding struct {
 	scheduler *scheduler.Scheduler
 	cancel    context.CancelFunc
-	inUse     int
-	used      time.Time
+	// orders is read-locked while an order is on its way to the target.
+	orders *sync.RWMutex
+	inUse  int
+	used   time.Time
 }
 
 func newHoldings(sv *Server) *holdings {
@@ -102,6 +104,7 @@
 	sv := ho.server
 	id := tg.GetId()
 	resource := leaser.TargetName(id)
+	orders := &sync.RWMutex{}
 	sc := scheduler.New(scheduler.Options{
 		Target:   tg,
 		Instance: sv.identity,
@@ -110,10 +113,14 @@
 			return sv.invoker.Invoke(ctx, sv.freshTarget(tg), rq, fencing, sink)
 		},
 		Load: func(ctx context.Context, model string, fencing uint64) error {
-			return sv.invoker.LoadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+			return sv.order(orders, resource, func() error {
+				return sv.invoker.LoadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+			})
 		},
 		Unload: func(ctx context.Context, model string, fencing uint64) error {
-			return sv.invoker.UnloadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+			return sv.order(orders, resource, func() error {
+				return sv.invoker.UnloadAdapter(ctx, sv.freshTarget(tg), model, fencing)
+			})
 		},
 		Poll:                    func(ctx context.Context) (invoker.Load, error) { return sv.invoker.Report(ctx, sv.freshTarget(tg)) },
 		Suspect:                 sv.dispatcher.Suspect,
@@ -124,7 +131,30 @@
 	})
 	ctx, cancel := context.WithCancel(ho.ctx)
 	go sc.Run(ctx)
-	return &holding{scheduler: sc, cancel: cancel, used: time.Now()}
+	return &holding{scheduler: sc, cancel: cancel, orders: orders, used: time.Now()}
+}
+
+// order sends an order to a target while this instance holds it.
+func (sv *Server) order(orders *sync.RWMutex, resource string, send func() error) error {
+	orders.RLock()
+	defer orders.RUnlock()
+	if _, _, held := sv.leases.Holds(resource); !held {
+		return errLeaseLost
+	}
+	return send()
+}
+
+// quiesce returns when no order of this instance is on its way to a target. By then the lease is given up, so that no
+// further one starts.
+func (ho *holdings) quiesce(target string) {
+	ho.mu.Lock()
+	hd := ho.byTarget[target]
+	ho.mu.Unlock()
+	if hd == nil {
+		return
+	}
+	hd.orders.Lock()
+	defer hd.orders.Unlock()
 }
 
 // settleTime is how long a new holder evicts nothing: longer than an old holder may act and a load report lags.
--- a/server/leasing.go
+++ b/server/leasing.go
@@ -60,7 +60,8 @@
 
 // surrender stops the owner of a resource that is handed over, and returns its state.
 func (sv *Server) surrender(resource string) []byte {
-	if isTarget(resource) {
+	if target, ok := strings.CutPrefix(resource, leaser.TargetName("")); ok {
+		sv.holdings.quiesce(target)
 		return nil
 	}
 	return sv.limiter.HandOver(resource)
--- a/server/server.go
+++ b/server/server.go
@@ -40,6 +40,7 @@
 var (
 	errLeaving   = errors.New("the instance is leaving")
 	errNoTargets = errors.New("no target is known yet")
+	errLeaseLost = errors.New("the lease of the target is given up")
 	errNoHolders = errors.New("the holders of targets and rates are not known yet")
 )
 
@@ -70,6 +71,7 @@
 	holdings   *holdings
 	absences   *absences
 	batcher    *batcher.Batcher
+	jobBatcher *batcher.Batcher
 	claimer    *claimer.Claimer
 	deferrer   *deferrer.Deferrer
 	reporter   *reporter.Reporter
@@ -138,6 +140,7 @@
 	writes, stopWrites := context.WithCancel(context.Background())
 	defer stopWrites()
 	go sv.batcher.Run(writes)
+	go sv.jobBatcher.Run(writes)
 	var jobs context.Context
 	jobs, sv.stopJobs = context.WithCancel(writes)
 	go sv.deferrer.Run(jobs)
--- a/server/targets.go
+++ b/server/targets.go
@@ -51,11 +51,11 @@
 	return found
 }
 
-// instancesHere counts the live instances of this failure domain, which share its requests.
-func (sv *Server) instancesHere() int {
+// instancesNear counts the live instances of this region, which share its requests.
+func (sv *Server) instancesNear() int {
 	count := 0
 	for _, me := range sv.gossiper.Members() {
-		if me.GetFailureDomain() == sv.settings.FailureDomain() && me.GetState() == wire.MemberState_MEMBER_STATE_LIVE {
+		if me.GetRegion() == sv.settings.Region() && me.GetState() == wire.MemberState_MEMBER_STATE_LIVE {
 			count++
 		}
 	}
