Charge what a target counts beyond the estimate

Cause: a prompt longer than the estimate made on arrival was never charged, so an organisation could use more than its rate. Change: settling for more than the charge queues the rest as a charge of its own. Measured: the test fails without it (400 of 1,000 tokens left after 900 were used) and passes with it.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -150,17 +150,27 @@
 // Cost returns the tokens that were charged.
 func (gr *Grant) Cost() int64 { return gr.cost }
 
-// Settle gives back what was charged and not used, in tokens. Only the first call counts.
+// Settle gives back what was charged and not used, in tokens, or charges what was used beyond the estimate. Only the
+// first call counts.
 func (gr *Grant) Settle(used int64) {
 	gr.once.Do(func() {
 		unused := gr.cost - max(0, used)
-		if unused <= 0 {
-			return
+		switch {
+		case unused > 0:
+			gr.limiter.post(func(st *state, now time.Time) { st.settle(gr.organisation, gr.paid, unused, now) })
+		case unused < 0:
+			gr.limiter.chargeLate(gr.organisation, -unused)
 		}
-		gr.limiter.post(func(st *state, now time.Time) { st.settle(gr.organisation, gr.paid, unused, now) })
 	})
 }
 
+// chargeLate takes tokens that a request has already used. They come before those of later requests; what can't be paid
+// within the patience is written off.
+func (lm *Limiter) chargeLate(organisation string, tokens int64) {
+	wa := &waiter{cost: tokens, deadline: time.Now().Add(latePatience), done: make(chan result, 1)}
+	lm.post(func(st *state, now time.Time) { st.charge(organisation, wa, now) })
+}
+
 // Borrow lends tokens of a bucket that this instance holds.
 func (lm *Limiter) Borrow(rq *wire.BorrowRequest) *wire.BorrowResponse {
 	reply := make(chan *wire.BorrowResponse, 1)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -88,6 +88,22 @@
 	}
 }
 
+// TestUseBeyondTheChargeIsCharged has a target count more tokens than were charged: they are missing afterwards.
+func TestUseBeyondTheChargeIsCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, _ := pair(t)
+		gr, err := holder.Charge(t.Context(), testOrganisation, 500, time.Now().Add(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		gr.Settle(900)
+		synctest.Wait()
+		if _, err := holder.Charge(t.Context(), testOrganisation, 400, time.Now().Add(time.Second)); err == nil {
+			t.Error("400 tokens were there, of 1000 of which 900 were used")
+		}
+	})
+}
+
 // Settled tokens come back to the bucket of another instance, and a second Settle changes nothing.
 func TestSettleReachesTheHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -41,6 +41,8 @@
 	pendingPatience = 150 * time.Millisecond
 	// unreachablePatience is how long a request waits while no holder answers.
 	unreachablePatience = 500 * time.Millisecond
+	// latePatience is how long tokens used beyond a charge are waited for.
+	latePatience = time.Minute
 	// unreachableRetry is the retry time told while no holder answers.
 	unreachableRetry = time.Second
 	// shareDelay is how long a floor that a change of the failure domains adds or raises waits, so that the other
