--- a/server/build.go
+++ b/server/build.go
@@ -30,12 +30,15 @@
 // build makes the parts, those that others need first.
 func (sv *Server) build() {
 	st := sv.settings
-	sv.store = storer.New(storer.Options{Address: st.StoreURL(), Timeout: st.StoreTimeout(), CallsPerSecond: float64(st.StoreCalls())})
-	sv.list = storer.New(storer.Options{Address: st.ListURL(), Timeout: st.StoreTimeout()})
-	sv.connector = connector.New(connector.Options{Secret: st.Secret(), TLS: sv.tls})
+	sv.store = storer.New(storer.Options{Address: st.StoreURL(), Timeout: st.StoreTimeout(), CallsPerSecond: float64(st.StoreCalls()), Transport: sv.transport()})
+	sv.list = storer.New(storer.Options{Address: st.ListURL(), Timeout: st.StoreTimeout(), Transport: sv.transport()})
+	sv.connector = connector.New(connector.Options{Secret: st.Secret(), TLS: sv.tls, Dial: sv.dial})
 	sv.auditor = auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
 	sv.publisher = sv.newPublisher()
-	sv.invoker = invoker.New(invoker.Options{FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime()})
+	sv.invoker = invoker.New(invoker.Options{
+		FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime(),
+		Transport: sv.transport(), SingleUse: sv.transport(),
+	})
 	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Region: st.Region(), Instances: sv.instancesNear})
 	sv.batcher = sv.newBatcher(batcher.DefaultInterval)
 	sv.jobBatcher = sv.newBatcher(jobWriteInterval)
--- a/server/cost_test.go
+++ b/server/cost_test.go
@@ -87,7 +87,12 @@
 	return fl
 }
 
-func newCostServer(b *testing.B, pf *faker.Platform, index int, domain string) *Server {
+func newCostServer(b testing.TB, pf *faker.Platform, index int, domain string) *Server {
+	b.Helper()
+	return newDialingServer(b, pf, index, domain, nil)
+}
+
+func newDialingServer(b testing.TB, pf *faker.Platform, index int, domain string, dial dialFunc) *Server {
 	b.Helper()
 	id := fmt.Sprintf("instance-%d", index+1)
 	peer := freeAddress(b)
@@ -99,14 +104,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	sv, err := New(settings)
+	sv, err := newServer(settings, dial)
 	if err != nil {
 		b.Fatal(err)
 	}
 	return sv
 }
 
-func freeAddress(b *testing.B) string {
+func freeAddress(b testing.TB) string {
 	b.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -6,6 +6,8 @@
 	"crypto/rand"
 	"crypto/tls"
 	"errors"
+	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -47,6 +49,7 @@
 // Server is one entry instance.
 type Server struct {
 	settings *configurer.Settings
+	dial     dialFunc
 	identity string
 	logger   *log.Logger
 	// tls is set where mutual TLS takes the place of the shared secret between instances.
@@ -92,14 +95,21 @@
 	done     chan struct{}
 }
 
+// dialFunc opens a connection to a peer, the platform or a target.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New builds an instance and opens its sockets; Run starts it.
-func New(settings *configurer.Settings) (*Server, error) {
+func New(settings *configurer.Settings) (*Server, error) { return newServer(settings, nil) }
+
+// newServer makes an instance whose connections a test may refuse; dial is nil for the network's own.
+func newServer(settings *configurer.Settings, dial dialFunc) (*Server, error) {
 	level, err := log.ParseLevel(settings.LogLevel())
 	if err != nil {
 		return nil, err
 	}
 	sv := &Server{
 		settings:  settings,
+		dial:      dial,
 		identity:  newIdentity(settings.ID()),
 		logger:    log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true}),
 		reporter:  reporter.New(),
@@ -125,6 +135,14 @@
 	return connector.ReadTLS(certificate, key, authority)
 }
 
+// transport returns what carries calls to the platform and to targets; nil for the packages' own.
+func (sv *Server) transport() http.RoundTripper {
+	if sv.dial == nil {
+		return nil
+	}
+	return &http.Transport{DialContext: sv.dial, DisableKeepAlives: true}
+}
+
 // newIdentity returns a name that no earlier run of this instance had, since a restarted instance forgot its promises.
 func newIdentity(name string) string { return name + "-" + rand.Text()[:identityLetters] }
 
