Keep one wait that a context cuts short; check the floor of a cut-off domain

Cause: the same ten lines stood in claimer, deferrer, publisher and storer; and the test of a cut-off domain did not look at what it may grant. Change: package pauser; the test charges nine tenths of the floor, and twelve.

--- a/claimer/committer.go
+++ b/claimer/committer.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lovagebank/pauser"
 	"lovagebank/storer"
 	"lovagebank/wire"
 )
@@ -94,22 +95,10 @@
 				return
 			}
 		}
-		if !pauseFor(ctx, wait) {
+		if !pauser.For(ctx, wait) {
 			return
 		}
 	}
 }
 
-func pause(ctx context.Context) bool { return pauseFor(ctx, retryPause) }
-
-// pauseFor waits; it tells false when the context ended.
-func pauseFor(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func pause(ctx context.Context) bool { return pauser.For(ctx, retryPause) }
--- a/deferrer/deferrer.go
+++ b/deferrer/deferrer.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lovagebank/archiver"
+	"lovagebank/pauser"
 	"lovagebank/requester"
 	"lovagebank/storer"
 	"lovagebank/wire"
@@ -181,7 +182,7 @@
 				return nil
 			}
 		}
-		if pause(ctx, retryPause) {
+		if pauser.For(ctx, retryPause) {
 			continue
 		}
 		if sent {
@@ -250,15 +251,3 @@
 	}
 	return true
 }
-
-// pause waits; it tells false when the context ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/deferrer/deferrer_test.go
+++ b/deferrer/deferrer_test.go
@@ -14,6 +14,7 @@
 
 	"lovagebank/batcher"
 	"lovagebank/faker"
+	"lovagebank/pauser"
 	"lovagebank/requester"
 	"lovagebank/storer"
 	"lovagebank/wire"
@@ -85,7 +86,7 @@
 		},
 		Invoke: func(rctx context.Context, rq *requester.Request) (*wire.Answer, error) {
 			started, _ := ni.runs.LoadOrStore(rq.ID(), time.Now())
-			if !pause(rctx, ni.runTime) || ctx.Err() != nil {
+			if !pauser.For(rctx, ni.runTime) || ctx.Err() != nil {
 				return nil, requester.Refuse(requester.CodeCancelled, "crashed", 0)
 			}
 			return &wire.Answer{Status: http.StatusOK, Body: []byte(rq.ID() + " " + started.(time.Time).Format(time.TimeOnly))}, nil
--- a/deferrer/runner.go
+++ b/deferrer/runner.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lovagebank/pauser"
 	"lovagebank/requester"
 	"lovagebank/storer"
 	"lovagebank/wire"
@@ -142,7 +143,7 @@
 		if err == nil || (errors.Is(err, storer.ErrConflict) && !ls.refresh(ctx)) {
 			return
 		}
-		if !pause(ctx, retryPause) {
+		if !pauser.For(ctx, retryPause) {
 			return
 		}
 	}
@@ -230,7 +231,7 @@
 
 // keep renews the lease until the context ends, and cancels the run when the job went to another instance.
 func (ls *lease) keep(ctx context.Context, lost context.CancelFunc) {
-	for pause(ctx, leaseTime/2) {
+	for pauser.For(ctx, leaseTime/2) {
 		if err := ls.renew(ctx); errors.Is(err, storer.ErrConflict) {
 			lost()
 			return
--- a/publisher/fake_test.go
+++ b/publisher/fake_test.go
@@ -11,6 +11,7 @@
 
 	"lovagebank/auditor"
 	"lovagebank/configurer"
+	"lovagebank/pauser"
 	"lovagebank/storer"
 	"lovagebank/wire"
 )
@@ -65,7 +66,7 @@
 
 func (fs *fakeStore) get(ctx context.Context, key string) (storer.Entry, error) {
 	ft, delay := fs.draw()
-	if !sleep(ctx, delay+fs.slow) || ft != fateGood {
+	if !pauser.For(ctx, delay+fs.slow) || ft != fateGood {
 		return storer.Entry{}, storer.ErrUnavailable
 	}
 	fs.mu.Lock()
@@ -210,7 +211,7 @@
 
 // gossip tells each instance, every second, the revision of each other one, until the context ends.
 func (fl *fleet) gossip(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for pauser.For(ctx, time.Second) {
 		for _, from := range fl.names() {
 			for _, to := range fl.names() {
 				if source, target := fl.get(from), fl.get(to); source != nil && target != nil {
--- a/publisher/history_test.go
+++ b/publisher/history_test.go
@@ -13,6 +13,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"lovagebank/configurer"
+	"lovagebank/pauser"
 )
 
 // register is the configuration as one value that proposals swap: the revision and the change that made it.
@@ -151,9 +152,9 @@
 
 // outages takes the store away now and then, until the context ends.
 func (fs *fakeStore) outages(ctx context.Context, random *rand.Rand) {
-	for sleep(ctx, time.Duration(500+random.IntN(1500))*time.Millisecond) {
+	for pauser.For(ctx, time.Duration(500+random.IntN(1500))*time.Millisecond) {
 		fs.setAway(true)
-		sleep(ctx, time.Duration(100+random.IntN(900))*time.Millisecond)
+		pauser.For(ctx, time.Duration(100+random.IntN(900))*time.Millisecond)
 		fs.setAway(false)
 	}
 }
--- a/publisher/learn.go
+++ b/publisher/learn.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lovagebank/configurer"
+	"lovagebank/pauser"
 	"lovagebank/storer"
 	"lovagebank/wire"
 )
@@ -17,7 +18,7 @@
 func (pu *Publisher) start(ctx context.Context) {
 	for wait := startTimeout; pu.current.Load() == nil && ctx.Err() == nil; wait = min(2*wait, loadTimeout) {
 		pu.ask(ctx, wait)
-		if pu.current.Load() != nil || !sleep(ctx, retryWait/2+rand.N(retryWait)) {
+		if pu.current.Load() != nil || !pauser.For(ctx, retryWait/2+rand.N(retryWait)) {
 			return
 		}
 	}
@@ -48,7 +49,7 @@
 	for ctx.Err() == nil {
 		if !pu.options.Watches() {
 			index = 0
-			sleep(ctx, retryWait)
+			pauser.For(ctx, retryWait)
 			continue
 		}
 		ls, err := pu.options.Watch(ctx, manifestKey, index, watchWait)
@@ -59,7 +60,7 @@
 		if err != nil && ctx.Err() == nil {
 			index = 0
 			pu.options.Logger.Debug("Watch failed.", "error", err.Error())
-			sleep(ctx, repeatWait/2+rand.N(repeatWait))
+			pauser.For(ctx, repeatWait/2+rand.N(repeatWait))
 		}
 	}
 }
--- a/publisher/propose.go
+++ b/publisher/propose.go
@@ -13,6 +13,7 @@
 
 	"lovagebank/auditor"
 	"lovagebank/configurer"
+	"lovagebank/pauser"
 	"lovagebank/storer"
 	"lovagebank/wire"
 )
@@ -124,7 +125,7 @@
 		if !again {
 			return revision, err
 		}
-		if attempt == proposeAttempts || !sleep(ctx, proposePause) {
+		if attempt == proposeAttempts || !pauser.For(ctx, proposePause) {
 			return 0, pr.failure(err)
 		}
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -182,15 +182,3 @@
 		pu.options.Adopted(ve.snapshot)
 	}
 }
-
-// sleep waits; it is false when the context ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/server/cutoff_test.go
+++ b/server/cutoff_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"lovagebank/faker"
+	"lovagebank/leaser"
 	"lovagebank/seeder"
 )
 
@@ -76,7 +78,6 @@
 	platform *faker.Platform
 	cutter   *cutter
 	byDomain map[string][]*Server
-	stop     func()
 }
 
 func startCutFleet(t *testing.T) *cutFleet {
@@ -138,6 +139,41 @@
 	return err == nil && status == http.StatusOK
 }
 
+// checkFloor sees that a domain that does not hold the shared part has its floor and no more: of the burst, a third of
+// the fifth that floors make up.
+func (fl *cutFleet) checkFloor(t *testing.T, sv *Server) {
+	t.Helper()
+	if home, _ := sv.leases.Holder(leaser.HomeName(faker.SampleCastaneda)); fl.holds("c", home) {
+		return
+	}
+	pl, _ := sv.publisher.Current().PlanOf(faker.SampleCastaneda)
+	floor := int64(pl.Burst() / 15)
+	eventually(t, "the floor is there", func() bool { return charges(t, sv, floor*9/10) })
+	if charges(t, sv, floor*12/10) {
+		t.Error("the cut-off domain granted more than its floor")
+	}
+}
+
+func (fl *cutFleet) holds(domain, instance string) bool {
+	for _, sv := range fl.byDomain[domain] {
+		if sv.identity == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// charges tells whether tokens are granted at once; they go back.
+func charges(t *testing.T, sv *Server, tokens int64) bool {
+	t.Helper()
+	gr, err := sv.limiter.Charge(t.Context(), faker.SampleCastaneda, tokens, time.Now().Add(100*time.Millisecond))
+	if err != nil {
+		return false
+	}
+	gr.Settle(0)
+	return true
+}
+
 // TestDomainCutOffGoesOnServing cuts a failure domain off from all others and from the platform. Both sides go on with
 // their own targets and their part of the rate; after the cut all know each other and the lists again.
 func TestDomainCutOffGoesOnServing(t *testing.T) {
@@ -145,18 +181,19 @@
 		t.Skip("runs a fleet for half a minute")
 	}
 	fl := startCutFleet(t)
-	alone, others := fl.byDomain["c"], append(fl.byDomain["a"], fl.byDomain["b"]...)
+	alone, others := fl.byDomain["c"], slices.Concat(fl.byDomain["a"], fl.byDomain["b"])
 	fl.cutter.set("c")
 	for _, sv := range alone {
 		eventually(t, "the cut-off side sees itself alone", func() bool { return len(sv.gossiper.Members()) == 2 })
 		eventually(t, "the cut-off side serves", func() bool { return fl.chats(t, sv) })
 	}
+	fl.checkFloor(t, alone[0])
 	for _, sv := range others {
 		eventually(t, "the other side sees who is left", func() bool { return len(sv.gossiper.Members()) == 4 })
 		eventually(t, "the other side serves", func() bool { return fl.chats(t, sv) })
 	}
 	fl.cutter.set("")
-	for _, sv := range append(alone, others...) {
+	for _, sv := range slices.Concat(alone, others) {
 		eventually(t, "all know each other again", func() bool { return len(sv.gossiper.Members()) == 6 })
 		eventually(t, "all serve", func() bool { return fl.chats(t, sv) })
 	}
--- a/storer/budget.go
+++ b/storer/budget.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lovagebank/pauser"
 )
 
 // budget is a token bucket of calls. Callers reserve a call each and wait their turn, in order.
@@ -26,7 +28,7 @@
 	if !ok {
 		return ErrBudget
 	}
-	if wait > 0 && !pause(ctx, wait) {
+	if wait > 0 && !pauser.For(ctx, wait) {
 		return ErrUnavailable
 	}
 	return nil
--- a/storer/client.go
+++ b/storer/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"lovagebank/pauser"
 )
 
 // Defaults of Options.
@@ -125,17 +127,5 @@
 // backOff waits between half and one and a half of the attempt's backoff; it is false when the context ends first.
 func (cl *Client) backOff(ctx context.Context, attempt int) bool {
 	mean := min(cl.options.Backoff<<(attempt-1), cl.options.LongestBackoff)
-	return pause(ctx, mean/2+rand.N(mean))
-}
-
-// pause waits; it is false when the context ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pauser.For(ctx, mean/2+rand.N(mean))
 }
