--- a/loader/attempt.go
+++ b/loader/attempt.go
@@ -85,6 +85,9 @@
 		return nil, err
 	}
 	rq.Header.Set("Content-Type", "application/json")
+	if due, ok := ctx.Deadline(); ok {
+		rq.Header.Set("Lovagebank-Deadline", max(time.Until(due)-deadlineGrace, time.Millisecond).String())
+	}
 	rq.Header.Set("Authorization", "Bearer "+ar.Organisation.Key)
 	if ar.Kind.Name == KindOrder {
 		rq.Header.Set("Idempotency-Key", ar.ID)
