--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lovagebank/pauser"
 	"lovagebank/storer"
 	"lovagebank/wire"
 )
@@ -114,11 +115,7 @@
 		if en, gerr := ar.options.Get(ctx, key); gerr == nil && string(en.Value()) == string(value) {
 			return nil
 		}
-		timer := time.NewTimer(retryPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !pauser.For(ctx, retryPause) {
 			return errors.Join(err, ctx.Err())
 		}
 	}
