Tell entry instances the state of a target with the end of each answer

Ruled out: asking all peers each second; at the full size that is hundreds of KB/s. Change: the last step of an answer carries the holder's report.

--- a/server/execution.go
+++ b/server/execution.go
@@ -22,7 +22,10 @@
 var errHolderSilent = errors.New("the target's holder fell silent")
 
 // executeOnPeer runs a request at the instance that holds its target.
-func executeOnPeer(ctx context.Context, pe *connector.Peer, tg *wire.Target, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
+// observe is told the state of the target that comes with the end of the answer.
+func executeOnPeer(ctx context.Context, pe *connector.Peer, tg *wire.Target, rq *requester.Request, sink requester.Sink,
+	observe func([]*wire.TargetReport),
+) (requester.Usage, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silenceTimeout, func() { cancel(errHolderSilent) })
@@ -35,6 +38,9 @@
 	for stream.Receive() {
 		watchdog.Reset(silenceTimeout)
 		us, ended, err := takeStep(stream.Msg(), sink)
+		if report := endReport(stream.Msg()); report != nil {
+			observe([]*wire.TargetReport{report})
+		}
 		if ended || err != nil {
 			return us, err
 		}
@@ -42,6 +48,14 @@
 	return requester.Usage{}, peerRefusal(ctx, stream.Err())
 }
 
+// endReport returns the target's state that comes with the last step, or nil.
+func endReport(step *wire.ExecuteResponse) *wire.TargetReport {
+	if end := step.GetDone(); end != nil {
+		return end.GetReport()
+	}
+	return step.GetFailure().GetReport()
+}
+
 // takeStep passes one step of an answer on. ended is true when it was the last one.
 func takeStep(step *wire.ExecuteResponse, sink requester.Sink) (us requester.Usage, ended bool, err error) {
 	switch step := step.GetStep().(type) {
--- a/server/holdings.go
+++ b/server/holdings.go
@@ -187,6 +187,22 @@
 	return reports
 }
 
+// reportAtEnd returns the state of a target as one of its requests ends; nil if the target is not served here. The
+// request counts as running until its answer has arrived, as the entry instance counts it too.
+func (ho *holdings) reportAtEnd(target string) *wire.TargetReport {
+	ho.mu.Lock()
+	hd := ho.byTarget[target]
+	ho.mu.Unlock()
+	if hd == nil {
+		return nil
+	}
+	state := hd.scheduler.Report()
+	return &wire.TargetReport{
+		Target: state.GetTarget(), Holder: state.GetHolder(), Fencing: state.GetFencing(), Slots: state.GetSlots(),
+		Running: state.GetRunning() + 1, Queued: state.GetQueued(), Adapters: state.GetAdapters(),
+	}
+}
+
 // drain lets running requests finish and sends queued ones back to their entry instances.
 func (ho *holdings) drain(ctx context.Context) {
 	ho.mu.Lock()
--- a/server/peering.go
+++ b/server/peering.go
@@ -41,10 +41,15 @@
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline())
 	defer cancel()
 	us, err := pe.server.holdings.submit(ctx, call.Msg.GetTarget(), rq, steps.sink())
+	report := pe.server.holdings.reportAtEnd(call.Msg.GetTarget())
 	if rf := requester.AsRefusal(err); rf != nil {
-		return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Failure{Failure: failureToWire(rf)}})
+		failure := failureToWire(rf)
+		failure.Report = report
+		return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Failure{Failure: failure}})
 	}
-	return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Done{Done: usageToWire(us)}})
+	end := usageToWire(us)
+	end.Report = report
+	return steps.send(&wire.ExecuteResponse{Step: &wire.ExecuteResponse_Done{Done: end}})
 }
 
 // ReportTargets tells the state of the targets that this instance holds.
--- a/server/routing.go
+++ b/server/routing.go
@@ -50,7 +50,7 @@
 		return requester.Usage{}, requester.Refuse(requester.CodeWrongHolder, "Nobody holds the target.", peerRetry)
 	}
 	trace.Note("placer", "Sent to "+tg.GetId()+", held by "+holder+".")
-	us, err := executeOnPeer(ctx, sv.connector.Peer(me.GetPeerAddress()), tg, rq, sink)
+	us, err := executeOnPeer(ctx, sv.connector.Peer(me.GetPeerAddress()), tg, rq, sink, sv.placer.Observe)
 	if err != nil && requester.AsRefusal(err).Code() == requester.CodeWrongHolder {
 		sv.doubtHolder(ctx, tg, holder)
 	}
