--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -41,6 +41,9 @@
 	defaultMaxTokens  int64
 	requestTime       time.Duration
 	headerTime        time.Duration
+	bodyTime          time.Duration
+	callerSilenceTime time.Duration
+	drainNotice       time.Duration
 	idleTime          time.Duration
 	silenceTime       time.Duration
 	connections       int64
@@ -140,6 +143,15 @@
 // HeaderTime returns how long a caller may take to send a request's header.
 func (li Limits) HeaderTime() time.Duration { return li.headerTime }
 
+// BodyTime returns how long a caller may take to send a request's body.
+func (li Limits) BodyTime() time.Duration { return li.bodyTime }
+
+// CallerSilenceTime returns how long a caller may take no byte of its answer before it counts as gone.
+func (li Limits) CallerSilenceTime() time.Duration { return li.callerSilenceTime }
+
+// DrainNotice returns how long a leaving instance still serves new callers.
+func (li Limits) DrainNotice() time.Duration { return li.drainNotice }
+
 // IdleTime returns how long an unused connection stays open.
 func (li Limits) IdleTime() time.Duration { return li.idleTime }
 
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -56,6 +56,8 @@
 	handedOver map[string]uint64
 	// unreachableSince is when tokens were first wanted and no holder answered; zero while one does.
 	unreachableSince time.Time
+	// unreachableAt is when that was last so; an earlier spell does not count against a later request.
+	unreachableAt time.Time
 	// shareSince is when the present floor share of this domain was first seen.
 	shareSince time.Time
 	// share is this domain's part of all floors.
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -39,8 +39,8 @@
 	failureBackoffMax = 2 * time.Second
 	// pendingPatience is how long a place in a holder's queue is kept for a borrower that doesn't ask again.
 	pendingPatience = 150 * time.Millisecond
-	// unreachablePatience is how long a request waits while no holder answers.
-	unreachablePatience = 500 * time.Millisecond
+	// unreachablePatience is how long a request waits while no holder answers; a hand-over takes up to a second.
+	unreachablePatience = 2 * time.Second
 	// latePatience is how long tokens used beyond a charge are waited for.
 	latePatience = time.Minute
 	// unreachableRetry is the retry time told while no holder answers.
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -82,9 +82,10 @@
 
 // refuseUnreachable refuses a waiter when no holder has answered for a while: no tokens can come then.
 func (st *state) refuseUnreachable(ac *account, wa *waiter, now time.Time) {
-	if ac.unreachableSince.IsZero() {
+	if ac.unreachableSince.IsZero() || now.Sub(ac.unreachableAt) > unreachablePatience {
 		ac.unreachableSince = now
 	}
+	ac.unreachableAt = now
 	if ac.asking() && now.Before(wa.deadline) {
 		return
 	}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -193,6 +193,7 @@
 
 [limits]
 drain-time = 20s
+drain-notice = 1s
 `, name, domains[(number-1)%len(domains)], strings.Join(domains, ", "), address.caller, address.peer, address.operator,
 		fl.store, fl.list, peerSecret, fl.operatorHash)
 	path := filepath.Join(fl.folder, name+".ini")
@@ -252,6 +253,29 @@
 	delete(fl.processes, args[0])
 }
 
+// endAtOnce is the command "end-at-once NAME": a second signal while the process drains ends it, with a failing exit.
+func endAtOnce(ts *testscript.TestScript, _ bool, args []string) {
+	fl := ts.Value(fleetKey{}).(*fleet)
+	pr, ok := fl.processes[args[0]]
+	if !ok {
+		ts.Fatalf("no process %s", args[0])
+	}
+	ts.Check(pr.cmd.Process.Signal(syscall.SIGTERM))
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		select {
+		case err := <-pr.exited:
+			if err == nil {
+				ts.Fatalf("%s ended as if drained", args[0])
+			}
+			delete(fl.processes, args[0])
+			return
+		default:
+			_ = pr.cmd.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	ts.Fatalf("%s did not end", args[0])
+}
+
 func (fl *fleet) stopAll() {
 	for _, pr := range fl.processes {
 		_ = pr.cmd.Process.Kill()
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -49,11 +49,12 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":      startFleet,
-			"lists":      putLists,
-			"call":       call,
-			"await-call": awaitCall,
-			"end":        end,
+			"fleet":       startFleet,
+			"lists":       putLists,
+			"call":        call,
+			"await-call":  awaitCall,
+			"end-at-once": endAtOnce,
+			"end":         end,
 		},
 	})
 }
--- a/server/build.go
+++ b/server/build.go
@@ -21,10 +21,6 @@
 	// watchersPerDomain is how many instances of a failure domain watch the store for configuration.
 	watchersPerDomain = 2
 	watchDuty         = "watch-configuration"
-
-	// bodyTime is how long a caller may take to send a body, and callerSilence how long to take no byte of an answer.
-	bodyTime      = 30 * time.Second
-	callerSilence = 30 * time.Second
 )
 
 // build makes the parts, those that others need first.
@@ -90,8 +86,8 @@
 		Ready:    sv.ready,
 		Limits: receiver.Limits{
 			BodyBytes:        lim.BodyBytes(),
-			BodyTime:         bodyTime,
-			SilenceTime:      callerSilence,
+			BodyTime:         lim.BodyTime(),
+			SilenceTime:      lim.CallerSilenceTime(),
 			DefaultMaxTokens: lim.DefaultMaxTokens(),
 			MaxTokens:        lim.MaxTokens(),
 			DefaultDeadline:  lim.RequestTime(),
--- a/server/drain.go
+++ b/server/drain.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// drainNotice is how long new requests are still served after the readiness check fails, so that the balancer notices
-// before callers do.
-const drainNotice = 2 * time.Second
-
 // handOverTimeout bounds handing leases over.
 const handOverTimeout = 5 * time.Second
 
@@ -23,7 +19,7 @@
 	defer cancel()
 	sv.leave(ctx)
 	sv.handOver(ctx)
-	notice := time.NewTimer(drainNotice)
+	notice := time.NewTimer(sv.settings.Limits().DrainNotice())
 	defer notice.Stop()
 	sv.holdings.drain(ctx)
 	select {
