Rank instances in one place, and reach peers in one way

Cause: server ranked members by the same rendezvous hash that leaser.Rendezvous has; the look-up of a member before a call to it stood five times; choose only passed its call on. Change: candidates call leaser.Rendezvous; peerOf finds the clients of a member; the dispatcher gets the placer's Choose itself. Behaviour stays as it is.

--- a/server/candidates.go
+++ b/server/candidates.go
@@ -1,43 +1,19 @@
 package server
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"lovagebank/leaser"
 	"lovagebank/wire"
 )
 
-// ranked is a member with its rendezvous weight for one resource.
-type ranked struct {
-	id     string
-	domain string
-	weight uint64
-}
-
-// rank orders the live members that fit by their rendezvous weight for a resource, highest first.
-func (sv *Server) rank(resource string, fits func(me *wire.Member) bool) []ranked {
-	var found []ranked
-	for _, me := range sv.gossiper.Members() {
-		if me.GetState() != wire.MemberState_MEMBER_STATE_LIVE || !fits(me) {
-			continue
-		}
-		found = append(found, ranked{me.GetId(), me.GetFailureDomain(), xxhash.Sum64String(me.GetId() + "\x00" + resource)})
-	}
-	slices.SortFunc(found, func(first, second ranked) int { return cmp.Compare(second.weight, first.weight) })
-	return found
-}
-
 // domainCandidates returns the members of a failure domain that may hold a resource, the preferred one first.
 func (sv *Server) domainCandidates(resource, domain string) []string {
-	members := sv.rank(resource, func(me *wire.Member) bool { return me.GetFailureDomain() == domain })
-	ids := make([]string, 0, len(members))
-	for _, ra := range members {
-		ids = append(ids, ra.id)
+	var ids []string
+	for _, me := range sv.gossiper.Members() {
+		if me.GetState() == wire.MemberState_MEMBER_STATE_LIVE && me.GetFailureDomain() == domain {
+			ids = append(ids, me.GetId())
+		}
 	}
-	return ids
+	return leaser.Rendezvous(resource, ids)
 }
 
 // targetCandidates returns the instances that may hold a target: those of its failure domain.
@@ -50,13 +26,14 @@
 func (sv *Server) homeCandidates(resource string) []string {
 	var first, others []string
 	domains := make(map[string]bool)
-	for _, ra := range sv.rank(resource, func(*wire.Member) bool { return true }) {
-		if domains[ra.domain] {
-			others = append(others, ra.id)
+	for _, id := range leaser.Rendezvous(resource, sv.liveMembers()) {
+		domain := sv.findMember(id).GetFailureDomain()
+		if domains[domain] {
+			others = append(others, id)
 			continue
 		}
-		domains[ra.domain] = true
-		first = append(first, ra.id)
+		domains[domain] = true
+		first = append(first, id)
 	}
 	return append(first, others...)
 }
--- a/server/claims.go
+++ b/server/claims.go
@@ -54,11 +54,11 @@
 }
 
 func (sv *Server) forwardClaim(ctx context.Context, instance string, rq *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	me := sv.findMember(instance)
-	if me == nil {
-		return nil, errUnknownMember
+	peer, err := sv.peerOf(instance)
+	if err != nil {
+		return nil, err
 	}
-	response, err := sv.connector.Peer(me.GetPeerAddress()).Claims().Claim(ctx, connect.NewRequest(rq))
+	response, err := peer.Claims().Claim(ctx, connect.NewRequest(rq))
 	if err != nil {
 		return nil, err
 	}
@@ -66,11 +66,11 @@
 }
 
 func (sv *Server) forwardFinish(ctx context.Context, instance string, rq *wire.FinishRequest) (*wire.FinishResponse, error) {
-	me := sv.findMember(instance)
-	if me == nil {
-		return nil, errUnknownMember
+	peer, err := sv.peerOf(instance)
+	if err != nil {
+		return nil, err
 	}
-	response, err := sv.connector.Peer(me.GetPeerAddress()).Claims().Finish(ctx, connect.NewRequest(rq))
+	response, err := peer.Claims().Finish(ctx, connect.NewRequest(rq))
 	if err != nil {
 		return nil, err
 	}
--- a/server/leasing.go
+++ b/server/leasing.go
@@ -36,11 +36,11 @@
 }
 
 func (sv *Server) askPromise(ctx context.Context, request *wire.PromiseRequest) (*wire.PromiseResponse, error) {
-	me := sv.findMember(request.GetSuccessor())
-	if me == nil {
-		return nil, errUnknownMember
+	peer, err := sv.peerOf(request.GetSuccessor())
+	if err != nil {
+		return nil, err
 	}
-	response, err := sv.connector.Peer(me.GetPeerAddress()).Leases().Promise(ctx, connect.NewRequest(request))
+	response, err := peer.Leases().Promise(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
--- a/server/limits.go
+++ b/server/limits.go
@@ -30,11 +30,11 @@
 
 // borrow asks the holder of a bucket for tokens.
 func (sv *Server) borrow(ctx context.Context, instance string, rq *wire.BorrowRequest) (*wire.BorrowResponse, error) {
-	me := sv.findMember(instance)
-	if me == nil {
-		return nil, errUnknownMember
+	peer, err := sv.peerOf(instance)
+	if err != nil {
+		return nil, err
 	}
-	response, err := sv.connector.Peer(me.GetPeerAddress()).Limits().Borrow(ctx, connect.NewRequest(rq))
+	response, err := peer.Limits().Borrow(ctx, connect.NewRequest(rq))
 	if err != nil {
 		sv.peerFailed(instance)
 		return nil, err
@@ -44,11 +44,11 @@
 
 // giveBack returns unused tokens to the holder of a bucket.
 func (sv *Server) giveBack(ctx context.Context, instance string, rq *wire.ReturnRequest) (*wire.ReturnResponse, error) {
-	me := sv.findMember(instance)
-	if me == nil {
-		return nil, errUnknownMember
+	peer, err := sv.peerOf(instance)
+	if err != nil {
+		return nil, err
 	}
-	response, err := sv.connector.Peer(me.GetPeerAddress()).Limits().Return(ctx, connect.NewRequest(rq))
+	response, err := peer.Limits().Return(ctx, connect.NewRequest(rq))
 	if err != nil {
 		return nil, err
 	}
--- a/server/members.go
+++ b/server/members.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"lovagebank/connector"
 	"lovagebank/explainer"
 	"lovagebank/gossiper"
 	"lovagebank/leaser"
@@ -101,6 +102,15 @@
 	return members[at]
 }
 
+// peerOf returns the clients for a member.
+func (sv *Server) peerOf(instance string) (*connector.Peer, error) {
+	me := sv.findMember(instance)
+	if me == nil {
+		return nil, errUnknownMember
+	}
+	return sv.connector.Peer(me.GetPeerAddress()), nil
+}
+
 // findTarget returns a target that is known now, or nil.
 func (sv *Server) findTarget(id string) *wire.Target {
 	targets := sv.gossiper.Targets()
--- a/server/routing.go
+++ b/server/routing.go
@@ -20,7 +20,7 @@
 
 func (sv *Server) newDispatcher() *dispatcher.Dispatcher {
 	return dispatcher.New(dispatcher.Options{
-		Choose:          sv.choose,
+		Choose:          sv.placer.Choose,
 		Chosen:          sv.placer.Finished,
 		Execute:         sv.execute,
 		Services:        sv.serviceTargets,
@@ -33,10 +33,6 @@
 	})
 }
 
-func (sv *Server) choose(rq *requester.Request, exclude []string) (*wire.Target, error) {
-	return sv.placer.Choose(rq, exclude)
-}
-
 // execute runs a model request at the holder of its target: here, or at the peer that holds it.
 func (sv *Server) execute(ctx context.Context, tg *wire.Target, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
 	trace := explainer.FromContext(ctx)
