--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,168 @@
+// Package acceptor takes callers' requests from their arrival to their final answer: route, key, allowance, target,
+// and the answer on its way back. Each request gets one final answer, at once when it is given up on. What it decides
+// with lies in other packages; it keeps nothing between requests.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"lovagebank/allotter"
+	"lovagebank/balancer"
+	"lovagebank/budgeter"
+	"lovagebank/forwarder"
+	"lovagebank/platform"
+	"lovagebank/quarantiner"
+	"lovagebank/router"
+)
+
+// Options set an Acceptor up.
+type Options struct {
+	// Configuration returns the configuration in force; nil while none is known.
+	Configuration func() *router.Configuration
+	// Newest returns the newest version named for an adapter; 0 if none is.
+	Newest func(balancer.Adapter) int64
+	// Load has a target load an adapter, by way of its holder, and returns when it is there.
+	Load func(ctx context.Context, holder string, ta *balancer.Target, ad balancer.Adapter, version int64) error
+	// Instances returns the number of instances that share the targets' connections.
+	Instances func() int
+	// Draining tells whether the instance is shutting down, so that callers should leave their connections.
+	Draining func() bool
+	// Ended is told of each request's end.
+	Ended func(*Outcome)
+	// Random returns a number in [0, 1).
+	Random func() float64
+
+	Balancer    *balancer.Balancer
+	Forwarder   *forwarder.Forwarder
+	Allotter    *allotter.Allotter
+	Budgeter    *budgeter.Budgeter
+	Quarantiner *quarantiner.Quarantiner
+}
+
+// Acceptor serves callers.
+type Acceptor struct{ op Options }
+
+// New makes an acceptor.
+func New(op Options) *Acceptor { return &Acceptor{op: op} }
+
+// defaultTimeout bounds a request whose route and caller name no time.
+const defaultTimeout = 30 * time.Second
+
+// ServeHTTP serves one request of a caller.
+func (ac *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ex := &exchange{
+		ac:       ac,
+		w:        w,
+		r:        r,
+		caller:   platform.ParseCallerRequest(r.Header),
+		excluded: make(map[string]bool),
+		outcome:  &Outcome{arrived: time.Now()},
+	}
+	ex.outcome.id = ex.caller.ID
+	if ac.op.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	defer ac.op.Ended(ex.outcome)
+	if rf := ex.admit(); rf != nil {
+		ex.refuse(rf)
+		return
+	}
+	ex.serve()
+}
+
+// admit finds the request's route and organisation and reads its body.
+func (ex *exchange) admit() *refusal {
+	cf := ex.ac.op.Configuration()
+	if cf == nil {
+		return refusedNotReady
+	}
+	path, _, _ := strings.Cut(ex.uri(), "?")
+	rt, ok := cf.Match(ex.r.Host, path)
+	if !ok {
+		return refusedNoRoute
+	}
+	ex.route, ex.outcome.route, ex.outcome.version = rt, rt, cf.Version()
+	if rf := ex.authenticate(cf); rf != nil {
+		return rf
+	}
+	ex.limitTime()
+	service, ok := cf.Service(rt.Service(ex.ac.op.Random()))
+	if !ok {
+		return refusedNoService
+	}
+	ex.service = service
+	return ex.readBody(cf.Limits().BodyBytes)
+}
+
+func (ex *exchange) authenticate(cf *router.Configuration) *refusal {
+	if !cf.HasOrganisations() {
+		return nil
+	}
+	og, ok := cf.Authenticate(ex.caller.Key)
+	if ok {
+		ex.organisation, ex.outcome.organisation = og, og.Name()
+		return nil
+	}
+	if ex.route.Public() {
+		return nil
+	}
+	return refusedUnknownKey
+}
+
+// limitTime sets the request's deadline: the route's timeout or the caller's patience, whichever ends first.
+func (ex *exchange) limitTime() {
+	limit := ex.route.Timeout()
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if ex.caller.Patience > 0 {
+		limit = min(limit, ex.caller.Patience)
+	}
+	ex.deadline = ex.outcome.arrived.Add(limit)
+}
+
+// uri is the request's path and query as the caller sent them.
+func (ex *exchange) uri() string {
+	uri := ex.r.RequestURI
+	if strings.HasPrefix(uri, "/") {
+		return uri
+	}
+	return ex.r.URL.RequestURI()
+}
+
+func (ex *exchange) readBody(limit int64) *refusal {
+	if ex.r.ContentLength == 0 {
+		return nil
+	}
+	if limit <= 0 {
+		limit = maxBodyDefault
+	}
+	if ex.r.ContentLength > limit {
+		return refusedTooLarge
+	}
+	if err := http.NewResponseController(ex.w).SetReadDeadline(ex.deadline); err != nil {
+		ex.outcome.note(err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(ex.w, ex.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusedTooLarge
+	case err != nil:
+		ex.outcome.note(err)
+		return refusedTornBody
+	}
+	ex.body, ex.hasBody = body, true
+	if err := http.NewResponseController(ex.w).SetReadDeadline(time.Time{}); err != nil {
+		ex.outcome.note(err)
+	}
+	return nil
+}
+
+// maxBodyDefault bounds bodies where the configuration does not, in bytes.
+const maxBodyDefault = 4 << 20
--- /dev/null
+++ b/acceptor/outcome.go
@@ -0,0 +1,92 @@
+package acceptor
+
+import (
+	"time"
+
+	"lovagebank/router"
+)
+
+// Outcome tells how a request went, for logs and metrics.
+type Outcome struct {
+	id           string
+	route        *router.Route
+	organisation string
+	version      int64
+	arrived      time.Time
+	firstAt      time.Time
+	status       int
+	reason       string
+	retryAfter   time.Duration
+	target       string
+	load         float64
+	loadAge      time.Duration
+	tries        int
+	loadWait     time.Duration
+	events       int
+	failure      error
+}
+
+func (ou *Outcome) note(err error) {
+	if ou.failure == nil {
+		ou.failure = err
+	}
+}
+
+// Status is the status of the final answer; 0 where the caller left without one.
+func (ou *Outcome) Status() int { return ou.status }
+
+// Kind names the kind of the request's route; empty without a route.
+func (ou *Outcome) Kind() string {
+	if ou.route == nil {
+		return ""
+	}
+	return ou.route.Kind().String()
+}
+
+// Reason tells why the instance answered by itself or broke off; empty for an answer of a target's.
+func (ou *Outcome) Reason() string { return ou.reason }
+
+// First is how long the first part of the answer took; 0 without one.
+func (ou *Outcome) First() time.Duration {
+	if ou.firstAt.IsZero() {
+		return 0
+	}
+	return ou.firstAt.Sub(ou.arrived)
+}
+
+// Took is how long the request has taken so far.
+func (ou *Outcome) Took() time.Duration { return time.Since(ou.arrived) }
+
+// LoadWait is how long the request waited for its adapter.
+func (ou *Outcome) LoadWait() time.Duration { return ou.loadWait }
+
+// Tries is the number of sends to targets.
+func (ou *Outcome) Tries() int { return ou.tries }
+
+// Fields are the outcome as key and value pairs of a log line.
+func (ou *Outcome) Fields() []any {
+	fields := []any{"id", ou.id, "status", ou.status, "ms", ou.Took().Milliseconds()}
+	if ou.route != nil {
+		fields = append(fields, "route", ou.route.Name(), "config", ou.version)
+	}
+	if ou.organisation != "" {
+		fields = append(fields, "organisation", ou.organisation)
+	}
+	if ou.target != "" {
+		fields = append(fields, "target", ou.target, "load", int(ou.load*100), "load-age-ms", ou.loadAge.Milliseconds(),
+			"tries", ou.tries, "first-ms", ou.First().Milliseconds())
+	}
+	if ou.loadWait > 0 {
+		fields = append(fields, "load-wait-ms", ou.loadWait.Milliseconds())
+	}
+	if ou.reason != "" {
+		fields = append(fields, "reason", ou.reason)
+	}
+	if ou.retryAfter > 0 {
+		fields = append(fields, "retry-after-ms", ou.retryAfter.Milliseconds())
+	}
+	if ou.failure != nil {
+		fields = append(fields, "error", ou.failure)
+	}
+	return fields
+}
--- /dev/null
+++ b/allotter/allotter.go
@@ -0,0 +1,229 @@
+// Package allotter keeps organisations within their rate and burst over all instances, without asking anyone while a
+// request waits. Instances tell each other, several times a second, how much they have admitted and how much was asked
+// of them. Each keeps a bucket of what the whole fleet may still admit and spends at most its own part of it between
+// two tellings. An instance that is not heard from is presumed to admit an even part of the rate.
+package allotter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"lovagebank/router"
+)
+
+const (
+	// silence is the time after which an instance that was not heard from is presumed to admit its even part.
+	silence = 1200 * time.Millisecond
+	// startLevel is the part of the burst that is there when an instance first meets an organisation: others may
+	// have admitted some of it already.
+	startLevel = 0.35
+	// shareMargin is how much more than its part of the demand an instance may spend between two tellings.
+	shareMargin = 1.5
+	// largePart is the part of a second's rate from which a request counts as large, and largeShare the part of the
+	// bucket that one large request may take.
+	largePart  = 0.05
+	largeShare = 0.6
+	// demandMemory is the time over which the demand of an instance is averaged.
+	demandMemory = 3 * time.Second
+	// minWait and maxWait bound what a refused caller is told to wait.
+	minWait = 100 * time.Millisecond
+	maxWait = 3 * time.Second
+	// rateMargin is the part of the rate that is given out; the rest covers what is told late.
+	rateMargin = 0.97
+)
+
+// Tally is what one instance tells of one organisation since it started: the tokens admitted and those asked for.
+type Tally struct {
+	Admitted float64
+	Asked    float64
+}
+
+// Allotter keeps all organisations' buckets. It is safe for concurrent use.
+type Allotter struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*peer
+}
+
+type bucket struct {
+	rate  float64
+	burst float64
+	level float64
+	at    time.Time
+	own   Tally
+	asked average
+}
+
+// peer is what another instance has told.
+type peer struct {
+	start   string
+	heardAt time.Time
+	tallies map[string]*told
+}
+
+type told struct {
+	tally Tally
+	// presumed is what was taken from the bucket for it while it was silent.
+	presumed float64
+	asked    average
+}
+
+// average is an amount with exponential forgetting.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (av *average) now(at time.Time) float64 {
+	av.value *= math.Exp(-at.Sub(av.at).Seconds() / demandMemory.Seconds())
+	av.at = at
+	return av.value
+}
+
+func (av *average) add(amount float64, at time.Time) { av.value = av.now(at) + amount }
+
+// New makes an allotter.
+func New() *Allotter {
+	return &Allotter{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+}
+
+// bucket returns an organisation's bucket with what has flowed into it until now.
+func (al *Allotter) bucket(og *router.Organisation, now time.Time) *bucket {
+	bu, ok := al.buckets[og.Name()]
+	if !ok {
+		bu = &bucket{level: og.Burst() * startLevel, at: now, asked: average{at: now}}
+		al.buckets[og.Name()] = bu
+	}
+	bu.rate, bu.burst = og.Rate(), og.Burst()
+	al.flow(og.Name(), bu, now)
+	return bu
+}
+
+func (al *Allotter) flow(name string, bu *bucket, now time.Time) {
+	seconds := now.Sub(bu.at).Seconds()
+	bu.at = now
+	bu.level += bu.rate * rateMargin * seconds
+	even := bu.rate / float64(len(al.peers)+1) * seconds
+	for _, pe := range al.peers {
+		if now.Sub(pe.heardAt) <= silence {
+			continue
+		}
+		pe.told(name, now).presumed += even
+		bu.level -= even
+	}
+	bu.level = min(bu.level, bu.burst)
+}
+
+func (pe *peer) told(name string, now time.Time) *told {
+	to, ok := pe.tallies[name]
+	if !ok {
+		to = &told{asked: average{at: now}}
+		pe.tallies[name] = to
+	}
+	return to
+}
+
+// Charge admits a request of a cost, or tells when to come back.
+func (al *Allotter) Charge(og *router.Organisation, cost float64) (ok bool, wait time.Duration) {
+	if og.Rate() <= 0 {
+		return true, 0
+	}
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	now := time.Now()
+	bu := al.bucket(og, now)
+	bu.asked.add(cost, now)
+	bu.own.Asked += cost
+	share := al.share(og.Name(), bu, now)
+	if cost <= bu.level*share || cost >= bu.rate*largePart && cost <= bu.level*largeShare {
+		bu.level -= cost
+		bu.own.Admitted += cost
+		return true, 0
+	}
+	missing := cost/share - bu.level
+	wait = time.Duration(missing / bu.rate * float64(time.Second))
+	return false, min(max(wait, minWait), maxWait)
+}
+
+// share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
+func (al *Allotter) share(name string, bu *bucket, now time.Time) float64 {
+	own := bu.asked.now(now)
+	all := own
+	for _, pe := range al.peers {
+		if to, ok := pe.tallies[name]; ok {
+			all += to.asked.now(now)
+		}
+	}
+	even := 1 / float64(len(al.peers)+1)
+	if all <= 0 {
+		return even
+	}
+	return min(max(own/all*shareMargin, even), 1)
+}
+
+// Refund gives back the cost of a request that did not run.
+func (al *Allotter) Refund(og *router.Organisation, cost float64) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if bu, ok := al.buckets[og.Name()]; ok {
+		bu.level = min(bu.level+cost, bu.burst)
+		bu.own.Admitted -= cost
+	}
+}
+
+// Tallies is what this instance tells the others.
+func (al *Allotter) Tallies() map[string]Tally {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	tallies := make(map[string]Tally, len(al.buckets))
+	for name, bu := range al.buckets {
+		tallies[name] = bu.own
+	}
+	return tallies
+}
+
+// Heard takes in what another instance tells; start names its process, whose tallies begin at zero.
+func (al *Allotter) Heard(instance, start string, tallies map[string]Tally) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	now := time.Now()
+	pe, ok := al.peers[instance]
+	if !ok || pe.start != start {
+		pe = &peer{start: start, tallies: make(map[string]*told)}
+		al.peers[instance] = pe
+		for name, tally := range tallies {
+			pe.told(name, now).tally = tally
+		}
+	}
+	for name, bu := range al.buckets {
+		al.flow(name, bu, now)
+	}
+	pe.heardAt = now
+	for name, tally := range tallies {
+		to := pe.told(name, now)
+		admitted := tally.Admitted - to.tally.Admitted
+		to.asked.add(max(tally.Asked-to.tally.Asked, 0), now)
+		to.tally = tally
+		if bu, ok := al.buckets[name]; ok {
+			bu.level = min(bu.level-admitted+to.presumed, bu.burst)
+		}
+		to.presumed = 0
+	}
+}
+
+// Member makes an instance count although it has not been heard from yet.
+func (al *Allotter) Member(instance string) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if _, ok := al.peers[instance]; !ok {
+		al.peers[instance] = &peer{heardAt: time.Now(), tallies: make(map[string]*told)}
+	}
+}
+
+// Gone drops an instance that has left.
+func (al *Allotter) Gone(instance string) {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	delete(al.peers, instance)
+}
--- /dev/null
+++ b/balancer/choose.go
@@ -0,0 +1,276 @@
+package balancer
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// unreadPerSlot is the number of prompt tokens not yet read that weigh as much as a whole target's slots.
+	unreadPerSlot = 25000
+	// failurePenalty is what a target that fails all its requests weighs more, in shares of its slots.
+	failurePenalty = 2.0
+	// overduePenalty is what each overdue request of the instance's own adds.
+	overduePenalty = 0.35
+	// otherDomainPenalty prefers targets in the instance's own failure domain among equals.
+	otherDomainPenalty = 0.02
+	// jitter keeps instances with the same beliefs from all choosing the same target.
+	jitter = 0.04
+	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be.
+	affinitySlack = 0.15
+	// crowded is the load at which one more replica is wanted, in shares of a target's slots.
+	crowded = 0.8
+	// longPrompt is the number of tokens from which a prompt is worth sending where its parts may be kept.
+	longPrompt = 1000
+	// homeSlack is how much busier than the idlest the first target in rank may be to load an adapter.
+	homeSlack = 0.5
+)
+
+// Need is what a request needs of a target.
+type Need struct {
+	// Service names the service.
+	Service string
+	// Adapter is what the request runs on; without a model it is a request to a plain service.
+	Adapter Adapter
+	// Version is the least version of the adapter that may serve it; 0 for any.
+	Version int64
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// LastPart is the prompt part that belongs to the request's session.
+	LastPart string
+	// Excluded are targets that have been tried.
+	Excluded map[string]bool
+	// Again marks a further try of a request that has been counted in the demand.
+	Again bool
+}
+
+// Choice is the target for a request.
+type Choice struct {
+	target  *Target
+	holds   bool
+	version int64
+	holder  string
+	spread  *Target
+	by      string
+	load    float64
+	age     time.Duration
+}
+
+// Target is where the request should go.
+func (ch *Choice) Target() *Target { return ch.target }
+
+// Holds tells whether the target is believed to hold the adapter; if not, Holder has to load it first.
+func (ch *Choice) Holds() bool { return ch.holds }
+
+// Version is the version of the adapter that the target is believed to hold.
+func (ch *Choice) Version() int64 { return ch.version }
+
+// Holder is the instance that may order the target to load.
+func (ch *Choice) Holder() string { return ch.holder }
+
+// Load is the target's believed load, in shares of its slots, and Age how old its last word on it is.
+func (ch *Choice) Load() float64 { return ch.load }
+
+// Age is how old the target's last word on its load is; 0 if it never gave one.
+func (ch *Choice) Age() time.Duration { return ch.age }
+
+// Spread is a further target that should load the adapter, as its demand grows; nil for none. SpreadHolder may order it.
+func (ch *Choice) Spread() *Target { return ch.spread }
+
+// SpreadHolder is the instance that may order Spread to load.
+func (ch *Choice) SpreadHolder() string { return ch.by }
+
+// Choose picks the target for a request; ok is false where no target could take it.
+func (ba *Balancer) Choose(ne Need) (*Choice, bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	now := time.Now()
+	usable := ba.usable(ne, now)
+	if len(usable) == 0 {
+		return nil, false
+	}
+	if ne.Adapter.Model == "" {
+		return ba.choice(ba.idlest(usable, now), now), true
+	}
+	if !ne.Again {
+		ba.demand.add(ne.Adapter, now)
+	}
+	return ba.chooseEngine(ne, usable, now)
+}
+
+func (ba *Balancer) choice(st *state, now time.Time) *Choice {
+	ch := &Choice{target: st.target, holds: true, load: st.weight(), holder: st.loadingHolder(now)}
+	if !st.loadAt.IsZero() {
+		ch.age = now.Sub(st.loadAt)
+	}
+	return ch
+}
+
+// usable returns the targets that may take the request: those not suspected, or else all.
+func (ba *Balancer) usable(ne Need, now time.Time) []*state {
+	all := ba.service[ne.Service]
+	open := make([]*state, 0, len(all))
+	suspected := 0
+	for _, st := range all {
+		if st.target.Draining() || ne.Excluded[st.target.ID()] {
+			continue
+		}
+		if now.Before(st.suspectUntil) {
+			suspected++
+			continue
+		}
+		open = append(open, st)
+	}
+	if len(open) > 0 || suspected == 0 {
+		return open
+	}
+	for _, st := range all {
+		if !st.target.Draining() && !ne.Excluded[st.target.ID()] {
+			open = append(open, st)
+		}
+	}
+	return open
+}
+
+// weight is the believed load of a target, in shares of its slots.
+func (st *state) weight() float64 {
+	requests := max(st.load+st.inFlight-st.inFlightThen, st.inFlight)
+	weight := float64(requests) / float64(max(st.target.Slots(), 1))
+	weight += float64(st.unread) / unreadPerSlot
+	weight += st.failureShare * failurePenalty
+	return weight + float64(st.overdue)*overduePenalty
+}
+
+func (ba *Balancer) cost(st *state) float64 {
+	cost := st.weight() + ba.op.Random()*jitter
+	if st.target.FailureDomain() != ba.op.FailureDomain {
+		cost += otherDomainPenalty
+	}
+	return cost
+}
+
+func (ba *Balancer) idlest(states []*state, _ time.Time) *state {
+	best, least := states[0], ba.cost(states[0])
+	for _, st := range states[1:] {
+		if cost := ba.cost(st); cost < least {
+			best, least = st, cost
+		}
+	}
+	return best
+}
+
+// loadingHolder is the instance that can order the target to load now; empty if none is known to.
+func (st *state) loadingHolder(now time.Time) string {
+	if now.Sub(st.heardAt) > holderSilence {
+		return ""
+	}
+	return st.holder
+}
+
+// Rank is a target's place in the order in which targets are preferred for an adapter: the lowest first. All
+// instances agree on it without a message.
+func rank(adapter, target uint64) uint64 {
+	mixed := (adapter ^ target) * 0x9e3779b97f4a7c15
+	mixed ^= mixed >> 29
+	mixed *= 0xbf58476d1ce4e5b9
+	return mixed ^ mixed>>32
+}
+
+func hashAdapter(ad Adapter) uint64 { return xxhash.Sum64String(ad.Model + "/" + ad.Name) }
+
+func sortByRank(states []*state, by uint64) {
+	sort.Slice(states, func(i, j int) bool { return rank(by, states[i].hash) < rank(by, states[j].hash) })
+}
+
+func (ba *Balancer) chooseEngine(ne Need, usable []*state, now time.Time) (*Choice, bool) {
+	sortByRank(usable, hashAdapter(ne.Adapter))
+	holding := make([]*state, 0, len(usable))
+	for _, st := range usable {
+		if version, ok := st.adapters[ne.Adapter]; ok && version >= ne.Version {
+			holding = append(holding, st)
+		}
+	}
+	if len(holding) == 0 {
+		return ba.chooseLoader(ne, usable, now)
+	}
+	st := ba.chooseHolding(ne, holding, now)
+	ch := ba.choice(st, now)
+	ch.version = st.adapters[ne.Adapter]
+	if ne.Adapter.Name != "" {
+		ba.addSpread(ch, ne, usable, holding, now)
+	}
+	return ch, true
+}
+
+// chooseHolding picks among targets that hold the adapter: the idlest, or for long prompts the one where the
+// session's parts are likely kept, unless it is much busier.
+func (ba *Balancer) chooseHolding(ne Need, holding []*state, now time.Time) *state {
+	best := ba.idlest(holding, now)
+	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
+		return best
+	}
+	by := hashAdapter(ne.Adapter) ^ xxhash.Sum64String(ne.LastPart)
+	kept := holding[0]
+	for _, st := range holding[1:] {
+		if rank(by, st.hash) < rank(by, kept.hash) {
+			kept = st
+		}
+	}
+	if kept.weight() <= best.weight()+affinitySlack {
+		return kept
+	}
+	return best
+}
+
+// chooseLoader picks the target that should load an adapter that none holds: the first in rank that is not much
+// busier than the idlest.
+func (ba *Balancer) chooseLoader(ne Need, ranked []*state, now time.Time) (*Choice, bool) {
+	base := Adapter{Model: ne.Adapter.Model}
+	able := make([]*state, 0, len(ranked))
+	for _, st := range ranked {
+		if _, ok := st.adapters[base]; ok && st.loadingHolder(now) != "" {
+			able = append(able, st)
+		}
+	}
+	if len(able) == 0 || ne.Adapter.Name == "" {
+		return nil, false
+	}
+	least := able[0].weight()
+	for _, st := range able[1:] {
+		least = min(least, st.weight())
+	}
+	for _, st := range able {
+		if st.weight() <= least+homeSlack {
+			ch := ba.choice(st, now)
+			ch.holds = false
+			return ch, true
+		}
+	}
+	return nil, false
+}
+
+// addSpread names a further target to load the adapter where its share of the demand or the load of those that hold
+// it asks for one.
+func (ba *Balancer) addSpread(ch *Choice, ne Need, usable, holding []*state, now time.Time) {
+	wanted := ba.demand.replicas(ne.Adapter, len(usable), now)
+	if ch.load > crowded {
+		wanted = max(wanted, len(holding)+1)
+	}
+	if len(holding) >= wanted {
+		return
+	}
+	base := Adapter{Model: ne.Adapter.Model}
+	for _, st := range usable {
+		version, holds := st.adapters[ne.Adapter]
+		if holds && version >= ne.Version {
+			continue
+		}
+		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" || st.weight() > crowded {
+			continue
+		}
+		ch.spread, ch.by = st.target, st.holder
+		return
+	}
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -99,6 +99,12 @@
 
 func commands(st streams) []command {
 	return []command{
+		{
+			name:  "entry",
+			short: "Run an entry instance on the users' platform.",
+			long:  "Runs an entry instance on the users' platform until SIGTERM, then drains. Example:\n\n    lovagebank entry --settings /etc/lovagebank/node.conf",
+			data:  &entryCommand{streams: st},
+		},
 		{
 			name:  "serve",
 			short: "Run an entry instance",
--- /dev/null
+++ b/exchanger/service.go
@@ -0,0 +1,50 @@
+package exchanger
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/balancer"
+	"lovagebank/wire"
+	"lovagebank/wire/wireconnect"
+)
+
+// service answers peers.
+type service struct{ op Options }
+
+// Handler answers peers' calls.
+func (ex *Exchanger) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewFleetServiceHandler(&service{op: ex.op}))
+	return mux
+}
+
+// Exchange takes in what a peer tells and tells what this instance knows.
+func (se *service) Exchange(_ context.Context, rq *connect.Request[wire.FleetState]) (*connect.Response[wire.FleetState], error) {
+	se.op.Take(rq.Msg)
+	return connect.NewResponse(se.op.Compose(rq.Msg.GetInstance())), nil
+}
+
+// Load has a target load an adapter and answers when it is there.
+func (se *service) Load(ctx context.Context, rq *connect.Request[wire.LoadRequest]) (*connect.Response[wire.LoadResponse], error) {
+	ad := balancer.Adapter{Model: rq.Msg.GetModel(), Name: rq.Msg.GetAdapter()}
+	if err := se.op.Load(ctx, rq.Msg.GetTarget(), ad, rq.Msg.GetVersion()); err != nil {
+		return connect.NewResponse(&wire.LoadResponse{Refusal: err.Error()}), nil
+	}
+	return connect.NewResponse(&wire.LoadResponse{}), nil
+}
+
+// Mirror returns the instance's copy of the store's keys.
+func (se *service) Mirror(_ context.Context, rq *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
+	items, revision := se.op.Mirror()
+	answer := &wire.MirrorResponse{Revision: revision}
+	if revision <= rq.Msg.GetAfter() {
+		return connect.NewResponse(answer), nil
+	}
+	for _, it := range items {
+		answer.Items = append(answer.Items, &wire.MirrorItem{Key: it.Key, Value: it.Value, Revision: it.Revision})
+	}
+	return connect.NewResponse(answer), nil
+}
--- /dev/null
+++ b/orderer/orderer.go
@@ -0,0 +1,373 @@
+// Package orderer gives one model engine its orders, as the engine's only holder. It asks stocker what to order, keeps
+// count of the orders that the engine has accepted, and learns from the engine's reports what became of orders without
+// an answer.
+package orderer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/balancer"
+	"lovagebank/platform"
+	"lovagebank/router"
+	"lovagebank/stocker"
+)
+
+// Errors of Load.
+var (
+	// ErrNotHolder means that this instance may not give the engine orders now.
+	ErrNotHolder = errors.New("this instance may not order the target")
+	// ErrFull means that all adapters on the engine are in use.
+	ErrFull = errors.New("all adapter slots of the target are in use")
+	// ErrGone means that the engine is no longer served.
+	ErrGone = errors.New("the target is gone")
+)
+
+const (
+	// reportInterval is the time between two reports of an engine without trouble.
+	reportInterval = 1500 * time.Millisecond
+	// reportLag is how old a report may be.
+	reportLag = 350 * time.Millisecond
+	// tick bounds the time between two looks at what is due.
+	tick = 100 * time.Millisecond
+	// askAgain is the time after which a load that should be over is asked for once more.
+	askAgain = 60 * time.Millisecond
+	// settled is the time after the last order from which a report that counts fewer orders is believed.
+	settled = time.Second
+)
+
+// Options set an Orderer up.
+type Options struct {
+	// Target is the engine.
+	Target *balancer.Target
+	// Engine tells what it can hold.
+	Engine *router.Engine
+	// Holder names this instance in orders.
+	Holder string
+	// Authority returns the epoch under which orders may be given now; false where none may.
+	Authority func() (int64, bool)
+	// Newest returns the newest version named for an adapter; 0 if none is.
+	Newest func(balancer.Adapter) int64
+	// Report and Order call the engine.
+	Report func(context.Context, *balancer.Target) (*platform.Report, error)
+	Order  func(context.Context, *balancer.Target, platform.Order) (platform.OrderOutcome, error)
+	// Changed is told when what the engine holds has changed.
+	Changed func()
+	// Logger takes a line for each order.
+	Logger *log.Logger
+}
+
+// Orderer orders one engine.
+type Orderer struct {
+	op   Options
+	wake chan struct{}
+	done chan struct{}
+
+	mu       sync.Mutex
+	stock    *stocker.Stock
+	waiting  []*waiter
+	inStep   bool
+	orders   int64
+	orderAt  time.Time
+	reportAt time.Time
+	nextAsk  time.Time
+	// unsure is set when an order met a conflict or got no answer; no other is given until a report made after it
+	// tells how many orders the engine has accepted.
+	unsure bool
+	load   int
+	used   int
+	total  int
+}
+
+// waiter is a call of Load that waits.
+type waiter struct {
+	want  stocker.Want
+	ready chan error
+}
+
+// New makes an orderer; Run does its work.
+func New(op Options) *Orderer {
+	return &Orderer{
+		op:    op,
+		wake:  make(chan struct{}, 1),
+		done:  make(chan struct{}),
+		stock: stocker.New(op.Engine),
+	}
+}
+
+// Done is closed when Run has ended.
+func (or *Orderer) Done() <-chan struct{} { return or.done }
+
+// Target is the engine that is ordered.
+func (or *Orderer) Target() *balancer.Target { return or.op.Target }
+
+// Load asks for an adapter, at least in a version, and returns when the engine holds it.
+func (or *Orderer) Load(ctx context.Context, ad balancer.Adapter, version int64) error {
+	if _, ok := or.op.Authority(); !ok {
+		return ErrNotHolder
+	}
+	wt := &waiter{want: stocker.Want{Adapter: ad, Version: version}, ready: make(chan error, 1)}
+	or.mu.Lock()
+	or.waiting = append(or.waiting, wt)
+	or.mu.Unlock()
+	or.nudge()
+	select {
+	case err := <-wt.ready:
+		return err
+	case <-ctx.Done():
+		or.abandon(wt)
+		return ctx.Err()
+	case <-or.done:
+		return ErrGone
+	}
+}
+
+func (or *Orderer) abandon(wt *waiter) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	for at, other := range or.waiting {
+		if other == wt {
+			or.waiting = append(or.waiting[:at:at], or.waiting[at+1:]...)
+			return
+		}
+	}
+}
+
+func (or *Orderer) nudge() {
+	select {
+	case or.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Used takes in what an instance tells of its use of the engine.
+func (or *Orderer) Used(instance string, uses map[balancer.Adapter]balancer.Use) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.stock.Used(instance, uses, time.Now())
+}
+
+// Gone drops what an instance that has left had running.
+func (or *Orderer) Gone(instance string) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.stock.Gone(instance)
+}
+
+// Holding is the holder's word of the engine; ok is false before the engine's first report.
+func (or *Orderer) Holding() (balancer.Holding, bool) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	if or.reportAt.IsZero() {
+		return balancer.Holding{}, false
+	}
+	ho := balancer.Holding{
+		Target:   or.op.Target.ID(),
+		Adapters: or.stock.Held(),
+		Load:     or.load,
+		LoadAge:  time.Since(or.reportAt) + reportLag/2,
+	}
+	if _, ok := or.op.Authority(); ok {
+		ho.Holder = or.op.Holder
+	}
+	return ho, true
+}
+
+// Run works until the context ends.
+func (or *Orderer) Run(ctx context.Context) {
+	defer close(or.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-or.wake:
+		case <-timer.C:
+		}
+		for or.step(ctx) {
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		timer.Reset(or.untilNext())
+	}
+}
+
+func (or *Orderer) untilNext() time.Duration {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	wait := tick
+	if due, ok := or.stock.NextDue(); ok {
+		wait = min(wait, max(time.Until(due), time.Millisecond))
+	}
+	return wait
+}
+
+// step does one thing that is due; it is false when nothing is.
+func (or *Orderer) step(ctx context.Context) bool {
+	now := time.Now()
+	if or.reportDue(now) {
+		or.report(ctx)
+		return false
+	}
+	epoch, ok := or.op.Authority()
+	if !ok {
+		or.release(ErrNotHolder)
+		return false
+	}
+	sp, ok := or.next(now)
+	if !ok {
+		return false
+	}
+	return or.order(ctx, sp, epoch)
+}
+
+func (or *Orderer) reportDue(now time.Time) bool {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return !now.Before(or.nextAsk)
+}
+
+func (or *Orderer) release(err error) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	for _, wt := range or.waiting {
+		wt.ready <- err
+	}
+	or.waiting = nil
+}
+
+// next picks the next order: first whether a load is over, then what callers wait for, then new versions.
+func (or *Orderer) next(now time.Time) (stocker.Step, bool) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	if or.reportAt.IsZero() || or.unsure {
+		return stocker.Step{}, false
+	}
+	if sp, ok := or.stock.Due(now); ok {
+		return sp, true
+	}
+	sp, ok := or.nextWanted(now)
+	if ok {
+		return sp, true
+	}
+	for _, wa := range or.stock.Outdated(or.op.Newest) {
+		if verdict, sp := or.stock.Judge(wa, now); verdict == stocker.NeedsLoad {
+			return sp, true
+		}
+	}
+	return stocker.Step{}, false
+}
+
+// nextWanted answers the waiting calls that can be answered and returns the first order that another one needs.
+func (or *Orderer) nextWanted(now time.Time) (stocker.Step, bool) {
+	var next stocker.Step
+	found := false
+	still := or.waiting[:0:0]
+	for _, wt := range or.waiting {
+		verdict, sp := or.stock.Judge(wt.want, now)
+		switch verdict {
+		case stocker.Ready:
+			wt.ready <- nil
+		case stocker.Full:
+			wt.ready <- ErrFull
+		default:
+			still = append(still, wt)
+			if !found && verdict != stocker.Pending {
+				next, found = sp, true
+			}
+		}
+	}
+	or.waiting = still
+	return next, found
+}
+
+func (or *Orderer) order(ctx context.Context, sp stocker.Step, epoch int64) bool {
+	or.mu.Lock()
+	expected, underWay := or.orders, or.stock.UnderWay(sp)
+	or.mu.Unlock()
+	outcome, err := or.op.Order(ctx, or.op.Target, platform.Order{
+		Load: sp.Load, Adapter: sp.Adapter, Version: sp.Version, Orders: expected, Holder: or.op.Holder, Epoch: epoch,
+	})
+	now := time.Now()
+	or.logOrder(sp, epoch, expected, outcome, err)
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.orderAt = now
+	switch outcome {
+	case platform.OrderStarted:
+		if underWay {
+			or.stock.Postpone(sp.Adapter, now.Add(askAgain))
+			return true
+		}
+		or.started(sp, now)
+	case platform.OrderHolds:
+		or.held(sp, now)
+	default:
+		or.unsure = true
+		or.nextAsk = now.Add(reportLag)
+		return false
+	}
+	return true
+}
+
+func (or *Orderer) started(sp stocker.Step, now time.Time) {
+	or.orders++
+	or.stock.Started(sp, now)
+	if sp.Adapter.Name == "" {
+		or.nextAsk = now.Add(reportLag)
+	}
+	or.op.Changed()
+}
+
+func (or *Orderer) held(sp stocker.Step, now time.Time) {
+	if !sp.Load {
+		or.orders++
+	}
+	or.stock.Done(sp, now)
+	or.op.Changed()
+}
+
+func (or *Orderer) logOrder(sp stocker.Step, epoch, expected int64, outcome platform.OrderOutcome, err error) {
+	fields := []any{
+		"target", or.op.Target.ID(), "load", sp.Load, "adapter", sp.Adapter, "version", sp.Version,
+		"epoch", epoch, "orders", expected, "outcome", outcome,
+	}
+	if err != nil {
+		or.op.Logger.Warn("order", append(fields, "error", err)...)
+		return
+	}
+	or.op.Logger.Info("order", fields...)
+}
+
+// report asks the engine what it holds and takes the answer in where it can be told from orders under way.
+func (or *Orderer) report(ctx context.Context) {
+	re, err := or.op.Report(ctx, or.op.Target)
+	now := time.Now()
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.nextAsk = now.Add(reportInterval)
+	if err != nil {
+		or.nextAsk = now.Add(reportLag)
+		or.op.Logger.Warn("report failed", "target", or.op.Target.ID(), "error", err)
+		return
+	}
+	or.load, or.used, or.total = re.Running+re.Waiting, re.UsedTokens, re.TotalTokens
+	certain := or.reportAt.IsZero() || or.unsure
+	or.reportAt = now
+	if !certain && re.Orders < or.orders && now.Sub(or.orderAt) < settled {
+		return
+	}
+	if re.Orders != or.orders {
+		or.op.Logger.Warn("orders differ", "target", or.op.Target.ID(), "counted", or.orders, "reported", re.Orders)
+	}
+	or.unsure = false
+	or.orders = re.Orders
+	or.stock.Observe(re.Residents, re.Pending, now)
+	or.op.Changed()
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	scraped "github.com/prometheus/client_golang/prometheus"
@@ -75,6 +76,34 @@
 	scope.Histogram("queue_seconds", latencyBuckets).RecordValue(us.Queued().Seconds())
 }
 
+// Service is how one request went through an entry instance.
+type Service struct {
+	// Kind is the kind of the request's route, Status its final status and Reason why the instance answered itself.
+	Kind   string
+	Status int
+	Reason string
+	// First is the time to the first part of the answer, Took the whole time and LoadWait the wait for the adapter.
+	First    time.Duration
+	Took     time.Duration
+	LoadWait time.Duration
+	// Tries is the number of sends to targets.
+	Tries int
+}
+
+// Served counts one request by kind and by how it ended.
+func (re *Reporter) Served(sv Service) {
+	scope := re.scope.Tagged(map[string]string{"kind": sv.Kind})
+	scope.Tagged(map[string]string{"status": strconv.Itoa(sv.Status), "reason": sv.Reason}).Counter("served").Inc(1)
+	scope.Histogram("first_answer_seconds", latencyBuckets).RecordValue(sv.First.Seconds())
+	scope.Histogram("served_seconds", latencyBuckets).RecordValue(sv.Took.Seconds())
+	if sv.LoadWait > 0 {
+		scope.Histogram("adapter_wait_seconds", latencyBuckets).RecordValue(sv.LoadWait.Seconds())
+	}
+	if sv.Tries > 1 {
+		scope.Counter("retries").Inc(int64(sv.Tries - 1))
+	}
+}
+
 // Count adds to a counter without labels.
 func (re *Reporter) Count(name string, by int64) { re.scope.Counter(name).Inc(by) }
 
--- /dev/null
+++ b/stocker/stocker.go
@@ -0,0 +1,379 @@
+// Package stocker decides which base models and adapters one model engine loads and gives up. It keeps what the engine
+// holds, what is under way and how much each adapter is used, and names the next order. It does no input or output.
+package stocker
+
+import (
+	"math"
+	"time"
+
+	"lovagebank/balancer"
+	"lovagebank/router"
+)
+
+const (
+	// maxPending is the number of adapters that may be under way to one engine.
+	maxPending = 4
+	// useMemory is the time over which a use's weight in an adapter's value falls to 1/e.
+	useMemory = 15 * time.Second
+	// idleBefore is how long an adapter must have been unused before it may be given up; instances tell of their
+	// uses with a delay.
+	idleBefore = 600 * time.Millisecond
+	// coldLoad and warmLoad are how long an adapter takes from the weight store and from the engine's own memory.
+	coldLoad = 250 * time.Millisecond
+	warmLoad = 30 * time.Millisecond
+)
+
+// Want is an adapter that has to be on the engine, at least in a version; 0 for any.
+type Want struct {
+	Adapter balancer.Adapter
+	Version int64
+}
+
+// Verdict says what a want comes to.
+type Verdict int
+
+const (
+	// Ready wants are met.
+	Ready Verdict = iota
+	// Pending wants wait for an order under way.
+	Pending
+	// NeedsLoad wants need the order to load that comes with the verdict.
+	NeedsLoad
+	// NeedsRoom wants need the order to unload that comes with the verdict first.
+	NeedsRoom
+	// Full wants cannot be met: all that the engine holds is in use.
+	Full
+)
+
+// Step is an order: to load an adapter in a version (0 for the newest), or to unload it.
+type Step struct {
+	Load    bool
+	Adapter balancer.Adapter
+	Version int64
+}
+
+// place is an adapter slot in use.
+type place struct {
+	version  int64
+	ready    bool
+	readyAt  time.Time
+	loadedAt time.Time
+}
+
+// use is how much an adapter is used, by any instance.
+type use struct {
+	value  float64
+	at     time.Time
+	lastAt time.Time
+}
+
+// Stock is what one engine holds.
+type Stock struct {
+	engine *router.Engine
+	models map[string]int64
+	places map[balancer.Adapter]*place
+	uses   map[balancer.Adapter]*use
+	// before are adapters that the engine has held since it started; they come back fast.
+	before map[balancer.Adapter]bool
+	// running maps instances to the requests that they have on the engine, by adapter.
+	running map[string]map[balancer.Adapter]int
+	// loading is the base model under way, and until when no other may be ordered.
+	loading      string
+	loadingUntil time.Time
+}
+
+// New makes the stock of an engine that is not known to hold anything.
+func New(engine *router.Engine) *Stock {
+	return &Stock{
+		engine:  engine,
+		models:  make(map[string]int64),
+		places:  make(map[balancer.Adapter]*place),
+		uses:    make(map[balancer.Adapter]*use),
+		before:  make(map[balancer.Adapter]bool),
+		running: make(map[string]map[balancer.Adapter]int),
+	}
+}
+
+// SetEngine takes in a changed configuration of the engine.
+func (sk *Stock) SetEngine(engine *router.Engine) { sk.engine = engine }
+
+// Observe takes in the engine's own word of what it holds and what is under way to it.
+func (sk *Stock) Observe(residents []balancer.Resident, pending map[balancer.Adapter]int64, now time.Time) {
+	old := sk.places
+	sk.places = make(map[balancer.Adapter]*place, len(old))
+	clear(sk.models)
+	for _, re := range residents {
+		sk.models[re.Model] = re.Version
+		for name, version := range re.Adapters {
+			ad := balancer.Adapter{Model: re.Model, Name: name}
+			sk.places[ad] = &place{version: version, ready: true, loadedAt: now}
+			sk.before[ad] = true
+		}
+	}
+	for ad, version := range pending {
+		pl := &place{version: version, readyAt: now.Add(sk.loadTime(ad)), loadedAt: now}
+		if known, ok := old[ad]; ok && !known.ready {
+			pl.readyAt = known.readyAt
+		}
+		sk.places[ad] = pl
+	}
+	for ad, pl := range sk.places {
+		if known, ok := old[ad]; ok {
+			pl.loadedAt = known.loadedAt
+		}
+	}
+	if _, ok := sk.models[sk.loading]; ok {
+		sk.loading = ""
+	}
+}
+
+func (sk *Stock) loadTime(ad balancer.Adapter) time.Duration {
+	if sk.before[ad] {
+		return warmLoad
+	}
+	return coldLoad
+}
+
+// Used takes in all that an instance tells of its use of the engine.
+func (sk *Stock) Used(instance string, uses map[balancer.Adapter]balancer.Use, now time.Time) {
+	running := make(map[balancer.Adapter]int, len(uses))
+	for ad, us := range uses {
+		if us.Running > 0 {
+			running[ad] = us.Running
+		}
+		sk.count(ad, float64(us.Sent), now)
+	}
+	sk.running[instance] = running
+}
+
+// Gone drops what an instance that has left had running.
+func (sk *Stock) Gone(instance string) { delete(sk.running, instance) }
+
+func (sk *Stock) count(ad balancer.Adapter, by float64, now time.Time) {
+	us, ok := sk.uses[ad]
+	if !ok {
+		us = &use{at: now}
+		sk.uses[ad] = us
+	}
+	us.value = us.now(now) + by
+	if by > 0 {
+		us.lastAt = now
+	}
+}
+
+func (us *use) now(at time.Time) float64 {
+	us.value *= math.Exp(-at.Sub(us.at).Seconds() / useMemory.Seconds())
+	us.at = at
+	return us.value
+}
+
+// Judge tells what has to be done for a want, with the order where one is due.
+func (sk *Stock) Judge(wa Want, now time.Time) (Verdict, Step) {
+	if wa.Adapter.Name == "" {
+		return sk.judgeModel(wa.Adapter.Model, now)
+	}
+	if _, ok := sk.models[wa.Adapter.Model]; !ok {
+		return Pending, Step{}
+	}
+	pl, held := sk.places[wa.Adapter]
+	if held && pl.version >= wa.Version {
+		if pl.ready {
+			return Ready, Step{}
+		}
+		return Pending, Step{}
+	}
+	if sk.pending() >= maxPending {
+		return Pending, Step{}
+	}
+	if held || sk.room() {
+		return NeedsLoad, Step{Load: true, Adapter: wa.Adapter, Version: wa.Version}
+	}
+	victim, ok := sk.victim(now)
+	if !ok {
+		return Full, Step{}
+	}
+	return NeedsRoom, Step{Adapter: victim}
+}
+
+func (sk *Stock) judgeModel(model string, now time.Time) (Verdict, Step) {
+	if _, ok := sk.models[model]; ok {
+		return Ready, Step{}
+	}
+	mo, ok := sk.engine.Model(model)
+	if !ok || sk.weights()+mo.WeightsMB > sk.engine.WeightsMB {
+		return Full, Step{}
+	}
+	if sk.loading != "" && now.Before(sk.loadingUntil) {
+		return Pending, Step{}
+	}
+	return NeedsLoad, Step{Load: true, Adapter: balancer.Adapter{Model: model}}
+}
+
+// room tells whether one more adapter fits, by number and by memory.
+func (sk *Stock) room() bool {
+	if len(sk.places) >= sk.engine.AdapterSlots {
+		return false
+	}
+	largest := 0.0
+	for _, mo := range sk.engine.Models {
+		largest = max(largest, mo.AdapterMB)
+	}
+	return sk.weights()+largest <= sk.engine.WeightsMB
+}
+
+// weights is the memory that base models and adapters take, in megabytes.
+func (sk *Stock) weights() float64 {
+	sum := 0.0
+	for name := range sk.models {
+		mo, _ := sk.engine.Model(name)
+		sum += mo.WeightsMB
+	}
+	for ad := range sk.places {
+		mo, _ := sk.engine.Model(ad.Model)
+		sum += mo.AdapterMB
+	}
+	return sum
+}
+
+func (sk *Stock) pending() int {
+	count := 0
+	for _, pl := range sk.places {
+		if !pl.ready {
+			count++
+		}
+	}
+	return count
+}
+
+// victim picks the least used adapter that nobody is known to use now.
+func (sk *Stock) victim(now time.Time) (balancer.Adapter, bool) {
+	var best balancer.Adapter
+	least, found := math.Inf(1), false
+	for ad, pl := range sk.places {
+		if !pl.ready || sk.busy(ad, pl, now) {
+			continue
+		}
+		value := 0.0
+		if us, ok := sk.uses[ad]; ok {
+			value = us.now(now)
+		}
+		if value < least || value == least && ad.Name < best.Name {
+			best, least, found = ad, value, true
+		}
+	}
+	return best, found
+}
+
+func (sk *Stock) busy(ad balancer.Adapter, pl *place, now time.Time) bool {
+	if now.Sub(pl.loadedAt) < idleBefore {
+		return true
+	}
+	if us, ok := sk.uses[ad]; ok && now.Sub(us.lastAt) < idleBefore {
+		return true
+	}
+	for _, running := range sk.running {
+		if running[ad] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Started notes that the engine carries an order out.
+func (sk *Stock) Started(sp Step, now time.Time) {
+	switch {
+	case sp.Adapter.Name == "" && sp.Load:
+		mo, _ := sk.engine.Model(sp.Adapter.Model)
+		sk.loading, sk.loadingUntil = sp.Adapter.Model, now.Add(4*mo.LoadTime+time.Second)
+	case sp.Load:
+		sk.places[sp.Adapter] = &place{version: sp.Version, readyAt: now.Add(sk.loadTime(sp.Adapter)), loadedAt: now}
+		sk.count(sp.Adapter, 1, now)
+	default:
+		delete(sk.places, sp.Adapter)
+	}
+}
+
+// Done notes that the engine's state is as an order asks.
+func (sk *Stock) Done(sp Step, now time.Time) {
+	switch {
+	case sp.Adapter.Name == "":
+		return
+	case sp.Load:
+		sk.before[sp.Adapter] = true
+		pl, ok := sk.places[sp.Adapter]
+		if !ok {
+			pl = &place{loadedAt: now}
+			sk.places[sp.Adapter] = pl
+		}
+		pl.version, pl.ready = max(pl.version, sp.Version), true
+	default:
+		delete(sk.places, sp.Adapter)
+	}
+}
+
+// Due returns an adapter under way whose load should be over by now, to ask the engine for.
+func (sk *Stock) Due(now time.Time) (Step, bool) {
+	var due Step
+	var at time.Time
+	for ad, pl := range sk.places {
+		if pl.ready || now.Before(pl.readyAt) {
+			continue
+		}
+		if at.IsZero() || pl.readyAt.Before(at) {
+			due, at = Step{Load: true, Adapter: ad, Version: pl.version}, pl.readyAt
+		}
+	}
+	return due, !at.IsZero()
+}
+
+// UnderWay tells whether an order asks for what is under way already.
+func (sk *Stock) UnderWay(sp Step) bool {
+	pl, ok := sk.places[sp.Adapter]
+	return ok && sp.Load && !pl.ready && pl.version == sp.Version
+}
+
+// Postpone notes that a load which was due is still under way.
+func (sk *Stock) Postpone(ad balancer.Adapter, until time.Time) {
+	if pl, ok := sk.places[ad]; ok {
+		pl.readyAt = until
+	}
+}
+
+// NextDue returns when the next adapter under way should be there.
+func (sk *Stock) NextDue() (time.Time, bool) {
+	var next time.Time
+	for _, pl := range sk.places {
+		if !pl.ready && (next.IsZero() || pl.readyAt.Before(next)) {
+			next = pl.readyAt
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Held returns what is ready to run, base models included, with versions.
+func (sk *Stock) Held() map[balancer.Adapter]int64 {
+	held := make(map[balancer.Adapter]int64, len(sk.places)+len(sk.models))
+	for model, version := range sk.models {
+		held[balancer.Adapter{Model: model}] = version
+	}
+	for ad, pl := range sk.places {
+		if pl.ready {
+			held[ad] = pl.version
+		}
+	}
+	return held
+}
+
+// Outdated returns held adapters for which newest names a higher version, and base models that are missing.
+func (sk *Stock) Outdated(newest func(balancer.Adapter) int64) []Want {
+	var wants []Want
+	for ad, pl := range sk.places {
+		if version := newest(ad); pl.ready && version > pl.version {
+			wants = append(wants, Want{Adapter: ad, Version: version})
+		}
+	}
+	if len(sk.models) == 0 && len(sk.engine.Models) > 0 {
+		wants = append(wants, Want{Adapter: balancer.Adapter{Model: sk.engine.Models[0].Name}})
+	}
+	return wants
+}
--- /dev/null
+++ b/supervisor/holdings.go
@@ -0,0 +1,141 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+
+	"lovagebank/balancer"
+	"lovagebank/keeper"
+	"lovagebank/orderer"
+)
+
+// holdings runs an orderer for each target that this instance holds.
+type holdings struct {
+	su     *Supervisor
+	change chan struct{}
+
+	mu       sync.Mutex
+	orderers map[string]*running
+}
+
+type running struct {
+	orderer *orderer.Orderer
+	stop    context.CancelFunc
+}
+
+func newHoldings(su *Supervisor) *holdings {
+	return &holdings{su: su, change: make(chan struct{}, 1), orderers: make(map[string]*running)}
+}
+
+// nudge has the orderers looked over soon.
+func (ho *holdings) nudge() {
+	if ho == nil {
+		return
+	}
+	select {
+	case ho.change <- struct{}{}:
+	default:
+	}
+}
+
+// candidates returns the targets that need a holder: model engines.
+func (ho *holdings) candidates() []keeper.Candidate {
+	cf := ho.su.configuration.Load()
+	if cf == nil {
+		return nil
+	}
+	var candidates []keeper.Candidate
+	for _, ta := range ho.su.balancer.All() {
+		if sv, ok := cf.Service(ta.Service()); ok && sv.Engine() != nil {
+			candidates = append(candidates, keeper.Candidate{ID: ta.ID(), FailureDomain: ta.FailureDomain()})
+		}
+	}
+	return candidates
+}
+
+// run starts and stops orderers until the context ends.
+func (ho *holdings) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ho.change:
+			ho.refresh(ctx, &tasks)
+		}
+	}
+}
+
+func (ho *holdings) refresh(ctx context.Context, tasks *sync.WaitGroup) {
+	cf := ho.su.configuration.Load()
+	if cf == nil {
+		return
+	}
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	wanted := make(map[string]bool)
+	for _, id := range ho.su.keeper.Held() {
+		ta, ok := ho.su.balancer.Target(id)
+		if !ok {
+			continue
+		}
+		sv, ok := cf.Service(ta.Service())
+		if !ok || sv.Engine() == nil {
+			continue
+		}
+		wanted[id] = true
+		if ru, ok := ho.orderers[id]; ok && ru.orderer.Target().SameStart(ta) {
+			continue
+		}
+		ho.stop(id)
+		or := ho.newOrderer(ta, sv.Engine())
+		orderCtx, stop := context.WithCancel(ctx)
+		ho.orderers[id] = &running{orderer: or, stop: stop}
+		tasks.Go(func() { or.Run(orderCtx) })
+	}
+	for id := range ho.orderers {
+		if !wanted[id] {
+			ho.stop(id)
+		}
+	}
+}
+
+func (ho *holdings) stop(id string) {
+	if ru, ok := ho.orderers[id]; ok {
+		ru.stop()
+		delete(ho.orderers, id)
+	}
+}
+
+// held returns what this instance knows of the targets that it holds.
+func (ho *holdings) held() []balancer.Holding {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	held := make([]balancer.Holding, 0, len(ho.orderers))
+	for _, ru := range ho.orderers {
+		if hd, ok := ru.orderer.Holding(); ok {
+			held = append(held, hd)
+		}
+	}
+	return held
+}
+
+func (ho *holdings) orderer(id string) (*orderer.Orderer, bool) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ru, ok := ho.orderers[id]
+	if !ok {
+		return nil, false
+	}
+	return ru.orderer, true
+}
+
+// gone drops what an instance that has left had running.
+func (ho *holdings) gone(instance string) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	for _, ru := range ho.orderers {
+		ru.orderer.Gone(instance)
+	}
+}
--- /dev/null
+++ b/supervisor/peers.go
@@ -0,0 +1,263 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"lovagebank/allotter"
+	"lovagebank/balancer"
+	"lovagebank/exchanger"
+	"lovagebank/orderer"
+	"lovagebank/pauser"
+	"lovagebank/platform"
+	"lovagebank/quarantiner"
+	"lovagebank/router"
+	"lovagebank/wire"
+)
+
+const (
+	// mirrorInterval is the time between two looks at whether a peer knows more of the store.
+	mirrorInterval = 400 * time.Millisecond
+	// toldInterval is the time between two looks of the balancer at the targets held by this instance itself.
+	toldInterval = 100 * time.Millisecond
+)
+
+var errHolderUnknown = errors.New("the target's holder is not known")
+
+func (su *Supervisor) peerAddress() string {
+	return net.JoinHostPort(su.settings.IP(), su.settings.PeerPort())
+}
+
+func (su *Supervisor) newExchanger() *exchanger.Exchanger {
+	return exchanger.New(exchanger.Options{
+		Peers:   su.peers,
+		Compose: su.compose,
+		Take:    su.takeState,
+		Load:    su.loadHere,
+		Mirror:  su.mirror,
+		Failed: func(peer string, err error) {
+			su.reporter.Count("exchange_failures", 1)
+			su.logger.Debug("exchange failed", "peer", peer, "error", err)
+		},
+	})
+}
+
+func (su *Supervisor) peers() []exchanger.Peer {
+	instances := su.keeper.Instances()
+	peers := make([]exchanger.Peer, 0, len(instances))
+	for _, in := range instances {
+		peers = append(peers, exchanger.Peer{Name: in.Name, Address: in.Address})
+		su.allotter.Member(in.Name)
+	}
+	return peers
+}
+
+func (su *Supervisor) instanceGone(name string) {
+	su.allotter.Gone(name)
+	su.holdings.gone(name)
+	su.logger.Info("instance gone", "peer", name)
+}
+
+// load has a target load an adapter by way of its holder.
+func (su *Supervisor) load(ctx context.Context, holder string, ta *balancer.Target, ad balancer.Adapter, version int64) error {
+	if holder == su.settings.IP() {
+		return su.loadHere(ctx, ta.ID(), ad, version)
+	}
+	for _, in := range su.keeper.Instances() {
+		if in.Name != holder {
+			continue
+		}
+		refusal, err := su.exchanger.Load(ctx, in.Address, ta.ID(), ad, version)
+		if err != nil {
+			return err
+		}
+		if refusal != "" {
+			return errors.New(refusal)
+		}
+		return nil
+	}
+	return errHolderUnknown
+}
+
+func (su *Supervisor) loadHere(ctx context.Context, target string, ad balancer.Adapter, version int64) error {
+	or, ok := su.holdings.orderer(target)
+	if !ok {
+		return orderer.ErrNotHolder
+	}
+	return or.Load(ctx, ad, version)
+}
+
+func (ho *holdings) newOrderer(ta *balancer.Target, engine *router.Engine) *orderer.Orderer {
+	su := ho.su
+	return orderer.New(orderer.Options{
+		Target:    ta,
+		Engine:    engine,
+		Holder:    su.settings.IP(),
+		Authority: func() (int64, bool) { return su.keeper.Authority(ta.ID()) },
+		Newest:    su.versions.newest,
+		Report:    su.targets.Report,
+		Order:     su.targets.Order,
+		Changed:   func() {},
+		Logger:    su.logger,
+	})
+}
+
+// compose is what this instance tells a peer.
+func (su *Supervisor) compose(peer string) *wire.FleetState {
+	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load(), StoreRevision: su.revision()}
+	for name, ta := range su.allotter.Tallies() {
+		state.Tallies = append(state.Tallies, &wire.OrganisationTally{Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked})
+	}
+	for _, ho := range su.holdings.held() {
+		state.Held = append(state.Held, heldTarget(ho))
+	}
+	for _, target := range su.keeper.HeldBy(peer) {
+		if uses := su.balancer.TakeUses(target); len(uses) > 0 {
+			state.Uses = append(state.Uses, targetUse(target, uses))
+		}
+	}
+	for _, cr := range su.quarantiner.Crashes() {
+		state.Crashes = append(state.Crashes, &wire.Crash{Fingerprint: cr.Fingerprint, Count: int32(cr.Count)})
+	}
+	return state
+}
+
+func heldTarget(ho balancer.Holding) *wire.HeldTarget {
+	held := &wire.HeldTarget{
+		Target: ho.Target, Active: ho.Holder != "", Load: int32(ho.Load), LoadAgeMs: int32(ho.LoadAge.Milliseconds()),
+	}
+	models := make(map[string]*wire.HeldModel)
+	for ad, version := range ho.Adapters {
+		model, ok := models[ad.Model]
+		if !ok {
+			model = &wire.HeldModel{Name: ad.Model}
+			models[ad.Model] = model
+			held.Models = append(held.Models, model)
+		}
+		if ad.Name == "" {
+			model.Version = version
+			continue
+		}
+		model.Adapters = append(model.Adapters, &wire.HeldAdapter{Name: ad.Name, Version: version})
+	}
+	return held
+}
+
+func targetUse(target string, uses map[balancer.Adapter]balancer.Use) *wire.TargetUse {
+	tu := &wire.TargetUse{Target: target}
+	for ad, us := range uses {
+		tu.Adapters = append(tu.Adapters, &wire.AdapterUse{
+			Model: ad.Model, Name: ad.Name, Sent: int32(us.Sent), Running: int32(us.Running),
+		})
+	}
+	return tu
+}
+
+// takeState takes in what a peer tells.
+func (su *Supervisor) takeState(state *wire.FleetState) {
+	peer := state.GetInstance()
+	tallies := make(map[string]allotter.Tally, len(state.GetTallies()))
+	for _, ta := range state.GetTallies() {
+		tallies[ta.GetOrganisation()] = allotter.Tally{Admitted: ta.GetAdmitted(), Asked: ta.GetAsked()}
+	}
+	su.allotter.Heard(peer, state.GetStart(), tallies)
+	for _, held := range state.GetHeld() {
+		su.balancer.Heard(holding(peer, held))
+	}
+	for _, tu := range state.GetUses() {
+		if or, ok := su.holdings.orderer(tu.GetTarget()); ok {
+			or.Used(peer, adapterUses(tu))
+		}
+	}
+	crashes := make([]quarantiner.Crash, 0, len(state.GetCrashes()))
+	for _, cr := range state.GetCrashes() {
+		crashes = append(crashes, quarantiner.Crash{Fingerprint: cr.GetFingerprint(), Count: int(cr.GetCount())})
+	}
+	su.quarantiner.Heard(peer, crashes)
+	su.newer.note(peer, state.GetStoreRevision())
+}
+
+func holding(peer string, held *wire.HeldTarget) balancer.Holding {
+	ho := balancer.Holding{
+		Target:   held.GetTarget(),
+		Adapters: make(map[balancer.Adapter]int64),
+		Load:     int(held.GetLoad()),
+		LoadAge:  time.Duration(held.GetLoadAgeMs()) * time.Millisecond,
+	}
+	if held.GetActive() {
+		ho.Holder = peer
+	}
+	for _, model := range held.GetModels() {
+		ho.Adapters[balancer.Adapter{Model: model.GetName()}] = model.GetVersion()
+		for _, ad := range model.GetAdapters() {
+			ho.Adapters[balancer.Adapter{Model: model.GetName(), Name: ad.GetName()}] = ad.GetVersion()
+		}
+	}
+	return ho
+}
+
+func adapterUses(tu *wire.TargetUse) map[balancer.Adapter]balancer.Use {
+	uses := make(map[balancer.Adapter]balancer.Use, len(tu.GetAdapters()))
+	for _, au := range tu.GetAdapters() {
+		ad := balancer.Adapter{Model: au.GetModel(), Name: au.GetName()}
+		uses[ad] = balancer.Use{Sent: int(au.GetSent()), Running: int(au.GetRunning())}
+	}
+	return uses
+}
+
+// followPeers tells the balancer and the orderers of this instance what it knows itself, and asks a peer for its copy
+// of the store when the store does not serve this instance.
+func (su *Supervisor) followPeers(ctx context.Context) {
+	mirrorAt := time.Now()
+	for pauser.For(ctx, toldInterval) {
+		for _, ho := range su.holdings.held() {
+			su.balancer.Heard(ho)
+			if or, ok := su.holdings.orderer(ho.Target); ok {
+				or.Used(su.settings.IP(), su.balancer.TakeUses(ho.Target))
+			}
+		}
+		if su.troubled(troubleMemory) && time.Since(mirrorAt) > mirrorInterval {
+			mirrorAt = time.Now()
+			su.askMirror(ctx)
+		}
+	}
+}
+
+// revision is the store's revision up to which the operator's keys and the targets are known.
+func (su *Supervisor) revision() int64 {
+	return min(su.watchers[operatorWatcher].Revision(), su.watchers[targetWatcher].Revision())
+}
+
+// mirror is this instance's copy of the operator's keys and the registered targets.
+func (su *Supervisor) mirror() ([]platform.Item, int64) {
+	items := append(su.watchers[operatorWatcher].Items(), su.watchers[targetWatcher].Items()...)
+	return items, su.revision()
+}
+
+// askMirror takes in the copy of a peer that knows more of the store.
+func (su *Supervisor) askMirror(ctx context.Context) {
+	peer, ok := su.newer.best(su.revision())
+	if !ok {
+		return
+	}
+	for _, in := range su.keeper.Instances() {
+		if in.Name != peer {
+			continue
+		}
+		items, revision, err := su.exchanger.Mirror(ctx, in.Address, su.revision())
+		if err != nil {
+			su.logger.Warn("copy of the store not had from peer", "peer", peer, "error", err)
+			return
+		}
+		su.learn(items, revision)
+		su.logger.Info("store followed through peer", "peer", peer, "revision", revision, "entries", len(items))
+	}
+}
+
+func (su *Supervisor) learn(items []platform.Item, revision int64) {
+	operator, targets := splitItems(items)
+	su.watchers[operatorWatcher].LearnAll(operator, revision)
+	su.watchers[targetWatcher].LearnAll(targets, revision)
+}
--- /dev/null
+++ b/supervisor/store.go
@@ -0,0 +1,164 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lovagebank/balancer"
+	"lovagebank/keeper"
+	"lovagebank/platform"
+)
+
+// versions are the newest versions named for adapters.
+type versions struct {
+	mu     sync.Mutex
+	latest map[balancer.Adapter]int64
+}
+
+func (ve *versions) newest(ad balancer.Adapter) int64 {
+	ve.mu.Lock()
+	defer ve.mu.Unlock()
+	return ve.latest[ad]
+}
+
+func (ve *versions) name(av platform.AdapterVersion) {
+	ve.mu.Lock()
+	defer ve.mu.Unlock()
+	if ve.latest == nil {
+		ve.latest = make(map[balancer.Adapter]int64)
+	}
+	ve.latest[av.Adapter] = max(ve.latest[av.Adapter], av.Version)
+}
+
+// noteTrouble remembers when the store last failed a call.
+func (su *Supervisor) noteTrouble(err error) {
+	if errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown) {
+		su.troubleAt.Store(int64(time.Since(su.began)))
+	}
+}
+
+func (su *Supervisor) troubled(within time.Duration) bool {
+	at := su.troubleAt.Load()
+	return at > 0 && time.Since(su.began)-time.Duration(at) < within
+}
+
+func (su *Supervisor) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
+	pa, err := su.store.List(ctx, prefix, stale)
+	su.noteTrouble(err)
+	return pa, err
+}
+
+func (su *Supervisor) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+	pa, err := su.store.Watch(ctx, prefix, after, wait)
+	su.noteTrouble(err)
+	return pa, err
+}
+
+func (su *Supervisor) newKeeper() *keeper.Keeper {
+	return keeper.New(keeper.Options{
+		Name:          su.settings.IP(),
+		Address:       su.peerAddress(),
+		FailureDomain: su.settings.FailureDomain(),
+		Start:         su.start,
+		Turn:          su.settings.HolderTurn(),
+		Grant: func(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+			lease, granted, err := su.store.Grant(ctx, ttl)
+			su.noteTrouble(err)
+			return lease, granted, err
+		},
+		Renew: func(ctx context.Context, lease int64) (time.Duration, error) {
+			ttl, err := su.store.Renew(ctx, lease)
+			su.noteTrouble(err)
+			return ttl, err
+		},
+		End: su.store.End,
+		Transact: func(ctx context.Context, tx platform.Transaction) (int64, error) {
+			revision, err := su.store.Transact(ctx, tx)
+			su.noteTrouble(err)
+			return revision, err
+		},
+		Candidates: func() []keeper.Candidate { return su.holdings.candidates() },
+		Troubled:   su.troubled,
+		Changed:    func() { su.holdings.nudge() },
+		Gone:       su.instanceGone,
+		Logger:     su.logger,
+	})
+}
+
+// takeOperator takes in a change of the operator's keys.
+func (su *Supervisor) takeOperator(it platform.Item) {
+	if it.Deleted {
+		return
+	}
+	if it.Key == platform.ConfigurationKey {
+		su.takeConfiguration(it)
+		return
+	}
+	if !platform.IsAdapterVersion(it.Key) {
+		return
+	}
+	av, err := platform.DecodeAdapterVersion(it.Value)
+	if err != nil {
+		su.logger.Warn("entry skipped", "key", it.Key, "revision", it.Revision, "error", err)
+		return
+	}
+	su.versions.name(av)
+	su.logger.Info("adapter version named", "adapter", av.Adapter, "version", av.Version, "revision", it.Revision)
+	su.holdings.nudge()
+}
+
+// takeConfiguration puts a configuration in force, unless a newer one is.
+func (su *Supervisor) takeConfiguration(it platform.Item) {
+	cf, err := platform.DecodeConfiguration(it.Value, it.Revision)
+	if err != nil {
+		su.logger.Warn("configuration skipped, the one before stays", "revision", it.Revision, "error", err)
+		return
+	}
+	if current := su.configuration.Load(); current != nil && current.Revision() >= cf.Revision() {
+		return
+	}
+	su.configuration.Store(cf)
+	su.logger.Info("configuration in force", "version", cf.Version(), "revision", cf.Revision())
+	su.holdings.nudge()
+}
+
+// takeTarget takes in a change of the registered targets.
+func (su *Supervisor) takeTarget(it platform.Item) {
+	id := platform.TargetID(it.Key)
+	if it.Deleted {
+		su.targetGone(id, it.Revision)
+		return
+	}
+	ta, err := platform.DecodeTarget(it.Key, it.Value)
+	if err != nil {
+		su.logger.Warn("target skipped", "target", id, "revision", it.Revision, "error", err)
+		su.targetGone(id, it.Revision)
+		return
+	}
+	known, ok := su.balancer.Target(id)
+	if ok && ta.Started().Before(known.Started()) {
+		su.logger.Warn("target skipped, its entry is of an earlier start", "target", id, "revision", it.Revision)
+		return
+	}
+	if ok && !known.SameStart(ta) {
+		su.forwarder.Forget(id)
+	}
+	su.balancer.SetTarget(ta)
+	if !ok || known.Draining() != ta.Draining() || !known.SameStart(ta) {
+		su.logger.Info("target", "target", id, "address", ta.Address(), "service", ta.Service(),
+			"draining", ta.Draining(), "started", ta.Started().UnixMilli(), "revision", it.Revision)
+	}
+	su.holdings.nudge()
+}
+
+func (su *Supervisor) targetGone(id string, revision int64) {
+	if _, ok := su.balancer.Target(id); !ok {
+		return
+	}
+	su.balancer.RemoveTarget(id)
+	su.forwarder.Forget(id)
+	su.logger.Info("target gone", "target", id, "revision", revision)
+	su.holdings.nudge()
+}
--- /dev/null
+++ b/supervisor/supervisor.go
@@ -0,0 +1,317 @@
+// Package supervisor builds an entry instance for the users' platform from its parts, runs them and ends them in order.
+package supervisor
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/oops"
+
+	"lovagebank/acceptor"
+	"lovagebank/allotter"
+	"lovagebank/balancer"
+	"lovagebank/budgeter"
+	"lovagebank/exchanger"
+	"lovagebank/forwarder"
+	"lovagebank/keeper"
+	"lovagebank/pauser"
+	"lovagebank/platform"
+	"lovagebank/quarantiner"
+	"lovagebank/recorder"
+	"lovagebank/reporter"
+	"lovagebank/router"
+	"lovagebank/watcher"
+)
+
+const (
+	// memoryShare is the part of the process's memory limit that the runtime is told to stay below.
+	memoryShare = 0.7
+	// keepAfterOutage is how long a target whose entry disappears around an outage of the store is kept: until the
+	// targets that live have had time to come back.
+	keepAfterOutage = 2500 * time.Millisecond
+	// troubleMemory is how long after a failed call of the store a removal counts as one around an outage.
+	troubleMemory = 5 * time.Second
+)
+
+// Options set a Supervisor up.
+type Options struct {
+	// Settings are the instance's settings.
+	Settings *platform.Settings
+	// SettingsPath is read again at SIGHUP.
+	SettingsPath string
+	// MetricsPort is the port of the metrics; 0 for none.
+	MetricsPort int
+	// Out takes the log.
+	Out io.Writer
+}
+
+// Supervisor is one instance.
+type Supervisor struct {
+	op       Options
+	settings *platform.Settings
+	start    string
+	recorder *recorder.Recorder
+	logger   *log.Logger
+	reporter *reporter.Reporter
+
+	store       *platform.Store
+	targets     *platform.TargetClient
+	balancer    *balancer.Balancer
+	forwarder   *forwarder.Forwarder
+	allotter    *allotter.Allotter
+	budgeter    *budgeter.Budgeter
+	quarantiner *quarantiner.Quarantiner
+	keeper      *keeper.Keeper
+	exchanger   *exchanger.Exchanger
+	acceptor    *acceptor.Acceptor
+	watchers    []*watcher.Watcher
+	holdings    *holdings
+
+	configuration atomic.Pointer[router.Configuration]
+	versions      versions
+	newer         newer
+	troubleAt     atomic.Int64
+	began         time.Time
+	draining      atomic.Bool
+	listed        atomic.Int32
+	serving       atomic.Int64
+	tasks         sync.WaitGroup
+}
+
+// New builds an instance.
+func New(op Options) *Supervisor {
+	st := op.Settings
+	su := &Supervisor{
+		op:          op,
+		settings:    st,
+		start:       strconv.FormatUint(rand.Uint64(), 36),
+		recorder:    recorder.New(op.Out),
+		reporter:    reporter.New(),
+		store:       platform.NewStore(st.StoreAddress()),
+		targets:     platform.NewTargetClient(),
+		balancer:    balancer.New(balancer.Options{FailureDomain: st.FailureDomain(), Random: rand.Float64}),
+		forwarder:   forwarder.New(),
+		allotter:    allotter.New(),
+		quarantiner: quarantiner.New(),
+		began:       time.Now(),
+	}
+	su.logger = su.recorder.Logger().With("instance", st.Name())
+	su.budgeter = budgeter.New(budgeter.Options{
+		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instances,
+	})
+	su.keeper = su.newKeeper()
+	su.holdings = newHoldings(su)
+	su.exchanger = su.newExchanger()
+	su.acceptor = su.newAcceptor()
+	su.watchers = []*watcher.Watcher{
+		su.newWatcher(platform.OperatorPrefix, su.takeOperator),
+		su.newWatcher(platform.TargetPrefix, su.takeTarget),
+		su.newWatcher(platform.OwnPrefix, su.keeper.Take),
+	}
+	return su
+}
+
+func (su *Supervisor) newAcceptor() *acceptor.Acceptor {
+	return acceptor.New(acceptor.Options{
+		Configuration: su.configuration.Load,
+		Newest:        su.versions.newest,
+		Load:          su.load,
+		Instances:     su.instances,
+		Draining:      su.draining.Load,
+		Ended:         su.ended,
+		Random:        rand.Float64,
+		Balancer:      su.balancer,
+		Forwarder:     su.forwarder,
+		Allotter:      su.allotter,
+		Budgeter:      su.budgeter,
+		Quarantiner:   su.quarantiner,
+	})
+}
+
+func (su *Supervisor) newWatcher(prefix string, changed func(platform.Item)) *watcher.Watcher {
+	return watcher.New(watcher.Options{
+		Prefix:   prefix,
+		List:     su.list,
+		Watch:    su.watch,
+		Troubled: func() bool { return su.troubled(troubleMemory) },
+		Keep:     keepAfterOutage,
+		Changed:  changed,
+		Listed:   func() { su.listed.Add(1) },
+		Logger:   su.logger,
+	})
+}
+
+// instances is the number of instances that share what the fleet shares, this one included.
+func (su *Supervisor) instances() int { return len(su.keeper.Instances()) + 1 }
+
+func (su *Supervisor) ended(ou *acceptor.Outcome) {
+	su.reporter.Served(reporter.Service{
+		Kind: ou.Kind(), Status: ou.Status(), Reason: ou.Reason(), First: ou.First(), Took: ou.Took(),
+		LoadWait: ou.LoadWait(), Tries: ou.Tries(),
+	})
+	su.logger.Info("request", ou.Fields()...)
+}
+
+// ready tells whether the instance can serve: it knows a configuration and the targets.
+func (su *Supervisor) ready() bool {
+	return !su.draining.Load() && su.configuration.Load() != nil && su.balancer.Targets() > 0
+}
+
+// Run serves until SIGTERM or SIGINT, then drains.
+func (su *Supervisor) Run() error {
+	debug.SetMemoryLimit(int64(su.settings.MemoryMB() * memoryShare * (1 << 20)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	defer su.recorder.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := su.listen()
+	if err != nil {
+		return err
+	}
+	su.logger.Info("start", "start", su.start, "callers", su.settings.CallerAddress(), "domain", su.settings.FailureDomain(),
+		"store", su.settings.StoreAddress())
+	su.runParts(ctx)
+	for sg := range signals {
+		if sg == syscall.SIGHUP {
+			su.reload()
+			continue
+		}
+		break
+	}
+	su.drain(ctx, servers)
+	stop()
+	su.tasks.Wait()
+	su.logger.Info("stop", "took-ms", time.Since(su.began).Milliseconds(), "log-lines-dropped", su.recorder.Dropped())
+	return nil
+}
+
+func (su *Supervisor) runParts(ctx context.Context) {
+	for _, wa := range su.watchers {
+		su.tasks.Go(func() { wa.Run(ctx) })
+	}
+	su.tasks.Go(func() { su.keeper.Run(ctx) })
+	su.tasks.Go(func() { su.exchanger.Run(ctx) })
+	su.tasks.Go(func() { su.holdings.run(ctx) })
+	su.tasks.Go(func() { su.followPeers(ctx) })
+}
+
+// reload reads the settings again. What binds an instance's addresses needs a restart; bounds are taken from the next
+// start on.
+func (su *Supervisor) reload() {
+	if _, err := platform.ReadSettings(su.op.SettingsPath); err != nil {
+		su.logger.Warn("reload refused, settings stay as they were", "error", err)
+		return
+	}
+	su.logger.Info("reload")
+}
+
+const (
+	// noticeTime is how long a draining instance goes on taking connections: until the platform has asked twice
+	// whether it is ready.
+	noticeTime = 2500 * time.Millisecond
+	// killMargin is how long before the kill the instance ends by itself.
+	killMargin = 700 * time.Millisecond
+)
+
+// drain reports not ready, goes on serving until the platform has noticed, lets requests end, and hands over targets.
+func (su *Supervisor) drain(ctx context.Context, sv *servers) {
+	su.draining.Store(true)
+	began := time.Now()
+	su.logger.Info("draining", "serving", su.serving.Load())
+	leaveCtx, cancel := context.WithTimeout(ctx, noticeTime)
+	defer cancel()
+	su.keeper.Leave(leaveCtx)
+	pauser.For(ctx, noticeTime-time.Since(began))
+	left := su.settings.ShutdownGrace() - killMargin - time.Since(began)
+	endCtx, cancelEnd := context.WithTimeout(ctx, left)
+	defer cancelEnd()
+	if err := sv.callers.Shutdown(endCtx); err != nil {
+		su.logger.Warn("requests cut by the shutdown", "serving", su.serving.Load(), "error", err)
+	}
+	sv.close()
+}
+
+type servers struct {
+	callers *http.Server
+	others  []*http.Server
+}
+
+func (sv *servers) close() {
+	for _, other := range sv.others {
+		_ = other.Close()
+	}
+	_ = sv.callers.Close()
+}
+
+const (
+	// maxHeaderBytes, headerTimeout and idleTimeout hold for callers until a configuration is known.
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 60 * time.Second
+)
+
+func (su *Supervisor) listen() (*servers, error) {
+	sv := &servers{callers: &http.Server{
+		Handler:           http.HandlerFunc(su.serveCaller),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          su.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}}
+	peers := net.JoinHostPort(su.settings.IP(), su.settings.PeerPort())
+	sv.others = append(sv.others,
+		&http.Server{Addr: su.settings.ReadyAddress(), Handler: su.readyHandler(), ReadHeaderTimeout: headerTimeout},
+		&http.Server{Addr: peers, Handler: su.exchanger.Handler(), ReadHeaderTimeout: headerTimeout},
+	)
+	if su.op.MetricsPort > 0 {
+		address := net.JoinHostPort(su.settings.IP(), strconv.Itoa(su.op.MetricsPort))
+		sv.others = append(sv.others, &http.Server{Addr: address, Handler: su.reporter.Handler(), ReadHeaderTimeout: headerTimeout})
+	}
+	sv.callers.Addr = su.settings.CallerAddress()
+	for _, server := range append([]*http.Server{sv.callers}, sv.others...) {
+		listener, err := net.Listen("tcp4", server.Addr)
+		if err != nil {
+			return nil, oops.Wrapf(err, "listen on %s", server.Addr)
+		}
+		go func() {
+			if err := server.Serve(listener); err != http.ErrServerClosed {
+				su.logger.Error("listener failed", "address", server.Addr, "error", err)
+			}
+		}()
+	}
+	return sv, nil
+}
+
+func (su *Supervisor) serveCaller(w http.ResponseWriter, r *http.Request) {
+	su.serving.Add(1)
+	defer su.serving.Add(-1)
+	su.acceptor.ServeHTTP(w, r)
+}
+
+func (su *Supervisor) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != platform.ReadyPath {
+			http.NotFound(w, r)
+			return
+		}
+		if !su.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,257 @@
+// Package watcher keeps a copy of the store's keys below a prefix up to date: it lists them once, follows their
+// changes, and lists them again when the store has dropped the history in between. A key that disappears around an
+// outage of the store is kept for a while, as its writer may only have lost its lease.
+package watcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/pauser"
+	"lovagebank/platform"
+)
+
+const (
+	// watchWait is how long the store is asked to wait for changes.
+	watchWait = 25 * time.Second
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = time.Second
+	// recheck is the time between two looks at keys whose removal waits.
+	recheck = 250 * time.Millisecond
+	// betweenWatches is the pause after an answered watch, so that changes in quick succession
+	// come in one answer.
+	betweenWatches = 30 * time.Millisecond
+)
+
+// Options set a Watcher up.
+type Options struct {
+	// Prefix begins the keys.
+	Prefix string
+	// List and Watch read the store.
+	List  func(ctx context.Context, prefix string, stale bool) (platform.Page, error)
+	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
+	// Troubled tells whether the store failed calls of late, so that a removal may be a lapsed lease.
+	Troubled func() bool
+	// Keep is how long a key that disappears around an outage is kept.
+	Keep time.Duration
+	// Changed is told of each change, in order; an item that is Deleted is gone.
+	Changed func(platform.Item)
+	// Listed is told when the first listing is complete.
+	Listed func()
+	// Logger takes a line when the store is lost or regained.
+	Logger *log.Logger
+}
+
+// Watcher follows one prefix.
+type Watcher struct {
+	op   Options
+	done chan struct{}
+
+	mu       sync.Mutex
+	items    map[string]platform.Item
+	removals map[string]time.Time
+	revision int64
+	listed   bool
+	lost     bool
+}
+
+// New makes a watcher; Run does its work.
+func New(op Options) *Watcher {
+	return &Watcher{
+		op:       op,
+		done:     make(chan struct{}),
+		items:    make(map[string]platform.Item),
+		removals: make(map[string]time.Time),
+	}
+}
+
+// Done is closed when Run has ended.
+func (wa *Watcher) Done() <-chan struct{} { return wa.done }
+
+// Revision is the store's revision up to which the copy is known to be complete.
+func (wa *Watcher) Revision() int64 {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	return wa.revision
+}
+
+// Items returns the copy.
+func (wa *Watcher) Items() []platform.Item {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	items := make([]platform.Item, 0, len(wa.items))
+	for _, it := range wa.items {
+		items = append(items, it)
+	}
+	return items
+}
+
+// Run works until the context ends.
+func (wa *Watcher) Run(ctx context.Context) {
+	defer close(wa.done)
+	go wa.expire(ctx)
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := wa.once(ctx)
+		if err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		wa.lose(ctx, err)
+		pause := time.Duration((0.5 + rand.Float64()) * float64(backoff))
+		pauser.For(ctx, pause)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// once lists the keys, or waits for changes after the last known revision.
+func (wa *Watcher) once(ctx context.Context) error {
+	wa.mu.Lock()
+	after, listed := wa.revision, wa.listed
+	wa.mu.Unlock()
+	if !listed {
+		pa, err := wa.op.List(ctx, wa.op.Prefix, false)
+		if err != nil {
+			return err
+		}
+		wa.regain()
+		wa.takeListing(pa)
+		return nil
+	}
+	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, watchWait)
+	if errors.Is(err, platform.ErrCompacted) {
+		wa.op.Logger.Warn("history dropped, listing again", "prefix", wa.op.Prefix, "after", after)
+		wa.mu.Lock()
+		wa.listed = false
+		wa.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	wa.regain()
+	wa.takeEvents(pa)
+	if len(pa.Items) > 0 {
+		pauser.For(ctx, betweenWatches)
+	}
+	return nil
+}
+
+func (wa *Watcher) lose(ctx context.Context, err error) {
+	wa.mu.Lock()
+	first := !wa.lost
+	wa.lost = true
+	wa.mu.Unlock()
+	if first && ctx.Err() == nil {
+		wa.op.Logger.Warn("store lost", "prefix", wa.op.Prefix, "revision", wa.Revision(), "error", err)
+	}
+}
+
+func (wa *Watcher) regain() {
+	wa.mu.Lock()
+	was := wa.lost
+	wa.lost = false
+	wa.mu.Unlock()
+	if was {
+		wa.op.Logger.Info("store regained", "prefix", wa.op.Prefix, "revision", wa.Revision())
+	}
+}
+
+func (wa *Watcher) takeListing(pa platform.Page) {
+	there := make(map[string]bool, len(pa.Items))
+	for _, it := range pa.Items {
+		there[it.Key] = true
+		wa.take(it)
+	}
+	for _, it := range wa.Items() {
+		if !there[it.Key] {
+			wa.take(platform.Item{Key: it.Key, Revision: max(it.Revision, pa.Revision), Deleted: true})
+		}
+	}
+	wa.mu.Lock()
+	first := wa.revision == 0
+	wa.listed, wa.revision = true, max(wa.revision, pa.Revision)
+	wa.mu.Unlock()
+	if first && wa.op.Listed != nil {
+		wa.op.Listed()
+	}
+}
+
+func (wa *Watcher) takeEvents(pa platform.Page) {
+	for _, it := range pa.Items {
+		wa.take(it)
+	}
+	wa.mu.Lock()
+	wa.revision = max(wa.revision, pa.Revision)
+	wa.mu.Unlock()
+}
+
+// take takes in one change, unless a newer one is known.
+func (wa *Watcher) take(it platform.Item) {
+	wa.mu.Lock()
+	known, ok := wa.items[it.Key]
+	if ok && it.Revision <= known.Revision && !it.Deleted || !ok && it.Deleted {
+		if ok {
+			delete(wa.removals, it.Key)
+		}
+		wa.mu.Unlock()
+		return
+	}
+	if it.Deleted && it.Revision < known.Revision {
+		wa.mu.Unlock()
+		return
+	}
+	if it.Deleted && wa.op.Troubled() {
+		if _, waits := wa.removals[it.Key]; !waits {
+			wa.removals[it.Key] = time.Now().Add(wa.op.Keep)
+		}
+		wa.mu.Unlock()
+		return
+	}
+	delete(wa.removals, it.Key)
+	if it.Deleted {
+		delete(wa.items, it.Key)
+	} else {
+		wa.items[it.Key] = it
+	}
+	wa.mu.Unlock()
+	wa.op.Changed(it)
+}
+
+// LearnAll takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing.
+func (wa *Watcher) LearnAll(items []platform.Item, revision int64) {
+	if revision > wa.Revision() {
+		wa.takeListing(platform.Page{Items: items, Revision: revision})
+	}
+}
+
+// expire removes keys whose time has run out.
+func (wa *Watcher) expire(ctx context.Context) {
+	for pauser.For(ctx, recheck) {
+		for _, it := range wa.expired(time.Now()) {
+			wa.op.Logger.Warn("entry gone after an outage of the store", "key", it.Key)
+			wa.op.Changed(it)
+		}
+	}
+}
+
+func (wa *Watcher) expired(now time.Time) []platform.Item {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	var gone []platform.Item
+	for key, until := range wa.removals {
+		if now.Before(until) {
+			continue
+		}
+		gone = append(gone, platform.Item{Key: key, Revision: wa.items[key].Revision, Deleted: true})
+		delete(wa.removals, key)
+		delete(wa.items, key)
+	}
+	return gone
+}
