--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -225,14 +225,23 @@
 }
 
 // chooseLoader picks the target that should load an adapter that none holds: the first in rank that is not much
-// busier than the idlest.
+// busier than the idlest. A target that holds an older version comes last: it waits for its runs to end first.
 func (ba *Balancer) chooseLoader(ne Need, ranked []*state, now time.Time) (*Choice, bool) {
 	base := Adapter{Model: ne.Adapter.Model}
 	able := make([]*state, 0, len(ranked))
+	var outdated []*state
 	for _, st := range ranked {
-		if _, ok := st.adapters[base]; ok && st.loadingHolder(now) != "" {
-			able = append(able, st)
+		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" {
+			continue
+		}
+		if _, old := st.adapters[ne.Adapter]; old {
+			outdated = append(outdated, st)
+			continue
 		}
+		able = append(able, st)
+	}
+	if len(able) == 0 {
+		able = outdated
 	}
 	if len(able) == 0 || ne.Adapter.Name == "" {
 		return nil, false
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -23,6 +23,8 @@
 	ErrNotHolder = errors.New("this instance may not order the target")
 	// ErrFull means that all adapters on the engine are in use.
 	ErrFull = errors.New("all adapter slots of the target are in use")
+	// ErrCrowded means that as many adapters are under way to the engine as it takes.
+	ErrCrowded = errors.New("too many adapters are under way to the target")
 	// ErrGone means that the engine is no longer served.
 	ErrGone = errors.New("the target is gone")
 )
@@ -276,9 +278,11 @@
 			wt.ready <- nil
 		case stocker.Full:
 			wt.ready <- ErrFull
+		case stocker.Crowded:
+			wt.ready <- ErrCrowded
 		default:
 			still = append(still, wt)
-			if !found && verdict != stocker.Pending {
+			if verdict != stocker.Pending && !found {
 				next, found = sp, true
 			}
 		}
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -41,6 +41,8 @@
 	NeedsLoad
 	// NeedsRoom wants need the order to unload that comes with the verdict first.
 	NeedsRoom
+	// Crowded wants would have to wait for others that are under way.
+	Crowded
 	// Full wants cannot be met: all that the engine holds is in use.
 	Full
 )
@@ -183,7 +185,7 @@
 		return Pending, Step{}
 	}
 	if sk.pending() >= maxPending {
-		return Pending, Step{}
+		return Crowded, Step{}
 	}
 	if held || sk.room() {
 		return NeedsLoad, Step{Load: true, Adapter: wa.Adapter, Version: wa.Version}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -41,6 +41,11 @@
 	// keepAfterOutage is how long a target whose entry disappears around an outage of the store is kept: until the
 	// targets that live have had time to come back.
 	keepAfterOutage = 2500 * time.Millisecond
+	// operatorPause, targetPause and ownPause are the times between two watches of the operator's keys, the targets
+	// and the instances' own keys. Targets write their entries at each change of their adapters.
+	operatorPause = 30 * time.Millisecond
+	targetPause   = 900 * time.Millisecond
+	ownPause      = 200 * time.Millisecond
 	// troubleMemory is how long after a failed call of the store a removal counts as one around an outage.
 	troubleMemory = 5 * time.Second
 )
@@ -116,9 +121,9 @@
 	su.exchanger = su.newExchanger()
 	su.acceptor = su.newAcceptor()
 	su.watchers = []*watcher.Watcher{
-		su.newWatcher(platform.OperatorPrefix, su.takeOperator),
-		su.newWatcher(platform.TargetPrefix, su.takeTarget),
-		su.newWatcher(platform.OwnPrefix, su.keeper.Take),
+		su.newWatcher(platform.OperatorPrefix, operatorPause, su.takeOperator),
+		su.newWatcher(platform.TargetPrefix, targetPause, su.takeTarget),
+		su.newWatcher(platform.OwnPrefix, ownPause, su.keeper.Take),
 	}
 	return su
 }
@@ -140,11 +145,12 @@
 	})
 }
 
-func (su *Supervisor) newWatcher(prefix string, changed func(platform.Item)) *watcher.Watcher {
+func (su *Supervisor) newWatcher(prefix string, pause time.Duration, changed func(platform.Item)) *watcher.Watcher {
 	return watcher.New(watcher.Options{
 		Prefix:   prefix,
 		List:     su.list,
 		Watch:    su.watch,
+		Pause:    pause,
 		Troubled: func() bool { return su.troubled(troubleMemory) },
 		Keep:     keepAfterOutage,
 		Changed:  changed,
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -24,9 +24,6 @@
 	maxBackoff   = time.Second
 	// recheck is the time between two looks at keys whose removal waits.
 	recheck = 250 * time.Millisecond
-	// betweenWatches is the pause after an answered watch, so that changes in quick succession
-	// come in one answer.
-	betweenWatches = 30 * time.Millisecond
 )
 
 // Options set a Watcher up.
@@ -36,6 +33,9 @@
 	// List and Watch read the store.
 	List  func(ctx context.Context, prefix string, stale bool) (platform.Page, error)
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
+	// Pause is the time after an answered watch before the next, so that changes in quick succession come in one
+	// answer: each call of the store has its price.
+	Pause time.Duration
 	// Troubled tells whether the store failed calls of late, so that a removal may be a lapsed lease.
 	Troubled func() bool
 	// Keep is how long a key that disappears around an outage is kept.
@@ -138,7 +138,7 @@
 	wa.regain()
 	wa.takeEvents(pa)
 	if len(pa.Items) > 0 {
-		pauser.For(ctx, betweenWatches)
+		pauser.For(ctx, wa.op.Pause)
 	}
 	return nil
 }
