--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -42,7 +42,9 @@
 }
 
 // New makes a budgeter.
-func New(op Options) *Budgeter { return &Budgeter{op: op, started: time.Now(), services: make(map[string]*window)} }
+func New(op Options) *Budgeter {
+	return &Budgeter{op: op, started: time.Now(), services: make(map[string]*window)}
+}
 
 func (bu *Budgeter) window(service string) *window {
 	wi, ok := bu.services[service]
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -38,6 +38,18 @@
 	Address string
 }
 
+// Copy is an instance's copy of the store's keys below a prefix, as of a revision.
+type Copy struct {
+	Items    []platform.Item
+	Revision int64
+}
+
+// Mirror is an instance's copy of the operator's keys and of the registered targets.
+type Mirror struct {
+	Operator Copy
+	Targets  Copy
+}
+
 // Options set an Exchanger up.
 type Options struct {
 	// Peers returns the other instances.
@@ -47,8 +59,8 @@
 	Take    func(*wire.FleetState)
 	// Load has a target that this instance holds load an adapter.
 	Load func(ctx context.Context, target string, ad balancer.Adapter, version int64) error
-	// Mirror returns this instance's copy of the store's keys, with its revision.
-	Mirror func() ([]platform.Item, int64)
+	// Mirror returns this instance's copy of the store's keys.
+	Mirror func() Mirror
 	// Failed is told of a peer that did not answer an exchange.
 	Failed func(peer string, err error)
 }
@@ -170,19 +182,26 @@
 	return answer.Msg.GetRefusal(), nil
 }
 
-// Mirror asks an instance for its copy of the store's keys, if it is newer than a revision.
-func (ex *Exchanger) Mirror(ctx context.Context, address string, after int64) ([]platform.Item, int64, error) {
+// Mirror asks an instance for its copy of the store's keys.
+func (ex *Exchanger) Mirror(ctx context.Context, address string) (Mirror, error) {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
-	answer, err := ex.clientOf(address).Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{After: after}))
+	answer, err := ex.clientOf(address).Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{}))
 	if err != nil {
-		return nil, 0, err
+		return Mirror{}, err
 	}
-	items := make([]platform.Item, 0, len(answer.Msg.GetItems()))
-	for _, it := range answer.Msg.GetItems() {
+	return Mirror{
+		Operator: Copy{Items: decodeItems(answer.Msg.GetOperatorItems()), Revision: answer.Msg.GetOperatorRevision()},
+		Targets:  Copy{Items: decodeItems(answer.Msg.GetTargetItems()), Revision: answer.Msg.GetTargetRevision()},
+	}, nil
+}
+
+func decodeItems(wired []*wire.MirrorItem) []platform.Item {
+	items := make([]platform.Item, 0, len(wired))
+	for _, it := range wired {
 		items = append(items, platform.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision()})
 	}
-	return items, answer.Msg.GetRevision(), nil
+	return items
 }
 
 func (ex *Exchanger) clientOf(address string) wireconnect.FleetServiceClient {
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"lovagebank/balancer"
+	"lovagebank/platform"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
 )
@@ -37,14 +38,20 @@
 }
 
 // Mirror returns the instance's copy of the store's keys.
-func (se *service) Mirror(_ context.Context, rq *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
-	items, revision := se.op.Mirror()
-	answer := &wire.MirrorResponse{Revision: revision}
-	if revision <= rq.Msg.GetAfter() {
-		return connect.NewResponse(answer), nil
-	}
+func (se *service) Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
+	mi := se.op.Mirror()
+	return connect.NewResponse(&wire.MirrorResponse{
+		OperatorRevision: mi.Operator.Revision,
+		TargetRevision:   mi.Targets.Revision,
+		OperatorItems:    encodeItems(mi.Operator.Items),
+		TargetItems:      encodeItems(mi.Targets.Items),
+	}), nil
+}
+
+func encodeItems(items []platform.Item) []*wire.MirrorItem {
+	wired := make([]*wire.MirrorItem, 0, len(items))
 	for _, it := range items {
-		answer.Items = append(answer.Items, &wire.MirrorItem{Key: it.Key, Value: it.Value, Revision: it.Revision})
+		wired = append(wired, &wire.MirrorItem{Key: it.Key, Value: it.Value, Revision: it.Revision})
 	}
-	return connect.NewResponse(answer), nil
+	return wired
 }
--- a/supervisor/newer.go
+++ b/supervisor/newer.go
@@ -1,53 +1,38 @@
 package supervisor
 
-import (
-	"strings"
-	"sync"
+import "sync"
 
-	"lovagebank/platform"
-)
-
-// Places of the watchers.
-const (
-	operatorWatcher = iota
-	targetWatcher
-)
+// revisions are those of the store up to which an instance knows the operator's keys and the targets.
+type revisions struct {
+	operator int64
+	targets  int64
+}
 
-// newer keeps the revisions of the store that peers tell.
+// newer keeps the revisions that peers tell.
 type newer struct {
-	mu        sync.Mutex
-	revisions map[string]int64
+	mu    sync.Mutex
+	peers map[string]revisions
 }
 
-func (ne *newer) note(peer string, revision int64) {
+func (ne *newer) note(peer string, known revisions) {
 	ne.mu.Lock()
 	defer ne.mu.Unlock()
-	if ne.revisions == nil {
-		ne.revisions = make(map[string]int64)
+	if ne.peers == nil {
+		ne.peers = make(map[string]revisions)
 	}
-	ne.revisions[peer] = revision
+	ne.peers[peer] = known
 }
 
-// best returns the peer that knows most, if it knows more than a revision.
-func (ne *newer) best(revision int64) (string, bool) {
+// best returns the peer that knows most beyond what is known here.
+func (ne *newer) best(own revisions) (string, bool) {
 	ne.mu.Lock()
 	defer ne.mu.Unlock()
-	found := ""
-	for peer, known := range ne.revisions {
-		if known > revision {
-			found, revision = peer, known
+	found, most := "", int64(0)
+	for peer, known := range ne.peers {
+		beyond := max(known.operator-own.operator, 0) + max(known.targets-own.targets, 0)
+		if beyond > most {
+			found, most = peer, beyond
 		}
 	}
 	return found, found != ""
 }
-
-func splitItems(items []platform.Item) (operator, targets []platform.Item) {
-	for _, it := range items {
-		if strings.HasPrefix(it.Key, platform.OperatorPrefix) {
-			operator = append(operator, it)
-		} else {
-			targets = append(targets, it)
-		}
-	}
-	return operator, targets
-}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -11,7 +11,6 @@
 	"lovagebank/exchanger"
 	"lovagebank/orderer"
 	"lovagebank/pauser"
-	"lovagebank/platform"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
 	"lovagebank/wire"
@@ -106,7 +105,9 @@
 
 // compose is what this instance tells a peer.
 func (su *Supervisor) compose(peer string) *wire.FleetState {
-	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load(), StoreRevision: su.revision()}
+	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load()}
+	known := su.revisions()
+	state.OperatorRevision, state.TargetRevision = known.operator, known.targets
 	for name, ta := range su.allotter.Tallies() {
 		state.Tallies = append(state.Tallies, &wire.OrganisationTally{Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked})
 	}
@@ -176,7 +177,7 @@
 		crashes = append(crashes, quarantiner.Crash{Fingerprint: cr.GetFingerprint(), Count: int(cr.GetCount())})
 	}
 	su.quarantiner.Heard(peer, crashes)
-	su.newer.note(peer, state.GetStoreRevision())
+	su.newer.note(peer, revisions{operator: state.GetOperatorRevision(), targets: state.GetTargetRevision()})
 }
 
 func holding(peer string, held *wire.HeldTarget) balancer.Holding {
@@ -225,20 +226,23 @@
 	}
 }
 
-// revision is the store's revision up to which the operator's keys and the targets are known.
-func (su *Supervisor) revision() int64 {
-	return min(su.watchers[operatorWatcher].Revision(), su.watchers[targetWatcher].Revision())
+// revisions are those of the store up to which the operator's keys and the targets are known.
+func (su *Supervisor) revisions() revisions {
+	return revisions{operator: su.operatorWatcher.Revision(), targets: su.targetWatcher.Revision()}
 }
 
 // mirror is this instance's copy of the operator's keys and the registered targets.
-func (su *Supervisor) mirror() ([]platform.Item, int64) {
-	items := append(su.watchers[operatorWatcher].Items(), su.watchers[targetWatcher].Items()...)
-	return items, su.revision()
+func (su *Supervisor) mirror() exchanger.Mirror {
+	known := su.revisions()
+	return exchanger.Mirror{
+		Operator: exchanger.Copy{Items: su.operatorWatcher.Items(), Revision: known.operator},
+		Targets:  exchanger.Copy{Items: su.targetWatcher.Items(), Revision: known.targets},
+	}
 }
 
 // askMirror takes in the copy of a peer that knows more of the store.
 func (su *Supervisor) askMirror(ctx context.Context) {
-	peer, ok := su.newer.best(su.revision())
+	peer, ok := su.newer.best(su.revisions())
 	if !ok {
 		return
 	}
@@ -246,18 +250,14 @@
 		if in.Name != peer {
 			continue
 		}
-		items, revision, err := su.exchanger.Mirror(ctx, in.Address, su.revision())
+		mi, err := su.exchanger.Mirror(ctx, in.Address)
 		if err != nil {
 			su.logger.Warn("copy of the store not had from peer", "peer", peer, "error", err)
 			return
 		}
-		su.learn(items, revision)
-		su.logger.Info("store followed through peer", "peer", peer, "revision", revision, "entries", len(items))
+		su.operatorWatcher.Learn(mi.Operator.Items, mi.Operator.Revision)
+		su.targetWatcher.Learn(mi.Targets.Items, mi.Targets.Revision)
+		su.logger.Info("store followed through peer", "peer", peer,
+			"operator-revision", mi.Operator.Revision, "target-revision", mi.Targets.Revision)
 	}
 }
-
-func (su *Supervisor) learn(items []platform.Item, revision int64) {
-	operator, targets := splitItems(items)
-	su.watchers[operatorWatcher].LearnAll(operator, revision)
-	su.watchers[targetWatcher].LearnAll(targets, revision)
-}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -41,15 +41,19 @@
 	// keepAfterOutage is how long a target whose entry disappears around an outage of the store is kept: until the
 	// targets that live have had time to come back.
 	keepAfterOutage = 2500 * time.Millisecond
-	// operatorPause, targetPause and ownPause are the times between two watches of the operator's keys, the targets
-	// and the instances' own keys. Targets write their entries at each change of their adapters.
-	operatorPause = 30 * time.Millisecond
-	targetPause   = 900 * time.Millisecond
-	ownPause      = 200 * time.Millisecond
 	// troubleMemory is how long after a failed call of the store a removal counts as one around an outage.
 	troubleMemory = 5 * time.Second
 )
 
+// How the operator's keys, the targets and the instances' own keys are followed. Each call of the store has its price;
+// targets write their entries at each change of their adapters. A watch that waits while the store drops its history
+// may hear nothing more, so the waits end well within the bound of a change.
+var (
+	operatorPace = watcher.Pace{Wait: 2500 * time.Millisecond, Pause: 30 * time.Millisecond}
+	targetPace   = watcher.Pace{Wait: 2500 * time.Millisecond, Pause: 900 * time.Millisecond}
+	ownPace      = watcher.Pace{Wait: 10 * time.Second, Pause: 200 * time.Millisecond}
+)
+
 // Options set a Supervisor up.
 type Options struct {
 	// Settings are the instance's settings.
@@ -81,16 +85,18 @@
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
 	acceptor    *acceptor.Acceptor
-	watchers    []*watcher.Watcher
 	holdings    *holdings
 
+	operatorWatcher *watcher.Watcher
+	targetWatcher   *watcher.Watcher
+	ownWatcher      *watcher.Watcher
+
 	configuration atomic.Pointer[router.Configuration]
 	versions      versions
 	newer         newer
 	troubleAt     atomic.Int64
 	began         time.Time
 	draining      atomic.Bool
-	listed        atomic.Int32
 	serving       atomic.Int64
 	tasks         sync.WaitGroup
 }
@@ -120,11 +126,9 @@
 	su.holdings = newHoldings(su)
 	su.exchanger = su.newExchanger()
 	su.acceptor = su.newAcceptor()
-	su.watchers = []*watcher.Watcher{
-		su.newWatcher(platform.OperatorPrefix, operatorPause, su.takeOperator),
-		su.newWatcher(platform.TargetPrefix, targetPause, su.takeTarget),
-		su.newWatcher(platform.OwnPrefix, ownPause, su.keeper.Take),
-	}
+	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, operatorPace, su.takeOperator)
+	su.targetWatcher = su.newWatcher(platform.TargetPrefix, targetPace, su.takeTarget)
+	su.ownWatcher = su.newWatcher(platform.OwnPrefix, ownPace, su.keeper.Take)
 	return su
 }
 
@@ -145,16 +149,15 @@
 	})
 }
 
-func (su *Supervisor) newWatcher(prefix string, pause time.Duration, changed func(platform.Item)) *watcher.Watcher {
+func (su *Supervisor) newWatcher(prefix string, pace watcher.Pace, changed func(platform.Item)) *watcher.Watcher {
 	return watcher.New(watcher.Options{
 		Prefix:   prefix,
 		List:     su.list,
 		Watch:    su.watch,
-		Pause:    pause,
+		Pace:     pace,
 		Troubled: func() bool { return su.troubled(troubleMemory) },
 		Keep:     keepAfterOutage,
 		Changed:  changed,
-		Listed:   func() { su.listed.Add(1) },
 		Logger:   su.logger,
 	})
 }
@@ -206,7 +209,7 @@
 }
 
 func (su *Supervisor) runParts(ctx context.Context) {
-	for _, wa := range su.watchers {
+	for _, wa := range []*watcher.Watcher{su.operatorWatcher, su.targetWatcher, su.ownWatcher} {
 		su.tasks.Go(func() { wa.Run(ctx) })
 	}
 	su.tasks.Go(func() { su.keeper.Run(ctx) })
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// watchWait is how long the store is asked to wait for changes.
-	watchWait = 25 * time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
@@ -26,6 +24,15 @@
 	recheck = 250 * time.Millisecond
 )
 
+// Pace bounds the calls of the store.
+type Pace struct {
+	// Wait is how long the store is asked to wait for changes.
+	Wait time.Duration
+	// Pause is the time after an answer with changes before the next call, so that changes in quick succession come in
+	// one answer.
+	Pause time.Duration
+}
+
 // Options set a Watcher up.
 type Options struct {
 	// Prefix begins the keys.
@@ -33,17 +40,14 @@
 	// List and Watch read the store.
 	List  func(ctx context.Context, prefix string, stale bool) (platform.Page, error)
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
-	// Pause is the time after an answered watch before the next, so that changes in quick succession come in one
-	// answer: each call of the store has its price.
-	Pause time.Duration
+	// Pace bounds the calls.
+	Pace Pace
 	// Troubled tells whether the store failed calls of late, so that a removal may be a lapsed lease.
 	Troubled func() bool
 	// Keep is how long a key that disappears around an outage is kept.
 	Keep time.Duration
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
-	// Listed is told when the first listing is complete.
-	Listed func()
 	// Logger takes a line when the store is lost or regained.
 	Logger *log.Logger
 }
@@ -124,7 +128,7 @@
 		wa.takeListing(pa)
 		return nil
 	}
-	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, watchWait)
+	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wa.op.Pace.Wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		wa.op.Logger.Warn("history dropped, listing again", "prefix", wa.op.Prefix, "after", after)
 		wa.mu.Lock()
@@ -138,7 +142,7 @@
 	wa.regain()
 	wa.takeEvents(pa)
 	if len(pa.Items) > 0 {
-		pauser.For(ctx, wa.op.Pause)
+		pauser.For(ctx, wa.op.Pace.Pause)
 	}
 	return nil
 }
@@ -175,12 +179,8 @@
 		}
 	}
 	wa.mu.Lock()
-	first := wa.revision == 0
 	wa.listed, wa.revision = true, max(wa.revision, pa.Revision)
 	wa.mu.Unlock()
-	if first && wa.op.Listed != nil {
-		wa.op.Listed()
-	}
 }
 
 func (wa *Watcher) takeEvents(pa platform.Page) {
@@ -224,8 +224,8 @@
 	wa.op.Changed(it)
 }
 
-// LearnAll takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing.
-func (wa *Watcher) LearnAll(items []platform.Item, revision int64) {
+// Learn takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing.
+func (wa *Watcher) Learn(items []platform.Item, revision int64) {
 	if revision > wa.Revision() {
 		wa.takeListing(platform.Page{Items: items, Revision: revision})
 	}
