--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -15,6 +15,7 @@
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
 	"lovagebank/forwarder"
+	"lovagebank/orderer"
 	"lovagebank/platform"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
@@ -27,7 +28,7 @@
 	// Newest returns the newest version named for an adapter; 0 if none is.
 	Newest func(balancer.Adapter) int64
 	// Load has a target load an adapter, by way of its holder, and returns when it is there.
-	Load func(ctx context.Context, holder string, ta *balancer.Target, ad balancer.Adapter, version int64) error
+	Load func(ctx context.Context, holder string, ta *balancer.Target, rq orderer.Request) error
 	// Instances returns the number of instances that share the targets' connections.
 	Instances func() int
 	// Draining tells whether the instance is shutting down, so that callers should leave their connections.
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -8,9 +8,11 @@
 
 	"lovagebank/balancer"
 	"lovagebank/forwarder"
+	"lovagebank/orderer"
 	"lovagebank/platform"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
+	"lovagebank/stocker"
 )
 
 const (
@@ -20,6 +22,8 @@
 	maxLoads = 3
 	// loadPatience bounds the wait for one target to load an adapter.
 	loadPatience = 1500 * time.Millisecond
+	// slotWait is the share of the objective that a request may wait for a free adapter slot.
+	slotWait = 0.8
 	// leastTime is the time below which a send is of no use.
 	leastTime = 20 * time.Millisecond
 	// connectionShare is the part of a target's connections that the instances share evenly; the rest is for
@@ -114,6 +118,7 @@
 		tokens = &sum
 	}
 	ex.cost = ex.organisation.Cost(tokens)
+	ex.outcome.cost = ex.cost
 	ok, wait := ex.ac.op.Allotter.Charge(ex.organisation, ex.cost)
 	if !ok {
 		ex.refuse(refusedOverAllowance(wait))
@@ -138,12 +143,7 @@
 			return ex.noTarget()
 		}
 		if !ch.Holds() {
-			if ex.load(ch) {
-				continue
-			}
-			if ex.loads >= maxLoads {
-				return refusedNoLoad
-			}
+			ex.load(ch)
 			continue
 		}
 		ex.spread(ch)
@@ -188,6 +188,9 @@
 }
 
 func (ex *exchange) noTarget() *refusal {
+	if ex.loads >= maxLoads {
+		return ex.afterBreakOr(refusedNoLoad)
+	}
 	if ex.full {
 		return ex.afterBreakOr(refusedFull)
 	}
@@ -214,6 +217,7 @@
 		Excluded:     ex.excluded,
 		PromptTokens: ex.caller.PromptTokens,
 		Again:        ex.sends+ex.loads > 0,
+		HeldOnly:     ex.loads >= maxLoads,
 	}
 	if ex.service.Engine() == nil {
 		return ne
@@ -226,22 +230,34 @@
 	return ne
 }
 
-// load has the target's holder load the adapter; false where that failed.
-func (ex *exchange) load(ch *balancer.Choice) bool {
+// load has the target's holder load the adapter; a target where that fails is not tried again.
+func (ex *exchange) load(ch *balancer.Choice) {
 	ex.loads++
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ex.ctx, loadPatience)
 	defer cancel()
 	need := ex.need()
-	err := ex.ac.op.Load(ctx, ch.Holder(), ch.Target(), need.Adapter, need.Version)
+	err := ex.ac.op.Load(ctx, ch.Holder(), ch.Target(), orderer.Request{
+		Want:     stocker.Want{Adapter: need.Adapter, Version: need.Version},
+		Patience: ex.slotPatience(),
+	})
 	ex.outcome.loadWait += time.Since(started)
 	if err != nil {
 		ex.outcome.note(err)
 		ex.excluded[ch.Target().ID()] = true
-		return false
+		return
 	}
 	ex.ac.op.Balancer.Holds(ch.Target().ID(), need.Adapter, max(need.Version, 1))
-	return true
+}
+
+// slotPatience is how long the request may wait for a free adapter slot. The first targets refuse at once, so that
+// another one is asked; at the last one it waits as long as the answer can still come in time.
+func (ex *exchange) slotPatience() time.Duration {
+	if ex.loads < maxLoads {
+		return 0
+	}
+	objective := time.Duration(slotWait * float64(ex.route.Objective()))
+	return max(time.Until(ex.outcome.arrived.Add(objective)), 0)
 }
 
 // spread has a further target load the adapter, without waiting for it.
@@ -253,7 +269,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), loadPatience)
 		defer cancel()
-		if err := load(ctx, ch.SpreadHolder(), ch.Spread(), need.Adapter, need.Version); err == nil {
+		err := load(ctx, ch.SpreadHolder(), ch.Spread(), orderer.Request{
+			Want: stocker.Want{Adapter: need.Adapter, Version: need.Version, Spare: !ch.Urgent()},
+		})
+		if err == nil {
 			ex.ac.op.Balancer.Holds(ch.Spread().ID(), need.Adapter, max(need.Version, 1))
 		}
 	}()
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -11,6 +11,7 @@
 	id           string
 	route        *router.Route
 	organisation string
+	cost         float64
 	version      int64
 	arrived      time.Time
 	firstAt      time.Time
@@ -70,7 +71,7 @@
 		fields = append(fields, "route", ou.route.Name(), "config", ou.version)
 	}
 	if ou.organisation != "" {
-		fields = append(fields, "organisation", ou.organisation)
+		fields = append(fields, "organisation", ou.organisation, "cost", int(ou.cost))
 	}
 	if ou.target != "" {
 		fields = append(fields, "target", ou.target, "load", int(ou.load*100), "load-age-ms", ou.loadAge.Milliseconds(),
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -20,8 +20,10 @@
 	jitter = 0.04
 	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be.
 	affinitySlack = 0.15
-	// crowded is the load at which one more replica is wanted, in shares of a target's slots.
-	crowded = 0.8
+	// crowded is the load at which one more replica is wanted, and overfull that at which a request rather waits for
+	// an idler target to load its adapter, in shares of a target's slots.
+	crowded  = 0.6
+	overfull = 1.1
 	// longPrompt is the number of tokens from which a prompt is worth sending where its parts may be kept.
 	longPrompt = 1000
 	// homeSlack is how much busier than the idlest the first target in rank may be to load an adapter.
@@ -42,6 +44,8 @@
 	LastPart string
 	// Excluded are targets that have been tried.
 	Excluded map[string]bool
+	// HeldOnly asks for targets that hold the adapter already.
+	HeldOnly bool
 	// Again marks a further try of a request that has been counted in the demand.
 	Again bool
 }
@@ -54,6 +58,7 @@
 	holder  string
 	spread  *Target
 	by      string
+	urgent  bool
 	load    float64
 	age     time.Duration
 }
@@ -82,6 +87,9 @@
 // SpreadHolder is the instance that may order Spread to load.
 func (ch *Choice) SpreadHolder() string { return ch.by }
 
+// Urgent tells that the targets that hold the adapter are crowded, so that Spread may push out another adapter.
+func (ch *Choice) Urgent() bool { return ch.urgent }
+
 // Choose picks the target for a request; ok is false where no target could take it.
 func (ba *Balancer) Choose(ne Need) (*Choice, bool) {
 	ba.mu.Lock()
@@ -196,6 +204,11 @@
 		return ba.chooseLoader(ne, usable, now)
 	}
 	st := ba.chooseHolding(ne, holding, now)
+	if st.weight() > overfull {
+		if ch, ok := ba.chooseLoader(ne, usable, now); ok && ch.load < crowded {
+			return ch, true
+		}
+	}
 	ch := ba.choice(st, now)
 	ch.version = st.adapters[ne.Adapter]
 	if ne.Adapter.Name != "" {
@@ -234,7 +247,11 @@
 		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" {
 			continue
 		}
-		if _, old := st.adapters[ne.Adapter]; old {
+		version, held := st.adapters[ne.Adapter]
+		if held && version >= ne.Version {
+			continue
+		}
+		if held {
 			outdated = append(outdated, st)
 			continue
 		}
@@ -243,7 +260,7 @@
 	if len(able) == 0 {
 		able = outdated
 	}
-	if len(able) == 0 || ne.Adapter.Name == "" {
+	if len(able) == 0 || ne.Adapter.Name == "" || ne.HeldOnly {
 		return nil, false
 	}
 	least := able[0].weight()
@@ -266,6 +283,7 @@
 	wanted := ba.demand.replicas(ne.Adapter, len(usable), now)
 	if ch.load > crowded {
 		wanted = max(wanted, len(holding)+1)
+		ch.urgent = true
 	}
 	if len(holding) >= wanted {
 		return
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -11,7 +11,7 @@
 
 	"connectrpc.com/connect"
 
-	"lovagebank/balancer"
+	"lovagebank/orderer"
 	"lovagebank/pauser"
 	"lovagebank/platform"
 	"lovagebank/wire"
@@ -58,7 +58,7 @@
 	Compose func(peer string) *wire.FleetState
 	Take    func(*wire.FleetState)
 	// Load has a target that this instance holds load an adapter.
-	Load func(ctx context.Context, target string, ad balancer.Adapter, version int64) error
+	Load func(ctx context.Context, target string, rq orderer.Request) error
 	// Mirror returns this instance's copy of the store's keys.
 	Mirror func() Mirror
 	// Failed is told of a peer that did not answer an exchange.
@@ -173,9 +173,15 @@
 }
 
 // Load asks an instance to have a target load an adapter; the refusal is empty when the target holds it.
-func (ex *Exchanger) Load(ctx context.Context, address, target string, ad balancer.Adapter, version int64) (string, error) {
-	rq := connect.NewRequest(&wire.LoadRequest{Target: target, Model: ad.Model, Adapter: ad.Name, Version: version})
-	answer, err := ex.clientOf(address).Load(ctx, rq)
+func (ex *Exchanger) Load(ctx context.Context, address, target string, rq orderer.Request) (string, error) {
+	answer, err := ex.clientOf(address).Load(ctx, connect.NewRequest(&wire.LoadRequest{
+		Target:     target,
+		Model:      rq.Want.Adapter.Model,
+		Adapter:    rq.Want.Adapter.Name,
+		Version:    rq.Want.Version,
+		PatienceMs: int32(rq.Patience.Milliseconds()),
+		Spare:      rq.Want.Spare,
+	}))
 	if err != nil {
 		return "", err
 	}
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
 	"lovagebank/balancer"
+	"lovagebank/orderer"
 	"lovagebank/platform"
+	"lovagebank/stocker"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
 )
@@ -30,8 +33,15 @@
 
 // Load has a target load an adapter and answers when it is there.
 func (se *service) Load(ctx context.Context, rq *connect.Request[wire.LoadRequest]) (*connect.Response[wire.LoadResponse], error) {
-	ad := balancer.Adapter{Model: rq.Msg.GetModel(), Name: rq.Msg.GetAdapter()}
-	if err := se.op.Load(ctx, rq.Msg.GetTarget(), ad, rq.Msg.GetVersion()); err != nil {
+	wanted := orderer.Request{
+		Want: stocker.Want{
+			Adapter: balancer.Adapter{Model: rq.Msg.GetModel(), Name: rq.Msg.GetAdapter()},
+			Version: rq.Msg.GetVersion(),
+			Spare:   rq.Msg.GetSpare(),
+		},
+		Patience: time.Duration(rq.Msg.GetPatienceMs()) * time.Millisecond,
+	}
+	if err := se.op.Load(ctx, rq.Msg.GetTarget(), wanted); err != nil {
 		return connect.NewResponse(&wire.LoadResponse{Refusal: err.Error()}), nil
 	}
 	return connect.NewResponse(&wire.LoadResponse{}), nil
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -42,6 +42,9 @@
 	settled = time.Second
 )
 
+// orderTimeouts bound the tries of an order; engines answer within milliseconds.
+var orderTimeouts = []time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond}
+
 // Options set an Orderer up.
 type Options struct {
 	// Target is the engine.
@@ -85,9 +88,17 @@
 	total  int
 }
 
+// Request asks for an adapter on the engine.
+type Request struct {
+	Want stocker.Want
+	// Patience is how long to wait for a free adapter slot; 0 refuses at once where there is none.
+	Patience time.Duration
+}
+
 // waiter is a call of Load that waits.
 type waiter struct {
 	want  stocker.Want
+	until time.Time
 	ready chan error
 }
 
@@ -107,12 +118,12 @@
 // Target is the engine that is ordered.
 func (or *Orderer) Target() *balancer.Target { return or.op.Target }
 
-// Load asks for an adapter, at least in a version, and returns when the engine holds it.
-func (or *Orderer) Load(ctx context.Context, ad balancer.Adapter, version int64) error {
+// Load asks for an adapter and returns when the engine holds it.
+func (or *Orderer) Load(ctx context.Context, rq Request) error {
 	if _, ok := or.op.Authority(); !ok {
 		return ErrNotHolder
 	}
-	wt := &waiter{want: stocker.Want{Adapter: ad, Version: version}, ready: make(chan error, 1)}
+	wt := &waiter{want: rq.Want, until: time.Now().Add(rq.Patience), ready: make(chan error, 1)}
 	or.mu.Lock()
 	or.waiting = append(or.waiting, wt)
 	or.mu.Unlock()
@@ -266,40 +277,54 @@
 	return stocker.Step{}, false
 }
 
-// nextWanted answers the waiting calls that can be answered and returns the first order that another one needs.
+// nextWanted answers the waiting calls that can be answered and returns the first order that another one needs: that
+// of the adapter for which most calls wait.
 func (or *Orderer) nextWanted(now time.Time) (stocker.Step, bool) {
 	var next stocker.Step
-	found := false
+	most := 0
+	calls := make(map[balancer.Adapter]int, len(or.waiting))
 	still := or.waiting[:0:0]
 	for _, wt := range or.waiting {
 		verdict, sp := or.stock.Judge(wt.want, now)
-		switch verdict {
-		case stocker.Ready:
-			wt.ready <- nil
-		case stocker.Full:
-			wt.ready <- ErrFull
-		case stocker.Crowded:
-			wt.ready <- ErrCrowded
-		default:
-			still = append(still, wt)
-			if verdict != stocker.Pending && !found {
-				next, found = sp, true
-			}
+		if wt.answer(verdict, now) {
+			continue
+		}
+		still = append(still, wt)
+		if verdict != stocker.NeedsLoad && verdict != stocker.NeedsRoom {
+			continue
+		}
+		calls[wt.want.Adapter]++
+		if calls[wt.want.Adapter] > most {
+			next, most = sp, calls[wt.want.Adapter]
 		}
 	}
 	or.waiting = still
-	return next, found
+	return next, most > 0
+}
+
+// answer answers a waiting call whose want is met, or cannot be met in its time.
+func (wt *waiter) answer(verdict stocker.Verdict, now time.Time) bool {
+	switch {
+	case verdict == stocker.Ready:
+		wt.ready <- nil
+	case verdict == stocker.Full && !now.Before(wt.until):
+		wt.ready <- ErrFull
+	case verdict == stocker.Crowded && !now.Before(wt.until):
+		wt.ready <- ErrCrowded
+	default:
+		return false
+	}
+	return true
 }
 
+// order gives one order. One that gets no answer is given again at once: as both expect the same count of orders, the
+// engine carries out only one of them.
 func (or *Orderer) order(ctx context.Context, sp stocker.Step, epoch int64) bool {
 	or.mu.Lock()
 	expected, underWay := or.orders, or.stock.UnderWay(sp)
 	or.mu.Unlock()
-	outcome, err := or.op.Order(ctx, or.op.Target, platform.Order{
-		Load: sp.Load, Adapter: sp.Adapter, Version: sp.Version, Orders: expected, Holder: or.op.Holder, Epoch: epoch,
-	})
+	outcome := or.insist(ctx, sp, epoch, expected)
 	now := time.Now()
-	or.logOrder(sp, epoch, expected, outcome, err)
 	or.mu.Lock()
 	defer or.mu.Unlock()
 	or.orderAt = now
@@ -320,6 +345,31 @@
 	return true
 }
 
+// insist gives an order until it gets an answer, a few times.
+func (or *Orderer) insist(ctx context.Context, sp stocker.Step, epoch, expected int64) platform.OrderOutcome {
+	for _, timeout := range orderTimeouts {
+		outcome := or.send(ctx, sp, epoch, expected, timeout)
+		if outcome != platform.OrderUnknown || ctx.Err() != nil {
+			return outcome
+		}
+		var ok bool
+		if epoch, ok = or.op.Authority(); !ok {
+			return outcome
+		}
+	}
+	return platform.OrderUnknown
+}
+
+func (or *Orderer) send(ctx context.Context, sp stocker.Step, epoch, expected int64, timeout time.Duration) platform.OrderOutcome {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	outcome, err := or.op.Order(ctx, or.op.Target, platform.Order{
+		Load: sp.Load, Adapter: sp.Adapter, Version: sp.Version, Orders: expected, Holder: or.op.Holder, Epoch: epoch,
+	})
+	or.logOrder(sp, epoch, expected, outcome, err)
+	return outcome
+}
+
 func (or *Orderer) started(sp stocker.Step, now time.Time) {
 	or.orders++
 	or.stock.Started(sp, now)
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -11,13 +11,17 @@
 )
 
 const (
-	// maxPending is the number of adapters that may be under way to one engine.
-	maxPending = 4
+	// maxPending is the number of adapters that may be under way to one engine, and maxPendingSpare that at which no
+	// further replica is started.
+	maxPending      = 4
+	maxPendingSpare = 2
 	// useMemory is the time over which a use's weight in an adapter's value falls to 1/e.
 	useMemory = 15 * time.Second
-	// idleBefore is how long an adapter must have been unused before it may be given up; instances tell of their
-	// uses with a delay.
-	idleBefore = 600 * time.Millisecond
+	// untoldUse is how long after its load an adapter is kept unless a use has been told: whoever asked for it is about
+	// to use it, and instances tell of their uses with a delay.
+	untoldUse = 600 * time.Millisecond
+	// spareValue is the use from which an adapter is not given up for a further replica of another one.
+	spareValue = 0.5
 	// coldLoad and warmLoad are how long an adapter takes from the weight store and from the engine's own memory.
 	coldLoad = 250 * time.Millisecond
 	warmLoad = 30 * time.Millisecond
@@ -27,6 +31,8 @@
 type Want struct {
 	Adapter balancer.Adapter
 	Version int64
+	// Spare wants a further replica: no adapter of use is given up for it.
+	Spare bool
 }
 
 // Verdict says what a want comes to.
@@ -184,14 +190,14 @@
 		}
 		return Pending, Step{}
 	}
-	if sk.pending() >= maxPending {
+	if pending := sk.pending(); pending >= maxPending || wa.Spare && pending >= maxPendingSpare {
 		return Crowded, Step{}
 	}
 	if held || sk.room() {
 		return NeedsLoad, Step{Load: true, Adapter: wa.Adapter, Version: wa.Version}
 	}
-	victim, ok := sk.victim(now)
-	if !ok {
+	victim, value, ok := sk.victim(now)
+	if !ok || wa.Spare && value > spareValue {
 		return Full, Step{}
 	}
 	return NeedsRoom, Step{Adapter: victim}
@@ -248,7 +254,7 @@
 }
 
 // victim picks the least used adapter that nobody is known to use now.
-func (sk *Stock) victim(now time.Time) (balancer.Adapter, bool) {
+func (sk *Stock) victim(now time.Time) (balancer.Adapter, float64, bool) {
 	var best balancer.Adapter
 	least, found := math.Inf(1), false
 	for ad, pl := range sk.places {
@@ -263,14 +269,12 @@
 			best, least, found = ad, value, true
 		}
 	}
-	return best, found
+	return best, least, found
 }
 
 func (sk *Stock) busy(ad balancer.Adapter, pl *place, now time.Time) bool {
-	if now.Sub(pl.loadedAt) < idleBefore {
-		return true
-	}
-	if us, ok := sk.uses[ad]; ok && now.Sub(us.lastAt) < idleBefore {
+	us, used := sk.uses[ad]
+	if now.Sub(pl.loadedAt) < untoldUse && (!used || us.lastAt.Before(pl.loadedAt)) {
 		return true
 	}
 	for _, running := range sk.running {
@@ -289,7 +293,6 @@
 		sk.loading, sk.loadingUntil = sp.Adapter.Model, now.Add(4*mo.LoadTime+time.Second)
 	case sp.Load:
 		sk.places[sp.Adapter] = &place{version: sp.Version, readyAt: now.Add(sk.loadTime(sp.Adapter)), loadedAt: now}
-		sk.count(sp.Adapter, 1, now)
 	default:
 		delete(sk.places, sp.Adapter)
 	}
@@ -307,7 +310,7 @@
 			pl = &place{loadedAt: now}
 			sk.places[sp.Adapter] = pl
 		}
-		pl.version, pl.ready = max(pl.version, sp.Version), true
+		pl.version, pl.ready, pl.loadedAt = max(pl.version, sp.Version), true, now
 	default:
 		delete(sk.places, sp.Adapter)
 	}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -60,15 +60,15 @@
 }
 
 // load has a target load an adapter by way of its holder.
-func (su *Supervisor) load(ctx context.Context, holder string, ta *balancer.Target, ad balancer.Adapter, version int64) error {
+func (su *Supervisor) load(ctx context.Context, holder string, ta *balancer.Target, rq orderer.Request) error {
 	if holder == su.settings.IP() {
-		return su.loadHere(ctx, ta.ID(), ad, version)
+		return su.loadHere(ctx, ta.ID(), rq)
 	}
 	for _, in := range su.keeper.Instances() {
 		if in.Name != holder {
 			continue
 		}
-		refusal, err := su.exchanger.Load(ctx, in.Address, ta.ID(), ad, version)
+		refusal, err := su.exchanger.Load(ctx, in.Address, ta.ID(), rq)
 		if err != nil {
 			return err
 		}
@@ -80,12 +80,12 @@
 	return errHolderUnknown
 }
 
-func (su *Supervisor) loadHere(ctx context.Context, target string, ad balancer.Adapter, version int64) error {
+func (su *Supervisor) loadHere(ctx context.Context, target string, rq orderer.Request) error {
 	or, ok := su.holdings.orderer(target)
 	if !ok {
 		return orderer.ErrNotHolder
 	}
-	return or.Load(ctx, ad, version)
+	return or.Load(ctx, rq)
 }
 
 func (ho *holdings) newOrderer(ta *balancer.Target, engine *router.Engine) *orderer.Orderer {
