--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -29,8 +29,6 @@
 	// minWait and maxWait bound what a refused caller is told to wait.
 	minWait = 100 * time.Millisecond
 	maxWait = 3 * time.Second
-	// rateMargin is the part of the rate that is given out; the rest covers what is told late.
-	rateMargin = 0.97
 )
 
 // Tally is what one instance tells of one organisation since it started: the tokens admitted and those asked for.
@@ -103,7 +101,7 @@
 func (al *Allotter) flow(name string, bu *bucket, now time.Time) {
 	seconds := now.Sub(bu.at).Seconds()
 	bu.at = now
-	bu.level += bu.rate * rateMargin * seconds
+	bu.level += bu.rate * seconds
 	even := bu.rate / float64(len(al.peers)+1) * seconds
 	for _, pe := range al.peers {
 		if now.Sub(pe.heardAt) <= silence {
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -9,6 +9,7 @@
 	"lovagebank/balancer"
 	"lovagebank/keeper"
 	"lovagebank/platform"
+	"lovagebank/router"
 )
 
 // versions are the newest versions named for adapters.
@@ -116,14 +117,32 @@
 		su.logger.Warn("configuration skipped, the one before stays", "revision", it.Revision, "error", err)
 		return
 	}
-	if current := su.configuration.Load(); current != nil && current.Revision() >= cf.Revision() {
+	current := su.configuration.Load()
+	if current != nil && current.Revision() >= cf.Revision() {
 		return
 	}
 	su.configuration.Store(cf)
+	su.logAllowances(current, cf)
 	su.logger.Info("configuration in force", "version", cf.Version(), "revision", cf.Revision())
 	su.holdings.nudge()
 }
 
+// logAllowances writes a line for each organisation whose allowance differs from that of the configuration before.
+func (su *Supervisor) logAllowances(before, now *router.Configuration) {
+	old := make(map[string]*router.Organisation)
+	if before != nil {
+		for _, og := range before.Organisations() {
+			old[og.Name()] = og
+		}
+	}
+	for _, og := range now.Organisations() {
+		if known, ok := old[og.Name()]; ok && known.Rate() == og.Rate() && known.Burst() == og.Burst() {
+			continue
+		}
+		su.logger.Info("allowance", "organisation", og.Name(), "rate", og.Rate(), "burst", og.Burst(), "version", now.Version())
+	}
+}
+
 // takeTarget takes in a change of the registered targets.
 func (su *Supervisor) takeTarget(it platform.Item) {
 	id := platform.TargetID(it.Key)
