Hold back removals only until the targets had time to come back after a failure of the store

Now a removal waits only until 2.5 s after the last failure, and one told by a peer's copy does not wait.

--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -40,9 +40,18 @@
 	}
 }
 
-func (su *Supervisor) troubled(within time.Duration) bool {
+// lastFailure is when the store last failed a call; zero if it never has.
+func (su *Supervisor) lastFailure() time.Time {
 	at := su.troubleAt.Load()
-	return at > 0 && time.Since(su.began)-time.Duration(at) < within
+	if at == 0 {
+		return time.Time{}
+	}
+	return su.began.Add(time.Duration(at))
+}
+
+func (su *Supervisor) troubled(within time.Duration) bool {
+	failed := su.lastFailure()
+	return !failed.IsZero() && time.Since(failed) < within
 }
 
 func (su *Supervisor) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -151,14 +151,14 @@
 
 func (su *Supervisor) newWatcher(prefix string, pace watcher.Pace, changed func(platform.Item)) *watcher.Watcher {
 	return watcher.New(watcher.Options{
-		Prefix:   prefix,
-		List:     su.list,
-		Watch:    su.watch,
-		Pace:     pace,
-		Troubled: func() bool { return su.troubled(troubleMemory) },
-		Keep:     keepAfterOutage,
-		Changed:  changed,
-		Logger:   su.logger,
+		Prefix:      prefix,
+		List:        su.list,
+		Watch:       su.watch,
+		Pace:        pace,
+		LastFailure: su.lastFailure,
+		Keep:        keepAfterOutage,
+		Changed:     changed,
+		Logger:      su.logger,
 	})
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -42,9 +42,10 @@
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
 	// Pace bounds the calls.
 	Pace Pace
-	// Troubled tells whether the store failed calls of late, so that a removal may be a lapsed lease.
-	Troubled func() bool
-	// Keep is how long a key that disappears around an outage is kept.
+	// LastFailure is when the store last failed a call; zero if it never has.
+	LastFailure func() time.Time
+	// Keep is how long after a failure of the store a key that disappears is kept: its writer may only have lost its
+	// lease, and needs time to come back.
 	Keep time.Duration
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
@@ -59,7 +60,7 @@
 
 	mu       sync.Mutex
 	items    map[string]platform.Item
-	removals map[string]time.Time
+	removals map[string]platform.Item
 	revision int64
 	listed   bool
 	lost     bool
@@ -71,7 +72,7 @@
 		op:       op,
 		done:     make(chan struct{}),
 		items:    make(map[string]platform.Item),
-		removals: make(map[string]time.Time),
+		removals: make(map[string]platform.Item),
 	}
 }
 
@@ -125,7 +126,7 @@
 			return err
 		}
 		wa.regain()
-		wa.takeListing(pa)
+		wa.takeListing(pa, false)
 		return nil
 	}
 	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wa.op.Pace.Wait)
@@ -167,15 +168,15 @@
 	}
 }
 
-func (wa *Watcher) takeListing(pa platform.Page) {
+func (wa *Watcher) takeListing(pa platform.Page, certain bool) {
 	there := make(map[string]bool, len(pa.Items))
 	for _, it := range pa.Items {
 		there[it.Key] = true
-		wa.take(it)
+		wa.take(it, certain)
 	}
 	for _, it := range wa.Items() {
 		if !there[it.Key] {
-			wa.take(platform.Item{Key: it.Key, Revision: max(it.Revision, pa.Revision), Deleted: true})
+			wa.take(platform.Item{Key: it.Key, Revision: max(it.Revision, pa.Revision), Deleted: true}, certain)
 		}
 	}
 	wa.mu.Lock()
@@ -185,73 +186,73 @@
 
 func (wa *Watcher) takeEvents(pa platform.Page) {
 	for _, it := range pa.Items {
-		wa.take(it)
+		wa.take(it, false)
 	}
 	wa.mu.Lock()
 	wa.revision = max(wa.revision, pa.Revision)
 	wa.mu.Unlock()
 }
 
-// take takes in one change, unless a newer one is known.
-func (wa *Watcher) take(it platform.Item) {
+// mayReturn tells whether a key that disappears now may only be a lapsed lease.
+func (wa *Watcher) mayReturn() bool {
+	failed := wa.op.LastFailure()
+	return !failed.IsZero() && time.Since(failed) < wa.op.Keep
+}
+
+// take takes in one change, unless a newer one is known. A removal that is not certain waits around an outage.
+func (wa *Watcher) take(it platform.Item, certain bool) {
 	wa.mu.Lock()
-	known, ok := wa.items[it.Key]
-	if ok && it.Revision <= known.Revision && !it.Deleted || !ok && it.Deleted {
-		if ok {
-			delete(wa.removals, it.Key)
-		}
-		wa.mu.Unlock()
-		return
-	}
-	if it.Deleted && it.Revision < known.Revision {
-		wa.mu.Unlock()
-		return
-	}
-	if it.Deleted && wa.op.Troubled() {
-		if _, waits := wa.removals[it.Key]; !waits {
-			wa.removals[it.Key] = time.Now().Add(wa.op.Keep)
-		}
-		wa.mu.Unlock()
-		return
+	news := wa.note(it, certain)
+	wa.mu.Unlock()
+	if news {
+		wa.op.Changed(it)
 	}
-	delete(wa.removals, it.Key)
-	if it.Deleted {
+}
+
+// note changes the copy; false where nothing has changed yet.
+func (wa *Watcher) note(it platform.Item, certain bool) bool {
+	known, ok := wa.items[it.Key]
+	switch {
+	case it.Deleted && (!ok || it.Revision < known.Revision):
+		return false
+	case it.Deleted && !certain && wa.mayReturn():
+		wa.removals[it.Key] = it
+		return false
+	case it.Deleted:
 		delete(wa.items, it.Key)
-	} else {
+	case ok && it.Revision < known.Revision:
+		return false
+	case ok && it.Revision == known.Revision:
+		delete(wa.removals, it.Key)
+		return false
+	default:
 		wa.items[it.Key] = it
 	}
-	wa.mu.Unlock()
-	wa.op.Changed(it)
+	delete(wa.removals, it.Key)
+	return true
 }
 
-// Learn takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing.
+// Learn takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing. What the peer's copy
+// lacks is gone: the peer has waited where that was due.
 func (wa *Watcher) Learn(items []platform.Item, revision int64) {
 	if revision > wa.Revision() {
-		wa.takeListing(platform.Page{Items: items, Revision: revision})
+		wa.takeListing(platform.Page{Items: items, Revision: revision}, true)
 	}
 }
 
-// expire removes keys whose time has run out.
+// expire removes keys whose writers have not come back.
 func (wa *Watcher) expire(ctx context.Context) {
 	for pauser.For(ctx, recheck) {
-		for _, it := range wa.expired(time.Now()) {
-			wa.op.Logger.Warn("entry gone after an outage of the store", "key", it.Key)
-			wa.op.Changed(it)
-		}
-	}
-}
-
-func (wa *Watcher) expired(now time.Time) []platform.Item {
-	wa.mu.Lock()
-	defer wa.mu.Unlock()
-	var gone []platform.Item
-	for key, until := range wa.removals {
-		if now.Before(until) {
+		if wa.mayReturn() {
 			continue
 		}
-		gone = append(gone, platform.Item{Key: key, Revision: wa.items[key].Revision, Deleted: true})
-		delete(wa.removals, key)
-		delete(wa.items, key)
+		wa.mu.Lock()
+		gone := wa.removals
+		wa.removals = make(map[string]platform.Item)
+		wa.mu.Unlock()
+		for _, it := range gone {
+			wa.op.Logger.Warn("entry gone after an outage of the store", "key", it.Key, "revision", it.Revision)
+			wa.take(it, true)
+		}
 	}
-	return gone
 }
--- /dev/null
+++ b/watcher/watcher_test.go
@@ -0,0 +1,282 @@
+package watcher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/platform"
+	"lovagebank/watcher"
+)
+
+// store is a small store with a history that can be dropped.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]platform.Item
+	history  []platform.Item
+	from     int64
+	revision int64
+	down     bool
+	deaf     bool
+}
+
+func newStore() *store { return &store{items: make(map[string]platform.Item)} }
+
+func (st *store) put(key, value string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.revision++
+	it := platform.Item{Key: key, Value: []byte(value), Revision: st.revision}
+	st.items[key] = it
+	st.history = append(st.history, it)
+}
+
+func (st *store) remove(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.revision++
+	delete(st.items, key)
+	st.history = append(st.history, platform.Item{Key: key, Revision: st.revision, Deleted: true})
+}
+
+func (st *store) compact() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.history, st.from = nil, st.revision
+}
+
+func (st *store) set(down, deaf bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.down, st.deaf = down, deaf
+}
+
+var errDown = errors.New("down")
+
+func (st *store) list(_ context.Context, prefix string, _ bool) (platform.Page, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.down {
+		return platform.Page{}, errDown
+	}
+	pa := platform.Page{Revision: st.revision}
+	for _, it := range st.items {
+		if strings.HasPrefix(it.Key, prefix) {
+			pa.Items = append(pa.Items, it)
+		}
+	}
+	return pa, nil
+}
+
+func (st *store) events(prefix string, after int64) (platform.Page, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch {
+	case st.down:
+		return platform.Page{}, errDown
+	case after < st.from:
+		return platform.Page{}, platform.ErrCompacted
+	}
+	pa := platform.Page{Revision: st.revision}
+	for _, it := range st.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			pa.Items = append(pa.Items, it)
+		}
+	}
+	return pa, nil
+}
+
+func (st *store) isDeaf() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.deaf
+}
+
+// watch looks every 10 ms; a deaf store lets the whole wait pass.
+func (st *store) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+	until := time.Now().Add(wait)
+	deaf := st.isDeaf()
+	for {
+		if !deaf || !time.Now().Before(until) {
+			pa, err := st.events(prefix, after)
+			if err != nil || len(pa.Items) > 0 || !time.Now().Before(until) {
+				return pa, err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// world is a watcher of a store, with what it was told.
+type world struct {
+	store   *store
+	watcher *watcher.Watcher
+
+	mu       sync.Mutex
+	known    map[string]string
+	failedAt time.Time
+}
+
+func run(t *testing.T, scenario func(*testing.T, *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		wo := &world{store: newStore(), known: make(map[string]string)}
+		wo.watcher = watcher.New(watcher.Options{
+			Prefix: "op/", List: wo.list, Watch: wo.watch,
+			Pace:        watcher.Pace{Wait: 2 * time.Second, Pause: 20 * time.Millisecond},
+			LastFailure: wo.lastFailure,
+			Keep:        2500 * time.Millisecond,
+			Changed:     wo.changed,
+			Logger:      log.New(io.Discard),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go wo.watcher.Run(ctx)
+		scenario(t, wo)
+		stop()
+		<-wo.watcher.Done()
+		synctest.Wait()
+	})
+}
+
+func (wo *world) note(err error) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	if errors.Is(err, errDown) {
+		wo.failedAt = time.Now()
+	}
+}
+
+func (wo *world) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
+	pa, err := wo.store.list(ctx, prefix, stale)
+	wo.note(err)
+	return pa, err
+}
+
+func (wo *world) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+	pa, err := wo.store.watch(ctx, prefix, after, wait)
+	wo.note(err)
+	return pa, err
+}
+
+func (wo *world) lastFailure() time.Time {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	return wo.failedAt
+}
+
+func (wo *world) changed(it platform.Item) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	if it.Deleted {
+		delete(wo.known, it.Key)
+		return
+	}
+	wo.known[it.Key] = string(it.Value)
+}
+
+func (wo *world) expect(t *testing.T, key, value string) {
+	t.Helper()
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	if got := wo.known[key]; got != value {
+		t.Errorf("%s is known as %q, want %q", key, got, value)
+	}
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	scenarios := map[string]func(*testing.T, *world){
+		"a key that was there, one that comes and one that goes": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			wo.store.put("other", "1")
+			time.Sleep(2500 * time.Millisecond)
+			wo.expect(t, "op/a", "1")
+			wo.expect(t, "other", "")
+			wo.store.put("op/b", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.expect(t, "op/b", "1")
+			wo.store.remove("op/a")
+			time.Sleep(100 * time.Millisecond)
+			wo.expect(t, "op/a", "")
+		},
+		"changes in a history that was dropped while a watch heard nothing are found when its wait ends": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(2500 * time.Millisecond)
+			wo.store.set(false, true)
+			time.Sleep(2 * time.Second)
+			wo.store.put("op/a", "2")
+			wo.store.compact()
+			wo.store.set(false, false)
+			time.Sleep(2200 * time.Millisecond)
+			wo.expect(t, "op/a", "2")
+		},
+		"a key that lapses while the store is down and comes back is never gone": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.store.set(true, false)
+			time.Sleep(3 * time.Second)
+			wo.store.remove("op/a")
+			wo.store.set(false, false)
+			time.Sleep(1500 * time.Millisecond)
+			wo.expect(t, "op/a", "1")
+			wo.store.put("op/a", "2")
+			time.Sleep(3 * time.Second)
+			wo.expect(t, "op/a", "2")
+		},
+		"a key that lapses while the store is down and stays away is gone soon": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.store.set(true, false)
+			time.Sleep(3 * time.Second)
+			wo.store.remove("op/a")
+			wo.store.set(false, false)
+			time.Sleep(4 * time.Second)
+			wo.expect(t, "op/a", "")
+		},
+		// castaneda-stock trouble-1, seed 855390671469: a target left 3.5 s after the store served this instance
+		// again, and its removal waited as one around the outage.
+		"a key removed well after the store's return is gone at once": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.store.set(true, false)
+			time.Sleep(3 * time.Second)
+			wo.store.set(false, false)
+			time.Sleep(4500 * time.Millisecond)
+			wo.store.remove("op/a")
+			time.Sleep(200 * time.Millisecond)
+			wo.expect(t, "op/a", "")
+		},
+		"a peer's copy is taken while the store turns this instance away, removals at once": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			wo.store.put("op/b", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.store.set(true, false)
+			time.Sleep(3 * time.Second)
+			wo.watcher.Learn([]platform.Item{{Key: "op/b", Value: []byte("2"), Revision: 9}}, 9)
+			wo.expect(t, "op/a", "")
+			wo.expect(t, "op/b", "2")
+		},
+		"a peer that is behind changes nothing": func(t *testing.T, wo *world) {
+			for number := range 5 {
+				wo.store.put("op/a", strconv.Itoa(number))
+			}
+			time.Sleep(100 * time.Millisecond)
+			wo.watcher.Learn([]platform.Item{{Key: "op/a", Value: []byte("old"), Revision: 2}}, 2)
+			wo.expect(t, "op/a", "4")
+		},
+	}
+	for name, scenario := range scenarios {
+		t.Run(name, func(t *testing.T) { run(t, scenario) })
+	}
+}
