Test holders, stock, orders and allowances without a network; bound what an instance admits untold

Cause: an instance could spend nearly the whole bucket between two tellings, as only each single request was held against its part, and a peer that fell silent was presumed to admit nothing for 1.2 s. Now the part counts all that the others have not been told, and a silent peer's even part counts from when it was last heard. All twelve patterns keep the bound.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -51,6 +51,8 @@
 	at    time.Time
 	own   Tally
 	asked average
+	// unheard is what this instance has admitted that the others may not have been told of yet.
+	unheard float64
 }
 
 // peer is what another instance has told.
@@ -63,8 +65,22 @@
 type told struct {
 	tally Tally
 	// presumed is what was taken from the bucket for it while it was silent.
-	presumed float64
-	asked    average
+	presumed   float64
+	presumedTo time.Time
+	asked      average
+}
+
+// presume returns what a silent peer is presumed to have admitted at a rate since it was last heard, or since this was
+// last worked out.
+func (to *told) presume(rate float64, heardAt, now time.Time) float64 {
+	from := heardAt
+	if to.presumedTo.After(from) {
+		from = to.presumedTo
+	}
+	amount := rate * now.Sub(from).Seconds()
+	to.presumed += amount
+	to.presumedTo = now
+	return amount
 }
 
 // average is an amount with exponential forgetting.
@@ -102,13 +118,11 @@
 	seconds := now.Sub(bu.at).Seconds()
 	bu.at = now
 	bu.level += bu.rate * seconds
-	even := bu.rate / float64(len(al.peers)+1) * seconds
+	even := bu.rate / float64(len(al.peers)+1)
 	for _, pe := range al.peers {
-		if now.Sub(pe.heardAt) <= silence {
-			continue
+		if now.Sub(pe.heardAt) > silence {
+			bu.level -= pe.told(name, now).presume(even, pe.heardAt, now)
 		}
-		pe.told(name, now).presumed += even
-		bu.level -= even
 	}
 	bu.level = min(bu.level, bu.burst)
 }
@@ -134,16 +148,30 @@
 	bu.asked.add(cost, now)
 	bu.own.Asked += cost
 	share := al.share(og.Name(), bu, now)
-	if cost <= bu.level*share || cost >= bu.rate*largePart && cost <= bu.level*largeShare {
+	if bu.affords(cost, share) {
 		bu.level -= cost
+		bu.unheard += cost
 		bu.own.Admitted += cost
 		return true, 0
 	}
-	missing := cost/share - bu.level
+	missing := max(cost, (bu.unheard+cost)/share-bu.unheard) - bu.level
 	wait = time.Duration(missing / bu.rate * float64(time.Second))
 	return false, min(max(wait, minWait), maxWait)
 }
 
+// affords tells whether a request fits into what this instance may spend until the others have been told. A large one
+// may go beyond its part, as a part would not pay for it.
+func (bu *bucket) affords(cost, share float64) bool {
+	if cost > bu.level {
+		return false
+	}
+	part := share * (bu.level + bu.unheard)
+	if bu.unheard+cost <= part {
+		return true
+	}
+	return cost >= bu.rate*largePart && bu.unheard <= part && cost <= bu.level*largeShare
+}
+
 // share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
 func (al *Allotter) share(name string, bu *bucket, now time.Time) float64 {
 	own := bu.asked.now(now)
@@ -166,6 +194,7 @@
 	defer al.mu.Unlock()
 	if bu, ok := al.buckets[og.Name()]; ok {
 		bu.level = min(bu.level+cost, bu.burst)
+		bu.unheard = max(bu.unheard-cost, 0)
 		bu.own.Admitted -= cost
 	}
 }
@@ -198,6 +227,10 @@
 		al.flow(name, bu, now)
 	}
 	pe.heardAt = now
+	heard := 1 / float64(len(al.peers))
+	for _, bu := range al.buckets {
+		bu.unheard *= 1 - heard
+	}
 	for name, tally := range tallies {
 		to := pe.told(name, now)
 		admitted := tally.Admitted - to.tally.Admitted
--- /dev/null
+++ b/allotter/allotter_test.go
@@ -0,0 +1,175 @@
+package allotter_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagebank/allotter"
+	"lovagebank/router"
+)
+
+const (
+	instances = 8
+	rate      = 50000.0
+	burst     = 50000.0
+	window    = 8 * time.Second
+	tell      = 450 * time.Millisecond
+)
+
+// fleet is some instances that tell each other, unless they are cut off.
+type fleet struct {
+	members  []*allotter.Allotter
+	cut      map[int]bool
+	admitted []admission
+	refused  float64
+	asked    float64
+}
+
+type admission struct {
+	at   time.Time
+	cost float64
+}
+
+func newFleet() *fleet {
+	fl := &fleet{cut: make(map[int]bool)}
+	for range instances {
+		fl.members = append(fl.members, allotter.New())
+	}
+	fl.tellAll()
+	return fl
+}
+
+func (fl *fleet) tellAll() {
+	for from, sender := range fl.members {
+		for to, receiver := range fl.members {
+			if from == to || fl.cut[from] != fl.cut[to] {
+				continue
+			}
+			receiver.Heard(fmt.Sprint(from), "start", sender.Tallies())
+		}
+	}
+}
+
+// play lets an organisation ask for a multiple of its rate; weights are the instances' parts of it.
+func (fl *fleet) play(span time.Duration, multiple float64, weights [instances]float64, cost float64) {
+	og := router.NewOrganisation(router.OrganisationOptions{
+		Name: "o", TokensPerSecond: rate, BurstTokens: burst, CountsTokens: true,
+	})
+	const step = 10 * time.Millisecond
+	var due [instances]float64
+	told := time.Now()
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(step) {
+		if time.Since(told) >= tell {
+			told = time.Now()
+			fl.tellAll()
+		}
+		for at, member := range fl.members {
+			due[at] += multiple * rate * step.Seconds() * weights[at]
+			for ; due[at] >= cost; due[at] -= cost {
+				fl.charge(member, og, cost)
+			}
+		}
+	}
+}
+
+func (fl *fleet) charge(member *allotter.Allotter, og *router.Organisation, cost float64) {
+	fl.asked += cost
+	if ok, _ := member.Charge(og, cost); ok {
+		fl.admitted = append(fl.admitted, admission{at: time.Now(), cost: cost})
+		return
+	}
+	fl.refused += cost
+}
+
+// most is the largest sum admitted in any window.
+func (fl *fleet) most() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, ad := range fl.admitted {
+		sum += ad.cost
+		for ad.at.Sub(fl.admitted[first].at) > window {
+			sum -= fl.admitted[first].cost
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+var (
+	even   = [instances]float64{.125, .125, .125, .125, .125, .125, .125, .125}
+	uneven = [instances]float64{.35, .2, .15, .1, .1, .05, .05, 0}
+)
+
+func TestAllowance(t *testing.T) {
+	const bound = (rate*8 + burst) * 1.1
+	tests := map[string]struct {
+		multiple float64
+		weights  [instances]float64
+		cost     float64
+		cut      []int
+		// served is the least part of the rate, or of what is asked if that is less, that is admitted.
+		served float64
+	}{
+		"usual demand is not refused":                   {multiple: 0.55, weights: even, cost: 700, served: 0.99},
+		"usual demand on few instances is not refused":  {multiple: 0.55, weights: uneven, cost: 700, served: 0.99},
+		"large requests are not refused":                {multiple: 0.55, weights: uneven, cost: 12000, served: 0.97},
+		"an organisation that asks for eight times":     {multiple: 8, weights: even, cost: 700, served: 0.9},
+		"eight times, on few instances":                 {multiple: 8, weights: uneven, cost: 700, served: 0.9},
+		"eight times, with three instances cut off":     {multiple: 8, weights: even, cost: 700, cut: []int{0, 1, 2}, served: 0.8},
+		"usual demand, with three instances cut off":    {multiple: 0.55, weights: even, cost: 700, cut: []int{0, 1, 2}, served: 0.95},
+		"eight times, with a busy instance cut off":     {multiple: 8, weights: uneven, cost: 700, cut: []int{0}, served: 0.6},
+		"three times, in large requests, one cut off":   {multiple: 3, weights: even, cost: 9000, cut: []int{7}, served: 0.7},
+		"eight times of large requests, few instances":  {multiple: 8, weights: uneven, cost: 9000, served: 0.7},
+		"twice the rate, with four instances cut off":   {multiple: 2, weights: even, cost: 700, cut: []int{0, 1, 2, 3}, served: 0.8},
+		"a little above the rate is served at its rate": {multiple: 1.2, weights: even, cost: 700, served: 0.9},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet()
+				fl.play(10*time.Second, 0.5, tt.weights, tt.cost)
+				for _, at := range tt.cut {
+					fl.cut[at] = true
+				}
+				fl.admitted, fl.refused, fl.asked = nil, 0, 0
+				fl.play(20*time.Second, tt.multiple, tt.weights, tt.cost)
+				if most := fl.most(); most > bound {
+					t.Errorf("%.0f tokens in a window, bound %.0f", most, bound)
+				}
+				admitted := fl.asked - fl.refused
+				if owed := min(fl.asked, rate*20); admitted < tt.served*owed {
+					t.Errorf("%.0f tokens admitted of %.0f owed", admitted, owed)
+				}
+			})
+		})
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		og := router.NewOrganisation(router.OrganisationOptions{
+			Name: "o", TokensPerSecond: 1000, BurstTokens: 1000, CountsTokens: true,
+		})
+		al := allotter.New()
+		for {
+			ok, wait := al.Charge(og, 100)
+			if ok {
+				continue
+			}
+			time.Sleep(wait)
+			if ok, _ := al.Charge(og, 100); !ok {
+				t.Errorf("refused again after waiting %v as told", wait)
+			}
+			return
+		}
+	})
+}
+
+func TestUnlimitedOrganisation(t *testing.T) {
+	og := router.NewOrganisation(router.OrganisationOptions{Name: "o", CountsTokens: true})
+	if ok, _ := allotter.New().Charge(og, 1e12); !ok {
+		t.Error("an organisation without a rate was refused")
+	}
+}
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,337 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/keeper"
+	"lovagebank/platform"
+)
+
+const leaseTime = 12 * time.Second
+
+// store is a small store with leases; it can be cut off from single instances, and drop all leases.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	leases   map[int64]time.Time
+	next     int64
+	items    map[string]platform.Item
+	lease    map[string]int64
+	cut      map[string]bool
+	keepers  map[string]*keeper.Keeper
+}
+
+func newStore() *store {
+	return &store{
+		leases: make(map[int64]time.Time), items: make(map[string]platform.Item), lease: make(map[string]int64),
+		cut: make(map[string]bool), keepers: make(map[string]*keeper.Keeper),
+	}
+}
+
+var errCut = fmt.Errorf("%w: cut", platform.ErrRefused)
+
+// tell passes changes on to all instances that are not cut off.
+func (st *store) tell(items []platform.Item) {
+	for name, ke := range st.keepers {
+		st.mu.Lock()
+		cut := st.cut[name]
+		st.mu.Unlock()
+		if cut {
+			continue
+		}
+		for _, it := range items {
+			ke.Take(it)
+		}
+	}
+}
+
+// lapse removes the keys of leases that have run out.
+func (st *store) lapse(all bool) {
+	st.mu.Lock()
+	var gone []platform.Item
+	for id, until := range st.leases {
+		if !all && time.Now().Before(until) {
+			continue
+		}
+		delete(st.leases, id)
+		for key, lease := range st.lease {
+			if lease == id {
+				st.revision++
+				gone = append(gone, platform.Item{Key: key, Revision: st.revision, Deleted: true})
+				delete(st.items, key)
+				delete(st.lease, key)
+			}
+		}
+	}
+	st.mu.Unlock()
+	st.tell(gone)
+}
+
+func (st *store) isCut(name string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.cut[name]
+}
+
+func (st *store) setCut(name string, cut bool) {
+	st.mu.Lock()
+	st.cut[name] = cut
+	var all []platform.Item
+	for _, it := range st.items {
+		all = append(all, it)
+	}
+	st.mu.Unlock()
+	if !cut {
+		for _, it := range all {
+			st.keepers[name].Take(it)
+		}
+	}
+}
+
+func (st *store) transact(tx platform.Transaction) (int64, error) {
+	st.mu.Lock()
+	for _, ex := range tx.Expected {
+		if st.items[ex.Key].Revision != ex.Revision {
+			st.mu.Unlock()
+			return 0, platform.ErrConflict
+		}
+	}
+	for _, wr := range tx.Writes {
+		if _, ok := st.leases[wr.Lease]; wr.Lease != 0 && !ok {
+			st.mu.Unlock()
+			return 0, platform.ErrNotFound
+		}
+	}
+	st.revision++
+	revision := st.revision
+	var changed []platform.Item
+	for _, wr := range tx.Writes {
+		it := platform.Item{Key: wr.Key, Value: wr.Value, Revision: revision}
+		st.items[wr.Key] = it
+		st.lease[wr.Key] = wr.Lease
+		changed = append(changed, it)
+	}
+	for _, key := range tx.Deletes {
+		delete(st.items, key)
+		changed = append(changed, platform.Item{Key: key, Revision: revision, Deleted: true})
+	}
+	st.mu.Unlock()
+	st.tell(changed)
+	return revision, nil
+}
+
+// fleet runs keepers of one target on a store in virtual time.
+type fleet struct {
+	store  *store
+	frozen map[string]time.Duration
+	stops  map[string]context.CancelFunc
+}
+
+func (fl *fleet) add(t *testing.T, name string) *keeper.Keeper {
+	st := fl.store
+	ke := keeper.New(keeper.Options{
+		Name: name, Address: name + ":1", FailureDomain: "east", Start: name, Turn: 3 * time.Second,
+		Grant: func(_ context.Context, ttl time.Duration) (int64, time.Duration, error) {
+			if st.isCut(name) {
+				return 0, 0, errCut
+			}
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			st.next++
+			st.leases[st.next] = time.Now().Add(ttl)
+			return st.next, ttl, nil
+		},
+		Renew: func(_ context.Context, lease int64) (time.Duration, error) {
+			if st.isCut(name) {
+				return 0, errCut
+			}
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			if _, ok := st.leases[lease]; !ok {
+				return 0, platform.ErrLeaseEnded
+			}
+			st.leases[lease] = time.Now().Add(leaseTime)
+			return leaseTime, nil
+		},
+		End: func(_ context.Context, lease int64) error {
+			st.mu.Lock()
+			st.leases[lease] = time.Now()
+			st.mu.Unlock()
+			st.lapse(false)
+			return nil
+		},
+		Transact: func(_ context.Context, tx platform.Transaction) (int64, error) {
+			if st.isCut(name) {
+				return 0, errCut
+			}
+			return st.transact(tx)
+		},
+		Candidates: func() []keeper.Candidate { return []keeper.Candidate{{ID: "t", FailureDomain: "east"}} },
+		Troubled:   func(time.Duration) bool { return st.isCut(name) },
+		Changed:    func() {},
+		Gone:       func(string) {},
+		Boot:       func() time.Duration { return time.Since(epoch) + fl.frozen[name] },
+		Logger:     log.New(io.Discard),
+	})
+	st.keepers[name] = ke
+	ctx, stop := context.WithCancel(t.Context())
+	fl.stops[name] = stop
+	go ke.Run(ctx)
+	return ke
+}
+
+// epoch is before all times of the bubble, whose clock begins at the start of the year 2000.
+var epoch = time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// orders are the holders that could give orders, by epoch, and when each last could.
+type orders struct {
+	holder string
+	epoch  int64
+	at     time.Time
+}
+
+// watchFor lets time pass and checks, every 50 ms, that at most one instance may order, that epochs never fall, and
+// that the turn lies between two holders. It returns the last holder seen.
+func (fl *fleet) watchFor(t *testing.T, last *orders, span time.Duration) {
+	t.Helper()
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		fl.store.lapse(false)
+		for name, ke := range fl.store.keepers {
+			number, ok := ke.Authority("t")
+			if !ok {
+				continue
+			}
+			if last.holder != "" && last.holder != name && time.Since(last.at) < 3*time.Second {
+				t.Fatalf("%s orders %v after %s", name, time.Since(last.at), last.holder)
+			}
+			if number < last.epoch {
+				t.Fatalf("%s orders with epoch %d after %d", name, number, last.epoch)
+			}
+			*last = orders{holder: name, epoch: number, at: time.Now()}
+		}
+	}
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	scenarios := map[string]func(*testing.T, *fleet, *orders){
+		"the holder is cut off and comes back": func(t *testing.T, fl *fleet, last *orders) {
+			holder := last.holder
+			fl.store.setCut(holder, true)
+			fl.watchFor(t, last, 30*time.Second)
+			if last.holder == holder {
+				t.Error("nobody took the target over")
+			}
+			fl.store.setCut(holder, false)
+			fl.watchFor(t, last, 30*time.Second)
+		},
+		"a short cut changes nothing": func(t *testing.T, fl *fleet, last *orders) {
+			before := *last
+			fl.store.setCut(before.holder, true)
+			fl.watchFor(t, last, 6*time.Second)
+			fl.store.setCut(before.holder, false)
+			fl.watchFor(t, last, 20*time.Second)
+			if last.holder != before.holder || last.epoch != before.epoch {
+				t.Errorf("holder %s epoch %d, want %s and %d", last.holder, last.epoch, before.holder, before.epoch)
+			}
+		},
+		"the store drops all leases early": func(t *testing.T, fl *fleet, last *orders) {
+			fl.store.lapse(true)
+			fl.watchFor(t, last, 40*time.Second)
+		},
+		"the holder's machine is suspended past its lease": func(t *testing.T, fl *fleet, last *orders) {
+			holder := last.holder
+			fl.store.setCut(holder, true)
+			fl.frozen[holder] += 20 * time.Second
+			if _, ok := fl.store.keepers[holder].Authority("t"); ok {
+				t.Error("the holder orders after a suspension longer than its lease")
+			}
+			fl.watchFor(t, last, 30*time.Second)
+		},
+		"the holder leaves": func(t *testing.T, fl *fleet, last *orders) {
+			holder := last.holder
+			fl.store.keepers[holder].Leave(t.Context())
+			if _, ok := fl.store.keepers[holder].Authority("t"); ok {
+				t.Error("the holder orders after it has left")
+			}
+			fl.watchFor(t, last, 10*time.Second)
+			if last.holder == holder {
+				t.Error("nobody took the target over")
+			}
+		},
+	}
+	for name, scenario := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := &fleet{store: newStore(), frozen: make(map[string]time.Duration), stops: make(map[string]context.CancelFunc)}
+				for _, instance := range []string{"a", "b", "c"} {
+					fl.add(t, instance)
+				}
+				last := &orders{}
+				fl.watchFor(t, last, 10*time.Second)
+				if last.holder == "" {
+					t.Fatal("no holder was found")
+				}
+				scenario(t, fl, last)
+				for instance, stop := range fl.stops {
+					stop()
+					<-fl.store.keepers[instance].Done()
+				}
+			})
+		})
+	}
+}
+
+// A claim whose answer was lost shows in the store as held by the instance itself; it is taken up under the epoch that
+// the store names.
+func TestClaimWithoutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{store: newStore(), frozen: make(map[string]time.Duration), stops: make(map[string]context.CancelFunc)}
+		lost := false
+		st := fl.store
+		ke := keeper.New(keeper.Options{
+			Name: "a", Address: "a:1", FailureDomain: "east", Turn: 3 * time.Second,
+			Grant: func(context.Context, time.Duration) (int64, time.Duration, error) {
+				st.mu.Lock()
+				defer st.mu.Unlock()
+				st.leases[1] = time.Now().Add(time.Hour)
+				return 1, leaseTime, nil
+			},
+			Renew: func(context.Context, int64) (time.Duration, error) { return leaseTime, nil },
+			End:   func(context.Context, int64) error { return nil },
+			Transact: func(_ context.Context, tx platform.Transaction) (int64, error) {
+				revision, err := st.transact(tx)
+				claims := len(tx.Writes) > 0 && strings.Contains(tx.Writes[0].Key, "holders/")
+				if err == nil && claims && !lost {
+					lost = true
+					return 0, errors.Join(platform.ErrUnknown, errCut)
+				}
+				return revision, err
+			},
+			Candidates: func() []keeper.Candidate { return []keeper.Candidate{{ID: "t", FailureDomain: "east"}} },
+			Troubled:   func(time.Duration) bool { return false },
+			Changed:    func() {},
+			Gone:       func(string) {},
+			Boot:       func() time.Duration { return time.Since(epoch) },
+			Logger:     log.New(io.Discard),
+		})
+		st.keepers["a"] = ke
+		ctx, stop := context.WithCancel(t.Context())
+		go ke.Run(ctx)
+		time.Sleep(10 * time.Second)
+		if _, ok := ke.Authority("t"); !ok || !lost {
+			t.Errorf("authority %v after a lost answer %v", ok, lost)
+		}
+		stop()
+		<-ke.Done()
+	})
+}
--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,236 @@
+package orderer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/balancer"
+	"lovagebank/orderer"
+	"lovagebank/platform"
+	"lovagebank/router"
+	"lovagebank/stocker"
+)
+
+const (
+	slots     = 4
+	coldLoad  = 250 * time.Millisecond
+	reportLag = 200 * time.Millisecond
+	model     = "base"
+)
+
+// engine is a model engine that takes orders, some of which it carries out late and without an answer.
+type engine struct {
+	mu      sync.Mutex
+	orders  int64
+	held    map[balancer.Adapter]int64
+	pending map[balancer.Adapter]int64
+	history []snapshot
+	lossy   float64
+	random  *rand.Rand
+	most    int
+}
+
+type snapshot struct {
+	at     time.Time
+	report platform.Report
+}
+
+func newEngine(lossy float64) *engine {
+	en := &engine{
+		held:    map[balancer.Adapter]int64{},
+		pending: map[balancer.Adapter]int64{},
+		lossy:   lossy,
+		random:  rand.New(rand.NewPCG(1, 2)),
+	}
+	en.record()
+	return en
+}
+
+// record keeps the state for reports, which lag. The lock is held.
+func (en *engine) record() {
+	adapters := make(map[string]int64)
+	for ad, version := range en.held {
+		adapters[ad.Name] = version
+	}
+	pending := make(map[balancer.Adapter]int64)
+	for ad, version := range en.pending {
+		pending[ad] = version
+	}
+	en.most = max(en.most, len(adapters)+len(pending))
+	en.history = append(en.history, snapshot{at: time.Now(), report: platform.Report{
+		Residents: []balancer.Resident{{Model: model, Version: 1, Adapters: adapters}}, Pending: pending, Orders: en.orders,
+	}})
+}
+
+func (en *engine) report(context.Context, *balancer.Target) (*platform.Report, error) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	found := en.history[0].report
+	for _, sn := range en.history {
+		if time.Since(sn.at) >= reportLag {
+			found = sn.report
+		}
+	}
+	return &found, nil
+}
+
+// order carries an order out; a share of the orders get no answer and are carried out seconds later, if the count of
+// orders is still as expected.
+func (en *engine) order(ctx context.Context, _ *balancer.Target, od platform.Order) (platform.OrderOutcome, error) {
+	en.mu.Lock()
+	late := en.random.Float64() < en.lossy
+	delay := time.Duration(2+en.random.IntN(8)) * time.Second
+	en.mu.Unlock()
+	if !late {
+		return en.carryOut(od), nil
+	}
+	time.AfterFunc(delay, func() { en.carryOut(od) })
+	<-ctx.Done()
+	return platform.OrderUnknown, ctx.Err()
+}
+
+func (en *engine) carryOut(od platform.Order) platform.OrderOutcome {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	_, held := en.held[od.Adapter]
+	_, pending := en.pending[od.Adapter]
+	switch {
+	case od.Orders != en.orders:
+		return platform.OrderConflict
+	case od.Load && held:
+		return platform.OrderHolds
+	case od.Load && pending:
+		return platform.OrderStarted
+	case od.Load:
+		en.pending[od.Adapter] = max(od.Version, 1)
+		time.AfterFunc(coldLoad, func() { en.finish(od.Adapter) })
+	case held:
+		delete(en.held, od.Adapter)
+	default:
+		return platform.OrderHolds
+	}
+	en.orders++
+	en.record()
+	if od.Load {
+		return platform.OrderStarted
+	}
+	return platform.OrderHolds
+}
+
+func (en *engine) finish(ad balancer.Adapter) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if version, ok := en.pending[ad]; ok {
+		en.held[ad] = version
+		delete(en.pending, ad)
+	}
+	en.record()
+}
+
+func adapter(number int) balancer.Adapter {
+	return balancer.Adapter{Model: model, Name: "a" + strconv.Itoa(number)}
+}
+
+// drive runs an orderer against an engine in virtual time.
+func drive(t *testing.T, en *engine, authority func() (int64, bool), scenario func(*orderer.Orderer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		en.history[0].at = time.Now().Add(-time.Second)
+		or := orderer.New(orderer.Options{
+			Target: balancer.NewTarget(balancer.TargetOptions{ID: "t"}),
+			Engine: &router.Engine{
+				AdapterSlots: slots, WeightsMB: 1000,
+				Models: []router.Model{{Name: model, WeightsMB: 100, AdapterMB: 10, LoadTime: time.Second}},
+			},
+			Holder: "me", Authority: authority, Newest: func(balancer.Adapter) int64 { return 0 },
+			Report: en.report, Order: en.order, Changed: func() {}, Logger: log.New(io.Discard),
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		go or.Run(ctx)
+		scenario(or)
+		stop()
+		<-or.Done()
+		time.Sleep(time.Minute)
+	})
+}
+
+func always() (int64, bool) { return 7, true }
+
+func load(or *orderer.Orderer, number int, patience time.Duration) error {
+	return or.Load(context.Background(), orderer.Request{Want: stocker.Want{Adapter: adapter(number)}, Patience: patience})
+}
+
+func TestLoadsAndMakesRoom(t *testing.T) {
+	en := newEngine(0)
+	drive(t, en, always, func(or *orderer.Orderer) {
+		for number := range 12 {
+			if err := load(or, number, 5*time.Second); err != nil {
+				t.Fatalf("load %d: %v", number, err)
+			}
+		}
+	})
+	if en.most > slots {
+		t.Errorf("%d adapters on an engine with %d slots", en.most, slots)
+	}
+}
+
+// The pattern of the heaviest standard days: a third of the orders get no answer and are carried out later.
+func TestOrdersWithoutAnswer(t *testing.T) {
+	en := newEngine(0.35)
+	served := 0
+	drive(t, en, always, func(or *orderer.Orderer) {
+		for number := range 40 {
+			if err := load(or, number, 3*time.Second); err == nil {
+				served++
+			}
+		}
+	})
+	if en.most > slots {
+		t.Errorf("%d adapters on an engine with %d slots", en.most, slots)
+	}
+	if served < 36 {
+		t.Errorf("%d of 40 loads came about", served)
+	}
+}
+
+func TestRefusesAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		authority func() (int64, bool)
+		use       int
+		want      error
+	}{
+		"without authority":        {authority: func() (int64, bool) { return 0, false }, want: orderer.ErrNotHolder},
+		"with all slots in use":    {authority: always, use: 1, want: orderer.ErrFull},
+		"with a slot that is idle": {authority: always, use: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			en := newEngine(0)
+			for number := range slots {
+				en.held[adapter(number)] = 1
+			}
+			en.history = nil
+			en.record()
+			drive(t, en, tt.authority, func(or *orderer.Orderer) {
+				uses := make(map[balancer.Adapter]balancer.Use)
+				for number := range slots {
+					uses[adapter(number)] = balancer.Use{Running: tt.use}
+				}
+				or.Used("peer", uses)
+				time.Sleep(2 * time.Second)
+				if err := load(or, 9, 0); !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/stocker/stocker_test.go
@@ -0,0 +1,168 @@
+package stocker_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"lovagebank/balancer"
+	"lovagebank/router"
+	"lovagebank/stocker"
+)
+
+const model = "base"
+
+func engine(slots int) *router.Engine {
+	return &router.Engine{
+		AdapterSlots: slots, WeightsMB: 1000,
+		Models: []router.Model{{Name: model, WeightsMB: 500, AdapterMB: 10, LoadTime: time.Second}},
+	}
+}
+
+func adapter(name string) balancer.Adapter { return balancer.Adapter{Model: model, Name: name} }
+
+// holding builds a stock that holds adapters since long ago.
+func holding(slots int, now time.Time, names ...string) *stocker.Stock {
+	sk := stocker.New(engine(slots))
+	adapters := make(map[string]int64)
+	for _, name := range names {
+		adapters[name] = 1
+	}
+	sk.Observe([]balancer.Resident{{Model: model, Version: 1, Adapters: adapters}}, nil, now.Add(-time.Minute))
+	return sk
+}
+
+func TestJudge(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		stock func() *stocker.Stock
+		want  stocker.Want
+		is    stocker.Verdict
+		order stocker.Step
+	}{
+		"held": {
+			stock: func() *stocker.Stock { return holding(2, now, "x") },
+			want:  stocker.Want{Adapter: adapter("x")}, is: stocker.Ready,
+		},
+		"held in an older version": {
+			stock: func() *stocker.Stock { return holding(2, now, "x") },
+			want:  stocker.Want{Adapter: adapter("x"), Version: 2}, is: stocker.NeedsLoad,
+			order: stocker.Step{Load: true, Adapter: adapter("x"), Version: 2},
+		},
+		"with a free slot": {
+			stock: func() *stocker.Stock { return holding(2, now, "x") },
+			want:  stocker.Want{Adapter: adapter("y")}, is: stocker.NeedsLoad,
+			order: stocker.Step{Load: true, Adapter: adapter("y")},
+		},
+		"the least used adapter goes": {
+			stock: func() *stocker.Stock {
+				sk := holding(2, now, "x", "y")
+				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 3}}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.NeedsRoom, order: stocker.Step{Adapter: adapter("y")},
+		},
+		"an adapter in use stays": {
+			stock: func() *stocker.Stock {
+				sk := holding(2, now, "x", "y")
+				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 3}, adapter("y"): {Running: 1}}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.NeedsRoom, order: stocker.Step{Adapter: adapter("x")},
+		},
+		"all in use": {
+			stock: func() *stocker.Stock {
+				sk := holding(1, now, "x")
+				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Running: 1}}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.Full,
+		},
+		"a further replica pushes nothing of use out": {
+			stock: func() *stocker.Stock {
+				sk := holding(1, now, "x")
+				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 2}}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z"), Spare: true}, is: stocker.Full,
+		},
+		"what is loaded for a request stays until it is used": {
+			stock: func() *stocker.Stock {
+				sk := holding(1, now)
+				sk.Started(stocker.Step{Load: true, Adapter: adapter("x")}, now)
+				sk.Done(stocker.Step{Load: true, Adapter: adapter("x")}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.Full,
+		},
+		"a slot is free again once the use of what it holds has ended": {
+			stock: func() *stocker.Stock {
+				sk := holding(1, now)
+				sk.Started(stocker.Step{Load: true, Adapter: adapter("x")}, now.Add(-400*time.Millisecond))
+				sk.Done(stocker.Step{Load: true, Adapter: adapter("x")}, now.Add(-150*time.Millisecond))
+				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 1}}, now.Add(-100*time.Millisecond))
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.NeedsRoom, order: stocker.Step{Adapter: adapter("x")},
+		},
+		"four under way": {
+			stock: func() *stocker.Stock {
+				sk := holding(9, now)
+				for number := range 4 {
+					sk.Started(stocker.Step{Load: true, Adapter: adapter(strconv.Itoa(number))}, now)
+				}
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.Crowded,
+		},
+		"under way itself": {
+			stock: func() *stocker.Stock {
+				sk := holding(2, now)
+				sk.Started(stocker.Step{Load: true, Adapter: adapter("z")}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("z")}, is: stocker.Pending,
+		},
+		"an engine that restarted empty loads its base model first": {
+			stock: func() *stocker.Stock { return stocker.New(engine(2)) },
+			want:  stocker.Want{Adapter: adapter("z")}, is: stocker.Pending,
+		},
+		"the base model": {
+			stock: func() *stocker.Stock { return stocker.New(engine(2)) },
+			want:  stocker.Want{Adapter: balancer.Adapter{Model: model}}, is: stocker.NeedsLoad,
+			order: stocker.Step{Load: true, Adapter: balancer.Adapter{Model: model}},
+		},
+		"a second base model without memory": {
+			stock: func() *stocker.Stock {
+				en := engine(2)
+				en.Models = append(en.Models, router.Model{Name: "other", WeightsMB: 600})
+				sk := stocker.New(en)
+				sk.Observe([]balancer.Resident{{Model: model, Version: 1}}, nil, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: balancer.Adapter{Model: "other"}}, is: stocker.Full,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is, order := tt.stock().Judge(tt.want, now)
+			if is != tt.is || order != tt.order {
+				t.Errorf("judged %v with %+v, want %v with %+v", is, order, tt.is, tt.order)
+			}
+		})
+	}
+}
+
+func TestOutdated(t *testing.T) {
+	now := time.Now()
+	sk := holding(3, now, "x", "y")
+	wants := sk.Outdated(func(ad balancer.Adapter) int64 {
+		if ad.Name == "y" {
+			return 2
+		}
+		return 0
+	})
+	if len(wants) != 1 || wants[0].Adapter != adapter("y") || wants[0].Version != 2 {
+		t.Errorf("outdated %+v", wants)
+	}
+}
