--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -188,12 +187,19 @@
 
 func hashAdapter(ad Adapter) uint64 { return xxhash.Sum64String(ad.Model + "/" + ad.Name) }
 
-func sortByRank(states []*state, by uint64) {
-	sort.Slice(states, func(i, j int) bool { return rank(by, states[i].hash) < rank(by, states[j].hash) })
+// first returns the state that is first in rank; nil if there is none.
+func first(states []*state, by uint64) *state {
+	var best *state
+	lowest := uint64(0)
+	for _, st := range states {
+		if place := rank(by, st.hash); best == nil || place < lowest {
+			best, lowest = st, place
+		}
+	}
+	return best
 }
 
 func (ba *Balancer) chooseEngine(ne Need, usable []*state, now time.Time) (*Choice, bool) {
-	sortByRank(usable, hashAdapter(ne.Adapter))
 	holding := make([]*state, 0, len(usable))
 	for _, st := range usable {
 		if version, ok := st.adapters[ne.Adapter]; ok && version >= ne.Version {
@@ -224,13 +230,7 @@
 	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
 		return best
 	}
-	by := hashAdapter(ne.Adapter) ^ xxhash.Sum64String(ne.LastPart)
-	kept := holding[0]
-	for _, st := range holding[1:] {
-		if rank(by, st.hash) < rank(by, kept.hash) {
-			kept = st
-		}
-	}
+	kept := first(holding, hashAdapter(ne.Adapter)^xxhash.Sum64String(ne.LastPart))
 	if kept.weight() <= best.weight()+affinitySlack {
 		return kept
 	}
@@ -239,11 +239,11 @@
 
 // chooseLoader picks the target that should load an adapter that none holds: the first in rank that is not much
 // busier than the idlest. A target that holds an older version comes last: it waits for its runs to end first.
-func (ba *Balancer) chooseLoader(ne Need, ranked []*state, now time.Time) (*Choice, bool) {
+func (ba *Balancer) chooseLoader(ne Need, usable []*state, now time.Time) (*Choice, bool) {
 	base := Adapter{Model: ne.Adapter.Model}
-	able := make([]*state, 0, len(ranked))
+	able := make([]*state, 0, len(usable))
 	var outdated []*state
-	for _, st := range ranked {
+	for _, st := range usable {
 		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" {
 			continue
 		}
@@ -267,14 +267,15 @@
 	for _, st := range able[1:] {
 		least = min(least, st.weight())
 	}
+	calm := able[:0]
 	for _, st := range able {
 		if st.weight() <= least+homeSlack {
-			ch := ba.choice(st, now)
-			ch.holds = false
-			return ch, true
+			calm = append(calm, st)
 		}
 	}
-	return nil, false
+	ch := ba.choice(first(calm, hashAdapter(ne.Adapter)), now)
+	ch.holds = false
+	return ch, true
 }
 
 // addSpread names a further target to load the adapter where its share of the demand or the load of those that hold
@@ -289,15 +290,17 @@
 		return
 	}
 	base := Adapter{Model: ne.Adapter.Model}
+	able := make([]*state, 0, len(usable))
 	for _, st := range usable {
 		version, holds := st.adapters[ne.Adapter]
 		if holds && version >= ne.Version {
 			continue
 		}
-		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" || st.weight() > crowded {
-			continue
+		if _, ok := st.adapters[base]; ok && st.loadingHolder(now) != "" && st.weight() <= crowded {
+			able = append(able, st)
 		}
+	}
+	if st := first(able, hashAdapter(ne.Adapter)); st != nil {
 		ch.spread, ch.by = st.target, st.holder
-		return
 	}
 }
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -7,11 +7,13 @@
 
 const (
 	// demandMemory is the time over which a request's weight in an adapter's demand falls to 1/e.
-	demandMemory = 4 * time.Second
+	demandMemory = 6 * time.Second
 	// forgetBelow is the demand, in requests, below which an adapter is no longer counted.
 	forgetBelow = 0.02
 	// sweepInterval is the time between two passes that forget adapters.
 	sweepInterval = 2 * time.Second
+	// leastDemand is the demand, in requests, below which an adapter gets no further replica: chance alone may bring it.
+	leastDemand = 5
 	// replicaShare is the share of an even part of all requests that one replica of an adapter is given.
 	replicaShare = 0.35
 )
@@ -62,10 +64,10 @@
 func (de *demand) replicas(ad Adapter, targets int, at time.Time) int {
 	co, ok := de.counts[ad]
 	total := de.total.now(at)
-	if !ok || total < 1 {
+	if !ok || co.now(at) < leastDemand {
 		return 1
 	}
-	share := co.now(at) / total
+	share := co.value / total
 	count := int(math.Ceil(share * float64(targets) / replicaShare))
 	return max(1, min(count, targets))
 }
