--- /dev/null
+++ b/acceptor/acceptor_test.go
@@ -0,0 +1,477 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lovagebank/acceptor"
+	"lovagebank/allotter"
+	"lovagebank/balancer"
+	"lovagebank/budgeter"
+	"lovagebank/forwarder"
+	"lovagebank/orderer"
+	"lovagebank/quarantiner"
+	"lovagebank/router"
+)
+
+const host = "h.example"
+
+// world is an entry instance with some targets, over loopback.
+type world struct {
+	t        *testing.T
+	balancer *balancer.Balancer
+	front    *httptest.Server
+	loads    atomic.Int64
+	loadErr  error
+	outcomes chan *acceptor.Outcome
+	newest   atomic.Int64
+}
+
+// usual is the organisation of the test's callers.
+var usual = router.NewOrganisation(router.OrganisationOptions{
+	Name: "org", Keys: []string{"key"}, TokensPerSecond: 1000, BurstTokens: 4000, CountsTokens: true, DefaultTokens: 10,
+})
+
+func configuration() *router.Configuration {
+	route := func(prefix string, kind router.Kind, service string, attempts int, resumable, public bool) *router.Route {
+		return router.NewRoute(router.RouteOptions{
+			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond,
+			Shares: []router.Share{{Service: service, Weight: 1}}, Attempts: attempts, Resumable: resumable, Public: public,
+		})
+	}
+	return router.New(router.Options{
+		Version: 3,
+		Routes: []*router.Route{
+			route("/safe/", router.Safe, "plain", 2, false, false),
+			route("/unsafe/", router.Unsafe, "plain", 2, false, false),
+			route("/stream/", router.Stream, "engines", 2, false, false),
+			route("/resume/", router.Stream, "engines", 2, true, false),
+			route("/public/", router.Safe, "plain", 1, false, true),
+			route("/nowhere/", router.Safe, "none", 1, false, false),
+		},
+		Services: []*router.Service{
+			router.NewService(router.ServiceOptions{Name: "plain"}),
+			router.NewService(router.ServiceOptions{Name: "engines", Engine: &router.Engine{AdapterSlots: 4}}),
+		},
+		Organisations: []*router.Organisation{usual},
+		Limits:        router.Limits{BodyBytes: 1000},
+	})
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	wo := &world{t: t, outcomes: make(chan *acceptor.Outcome, 100)}
+	wo.balancer = balancer.New(balancer.Options{Random: func() float64 { return 0 }})
+	cf := configuration()
+	ac := acceptor.New(acceptor.Options{
+		Configuration: func() *router.Configuration { return cf },
+		Newest:        func(balancer.Adapter) int64 { return wo.newest.Load() },
+		Load: func(context.Context, string, *balancer.Target, orderer.Request) error {
+			wo.loads.Add(1)
+			return wo.loadErr
+		},
+		Instances: func() int { return 1 },
+		Draining:  func() bool { return false },
+		Ended:     func(ou *acceptor.Outcome) { wo.outcomes <- ou },
+		Random:    func() float64 { return 0 },
+		Balancer:  wo.balancer,
+		Forwarder: forwarder.New(),
+		Allotter:  allotter.New(),
+		Budgeter: budgeter.New(budgeter.Options{
+			Ratio: 1, Extra: 100, Window: time.Second, Instances: func() int { return 1 },
+		}),
+		Quarantiner: quarantiner.New(),
+	})
+	wo.front = httptest.NewServer(ac)
+	t.Cleanup(wo.front.Close)
+	return wo
+}
+
+// target adds a target of a service; engines hold the adapter m/a.
+func (wo *world) target(id, service string, handler http.HandlerFunc) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		// The server notices a caller that leaves only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		handler(w, r)
+	}))
+	wo.t.Cleanup(server.CloseClientConnections)
+	wo.t.Cleanup(server.Close)
+	wo.balancer.SetTarget(balancer.NewTarget(balancer.TargetOptions{
+		ID: id, Service: service, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 10,
+	}))
+	if service == "engines" {
+		wo.hold(id, "a")
+	}
+}
+
+func (wo *world) hold(id string, names ...string) {
+	held := map[balancer.Adapter]int64{{Model: "m"}: 1}
+	for _, name := range names {
+		held[balancer.Adapter{Model: "m", Name: name}] = 1
+	}
+	wo.balancer.Heard(balancer.Holding{Target: id, Holder: "holder", Adapters: held})
+}
+
+// ask sends one request of a caller with the usual key.
+func (wo *world) ask(path string, change func(*http.Request)) (*http.Response, string, error) {
+	rq, err := http.NewRequest(http.MethodPost, wo.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		wo.t.Fatal(err)
+	}
+	rq.Host = host
+	rq.Header.Set("Request-Id", "id-1")
+	rq.Header.Set("X-Api-Key", "key")
+	rq.Header.Set("Model-Name", "m/a")
+	if change != nil {
+		change(rq)
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	text, err := io.ReadAll(rs.Body)
+	return rs, string(text), err
+}
+
+func (wo *world) expect(path string, change func(*http.Request), status int) (*http.Response, string) {
+	wo.t.Helper()
+	rs, text, err := wo.ask(path, change)
+	if err != nil {
+		wo.t.Fatal(err)
+	}
+	if rs.StatusCode != status {
+		wo.t.Fatalf("status %d %q, want %d", rs.StatusCode, text, status)
+	}
+	return rs, text
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Response-Seal", "seal")
+	_, _ = io.WriteString(w, "answer")
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func crash(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func failure(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		change func(*http.Request)
+		status int
+	}{
+		"no route":         {"/other/1", nil, http.StatusNotFound},
+		"unknown key":      {"/safe/1", func(r *http.Request) { r.Header.Set("X-Api-Key", "no") }, http.StatusUnauthorized},
+		"no key":           {"/safe/1", func(r *http.Request) { r.Header.Del("X-Api-Key") }, http.StatusUnauthorized},
+		"no key is needed": {"/public/1", func(r *http.Request) { r.Header.Del("X-Api-Key") }, http.StatusOK},
+		"no service":       {"/nowhere/1", nil, http.StatusServiceUnavailable},
+		"body too long": {"/safe/1", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
+		}, http.StatusRequestEntityTooLarge},
+		"allowance used up": {"/safe/1", func(r *http.Request) { r.Header.Set("Token-Counts", "9000,1") }, http.StatusTooManyRequests},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			wo.target("t1", "plain", ok)
+			rs, _ := wo.expect(tt.path, tt.change, tt.status)
+			promises := tt.status == http.StatusServiceUnavailable || tt.status == http.StatusTooManyRequests
+			if (rs.Header.Get("Retry-After") != "") != promises {
+				t.Errorf("Retry-After %q with status %d", rs.Header.Get("Retry-After"), tt.status)
+			}
+			if tt.status != http.StatusOK && rs.Header.Get("Response-Seal") != "" {
+				t.Error("an answer of the instance's own bears a seal")
+			}
+		})
+	}
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	ac := acceptor.New(acceptor.Options{
+		Configuration: func() *router.Configuration { return nil },
+		Draining:      func() bool { return true },
+		Ended:         func(*acceptor.Outcome) {},
+	})
+	rec := httptest.NewRecorder()
+	ac.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/safe/1", nil))
+	if rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Connection") != "close" {
+		t.Errorf("status %d, Connection %q", rec.Code, rec.Header().Get("Connection"))
+	}
+}
+
+// What each target may be sent, and what the caller gets, by the kind of request.
+func TestFurtherTries(t *testing.T) {
+	tests := map[string]struct {
+		path          string
+		first, second http.HandlerFunc
+		status        int
+		runs          int64
+	}{
+		"unsafe, not run by the first":       {"/unsafe/1", notRun, ok, http.StatusOK, 2},
+		"unsafe, broken by the first":        {"/unsafe/1", crash, ok, http.StatusBadGateway, 1},
+		"unsafe, failed by the first":        {"/unsafe/1", failure, ok, http.StatusInternalServerError, 1},
+		"safe, broken by the first":          {"/safe/1", crash, ok, http.StatusOK, 2},
+		"safe, failed by the first":          {"/safe/1", failure, ok, http.StatusOK, 2},
+		"safe, failed by both":               {"/safe/1", failure, failure, http.StatusInternalServerError, 2},
+		"safe, broken by both":               {"/safe/1", crash, crash, http.StatusBadGateway, 2},
+		"safe, not run by either":            {"/safe/1", notRun, notRun, http.StatusServiceUnavailable, 2},
+		"stream, broken before its start":    {"/stream/1", crash, ok, http.StatusBadGateway, 1},
+		"resumable, broken before its start": {"/resume/1", crash, ok, http.StatusOK, 2},
+		"stream, not run by the first":       {"/stream/1", notRun, ok, http.StatusOK, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			var runs atomic.Int64
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 1 {
+					tt.first(w, r)
+					return
+				}
+				tt.second(w, r)
+			}
+			for _, id := range []string{"t1", "t2"} {
+				wo.target(id, "plain", handler)
+				wo.target("e"+id, "engines", handler)
+			}
+			wo.expect(tt.path, nil, tt.status)
+			if runs.Load() != tt.runs {
+				t.Errorf("%d sends, want %d", runs.Load(), tt.runs)
+			}
+		})
+	}
+}
+
+func TestWhatATargetSees(t *testing.T) {
+	wo := newWorld(t)
+	seen := make(chan *http.Request, 1)
+	wo.target("t1", "plain", func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Clone(context.Background())
+		ok(w, r)
+	})
+	wo.expect("/safe/a%2Fb?q=1", func(r *http.Request) {
+		r.Header.Set("Tenant-Id", "other")
+		r.Header.Set("Hold", "1")
+		r.Header.Set("Kv-From", "x")
+		r.Header.Set("Connection", "X-Private, Request-Id")
+		r.Header.Set("X-Private", "1")
+		r.Header.Set("X-Own", "kept")
+		r.Header.Set("Deadline-Ms", "900")
+	}, http.StatusOK)
+	r := <-seen
+	for name, want := range map[string]string{
+		"Tenant-Id": "org", "Expect-Instance": "t1", "Hold": "", "Kv-From": "", "X-Private": "", "X-Own": "kept",
+		"X-Api-Key": "", "Request-Id": "id-1",
+	} {
+		if got := r.Header.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+	if r.RequestURI != "/safe/a%2Fb?q=1" || r.Host != host {
+		t.Errorf("%s on %s", r.RequestURI, r.Host)
+	}
+}
+
+// A stream that breaks off must not look complete; one that may be resumed goes on at another target after the last
+// whole event.
+func TestStreams(t *testing.T) {
+	event := func(number int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", number, number) }
+	partial := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, event(1)+event(2)+"id: 3\nda")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	rest := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") != "2" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.WriteString(w, event(3)+event(4))
+	}
+	tests := map[string]struct {
+		path  string
+		whole bool
+		text  string
+	}{
+		"broken off":          {"/stream/1", false, event(1) + event(2) + "id: 3\nda"},
+		"resumed":             {"/resume/1", true, event(1) + event(2) + event(3) + event(4)},
+		"resumed, once again": {"/resume/2", true, event(1) + event(2) + event(3) + event(4)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			var runs atomic.Int64
+			for _, id := range []string{"e1", "e2"} {
+				wo.target(id, "engines", func(w http.ResponseWriter, r *http.Request) {
+					if runs.Add(1) == 1 {
+						partial(w, r)
+						return
+					}
+					rest(w, r)
+				})
+			}
+			_, text, err := wo.ask(tt.path, nil)
+			if (err == nil) != tt.whole || text != tt.text {
+				t.Errorf("got %q, %v", text, err)
+			}
+		})
+	}
+}
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/resume/1"} {
+		t.Run(path, func(t *testing.T) {
+			wo := newWorld(t)
+			next := make(chan struct{})
+			wo.target("e1", "engines", func(w http.ResponseWriter, _ *http.Request) {
+				for number := range 3 {
+					_, _ = fmt.Fprintf(w, "id: %d\n\n", number)
+					_ = http.NewResponseController(w).Flush()
+					<-next
+				}
+			})
+			rq, err := http.NewRequest(http.MethodPost, wo.front.URL+path, strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			rq.Host = host
+			rq.Header = http.Header{"X-Api-Key": {"key"}, "Model-Name": {"m/a"}, "Request-Id": {"1"}}
+			rs, err := http.DefaultClient.Do(rq)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = rs.Body.Close() }()
+			reader := bufio.NewReader(rs.Body)
+			for number := range 3 {
+				line, err := reader.ReadString('\n')
+				if err != nil || line != fmt.Sprintf("id: %d\n", number) {
+					t.Fatalf("line %q, %v", line, err)
+				}
+				if _, err := reader.ReadString('\n'); err != nil {
+					t.Fatal(err)
+				}
+				next <- struct{}{}
+			}
+		})
+	}
+}
+
+// The final answer comes at the route's timeout or at the end of the caller's patience, and says whether the request
+// may have run.
+func TestTimeouts(t *testing.T) {
+	wo := newWorld(t)
+	wo.target("t1", "plain", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	rs, _ := wo.expect("/unsafe/1", func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") }, http.StatusGatewayTimeout)
+	if rs.Header.Get("Retry-After") != "" {
+		t.Error("a request that may have run is asked to come back")
+	}
+}
+
+func TestCallerThatLeaves(t *testing.T) {
+	wo := newWorld(t)
+	var once sync.Once
+	left, began := make(chan struct{}), make(chan struct{})
+	wo.target("t1", "plain", func(_ http.ResponseWriter, r *http.Request) {
+		once.Do(func() { close(began) })
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, _, err := wo.ask("/safe/1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	<-left
+	if ou := <-wo.outcomes; ou.Status() != 0 || ou.Tries() != 1 {
+		t.Errorf("status %d after %d tries", ou.Status(), ou.Tries())
+	}
+}
+
+func TestAdapters(t *testing.T) {
+	tests := map[string]struct {
+		adapter string
+		loadErr error
+		status  int
+		loads   int64
+	}{
+		"held":                    {"m/a", nil, http.StatusOK, 0},
+		"loaded first":            {"m/b", nil, http.StatusOK, 1},
+		"no target can load it":   {"m/b", orderer.ErrFull, http.StatusServiceUnavailable, 2},
+		"the base model":          {"m", nil, http.StatusOK, 0},
+		"an unknown base model":   {"n", nil, http.StatusServiceUnavailable, 0},
+		"an unknown base's child": {"n/a", nil, http.StatusServiceUnavailable, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			wo.loadErr = tt.loadErr
+			wo.target("e1", "engines", ok)
+			wo.target("e2", "engines", ok)
+			wo.expect("/stream/1", func(r *http.Request) { r.Header.Set("Model-Name", tt.adapter) }, tt.status)
+			if wo.loads.Load() != tt.loads {
+				t.Errorf("%d loads, want %d", wo.loads.Load(), tt.loads)
+			}
+		})
+	}
+}
+
+// A target that says it lacks the adapter is asked to load it, and the request runs then.
+func TestAdapterThatWentAway(t *testing.T) {
+	wo := newWorld(t)
+	wo.target("e1", "engines", func(w http.ResponseWriter, r *http.Request) {
+		if wo.loads.Load() == 0 {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		ok(w, r)
+	})
+	wo.expect("/stream/1", nil, http.StatusOK)
+}
+
+func TestNewVersion(t *testing.T) {
+	wo := newWorld(t)
+	versions := make(chan string, 2)
+	wo.target("e1", "engines", func(w http.ResponseWriter, r *http.Request) {
+		versions <- r.Header.Get("Expect-Version")
+		ok(w, r)
+	})
+	wo.expect("/stream/1", nil, http.StatusOK)
+	wo.newest.Store(4)
+	wo.expect("/stream/2", nil, http.StatusOK)
+	if first, second := <-versions, <-versions; first != "" || second != "4" || wo.loads.Load() != 1 {
+		t.Errorf("expected versions %q and %q, %d loads", first, second, wo.loads.Load())
+	}
+}
+
+// A request that crashes each target that runs it is refused after the third, whoever sends it again.
+func TestQuarantine(t *testing.T) {
+	wo := newWorld(t)
+	for number := range 6 {
+		wo.target(fmt.Sprint("t", number), "plain", crash)
+	}
+	for range 3 {
+		wo.expect("/unsafe/poison", nil, http.StatusBadGateway)
+	}
+	wo.expect("/unsafe/poison", nil, http.StatusServiceUnavailable)
+}
