--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -76,6 +76,7 @@
 		return nil, err
 	}
 	for {
+		//nolint:bodyclose // Answer.Close ends the exchange; closing the body would read the rest of a long one.
 		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
 		if err != nil {
 			return nil, &SendError{cause: err, mayHaveRun: true, silent: isTimeout(err) && !co.aborted.Load()}
--- a/keeper/ledger_test.go
+++ b/keeper/ledger_test.go
@@ -43,14 +43,15 @@
 	}
 }
 
-func (fx *fixture) instance(name, domain string, at time.Duration) {
-	fx.take(instancePrefix+name, &wire.InstanceEntry{Address: name + ":1", FailureDomain: domain}, at)
+func (fx *fixture) instance(name, domain string) {
+	fx.take(instancePrefix+name, &wire.InstanceEntry{Address: name + ":1", FailureDomain: domain}, 0)
 }
 
 func (fx *fixture) gone(name string, at time.Duration) { fx.take(instancePrefix+name, nil, at) }
 
-func (fx *fixture) holder(target, name string, from time.Duration) {
-	fx.take(holderPrefix+target, &wire.TargetHolder{Instance: name, OrdersFromMs: from.Milliseconds()}, 0)
+// holder names the holder of target t.
+func (fx *fixture) holder(name string, from time.Duration) {
+	fx.take(holderPrefix+"t", &wire.TargetHolder{Instance: name, OrdersFromMs: from.Milliseconds()}, 0)
 }
 
 func (fx *fixture) claims(at time.Duration, troubled bool) []claim {
@@ -68,73 +69,73 @@
 		wait     time.Duration
 	}{
 		"a target without a holder is claimed, after the turn": {
-			prepare: func(fx *fixture) { fx.instance("a", "east", 0) },
+			prepare: func(fx *fixture) { fx.instance("a", "east") },
 			at:      2 * time.Second, claimed: true, wait: testTurn,
 		},
 		"an instance that has just started waits for others": {
-			prepare: func(fx *fixture) { fx.instance("a", "east", 0) },
+			prepare: func(fx *fixture) { fx.instance("a", "east") },
 			at:      time.Second,
 		},
 		"a target of a holder that is there is left alone": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.instance("b", "east", 0)
-				fx.holder("t", "b", 0)
+				fx.instance("a", "east")
+				fx.instance("b", "east")
+				fx.holder("b", 0)
 			},
 			at: time.Hour,
 		},
 		"a target of a holder that has gone is claimed, after the turn": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.instance("b", "east", 0)
-				fx.holder("t", "b", 0)
+				fx.instance("a", "east")
+				fx.instance("b", "east")
+				fx.holder("b", 0)
 				fx.gone("b", 10*time.Second)
 			},
 			at: 12 * time.Second, claimed: true, wait: testTurn,
 		},
 		"around an outage of the store the holder gets time to come back": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.instance("b", "east", 0)
-				fx.holder("t", "b", 0)
+				fx.instance("a", "east")
+				fx.instance("b", "east")
+				fx.holder("b", 0)
 				fx.gone("b", 10*time.Second)
 			},
 			at: 13 * time.Second, troubled: true,
 		},
 		"after an outage the whole lease is waited, as it may have ended early": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.instance("b", "east", 0)
-				fx.holder("t", "b", 0)
+				fx.instance("a", "east")
+				fx.instance("b", "east")
+				fx.holder("b", 0)
 				fx.gone("b", 10*time.Second)
 			},
 			at: 15 * time.Second, troubled: true, claimed: true, wait: testLease,
 		},
 		"a later process on the holder's machine goes on at once": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.holder("t", "a", 30*time.Second)
+				fx.instance("a", "east")
+				fx.holder("a", 30*time.Second)
 			},
 			at: 100 * time.Millisecond, claimed: true, wait: 0,
 		},
 		"a later process on the machine of a new holder waits for what is left of the turn": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.holder("t", "a", 62*time.Second)
+				fx.instance("a", "east")
+				fx.holder("a", 62*time.Second)
 			},
 			at: time.Second, claimed: true, wait: time.Second,
 		},
 		"a machine that lost power waits for the whole turn": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "east", 0)
-				fx.holder("t", "a", time.Hour)
+				fx.instance("a", "east")
+				fx.holder("a", time.Hour)
 			},
 			at: time.Second, claimed: true, wait: testTurn,
 		},
 		"an instance of another failure domain waits for those of the target's": {
 			prepare: func(fx *fixture) {
-				fx.instance("a", "west", 0)
-				fx.instance("b", "east", 0)
+				fx.instance("a", "west")
+				fx.instance("b", "east")
 			},
 			at: 1300 * time.Millisecond,
 		},
@@ -160,9 +161,9 @@
 	for _, self := range []string{"a", "b", "c"} {
 		le := newLedger(self, "east", testTurn, testLease)
 		fx := &fixture{t: t, ledger: le, start: time.Now()}
-		fx.instance("a", "east", 0)
-		fx.instance("b", "west", 0)
-		fx.instance("c", "east", 0)
+		fx.instance("a", "east")
+		fx.instance("b", "west")
+		fx.instance("c", "east")
 		for _, in := range le.order(Candidate{ID: "t", FailureDomain: "west"}) {
 			orders[self] = append(orders[self], in.Name)
 		}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -75,7 +75,6 @@
 	mu       sync.Mutex
 	stock    *stocker.Stock
 	waiting  []*waiter
-	inStep   bool
 	orders   int64
 	orderAt  time.Time
 	reportAt time.Time
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -39,7 +39,9 @@
 	st.history = append(st.history, it)
 }
 
-func (st *store) remove(key string) {
+// remove removes the key that all scenarios use.
+func (st *store) remove() {
+	const key = "op/a"
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.revision++
@@ -206,7 +208,7 @@
 			wo.store.put("op/b", "1")
 			time.Sleep(100 * time.Millisecond)
 			wo.expect(t, "op/b", "1")
-			wo.store.remove("op/a")
+			wo.store.remove()
 			time.Sleep(100 * time.Millisecond)
 			wo.expect(t, "op/a", "")
 		},
@@ -226,7 +228,7 @@
 			time.Sleep(100 * time.Millisecond)
 			wo.store.set(true, false)
 			time.Sleep(3 * time.Second)
-			wo.store.remove("op/a")
+			wo.store.remove()
 			wo.store.set(false, false)
 			time.Sleep(1500 * time.Millisecond)
 			wo.expect(t, "op/a", "1")
@@ -239,7 +241,7 @@
 			time.Sleep(100 * time.Millisecond)
 			wo.store.set(true, false)
 			time.Sleep(3 * time.Second)
-			wo.store.remove("op/a")
+			wo.store.remove()
 			wo.store.set(false, false)
 			time.Sleep(4 * time.Second)
 			wo.expect(t, "op/a", "")
@@ -253,7 +255,7 @@
 			time.Sleep(3 * time.Second)
 			wo.store.set(false, false)
 			time.Sleep(4500 * time.Millisecond)
-			wo.store.remove("op/a")
+			wo.store.remove()
 			time.Sleep(200 * time.Millisecond)
 			wo.expect(t, "op/a", "")
 		},
