Keep allowances over restarts: no presumption on instances that leave, new ones learn what is left

A pattern test plays it (four restarts in turn, two of eight cut off): usual demand is served, eight times the rate stays within its bound.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -15,9 +15,9 @@
 const (
 	// silence is the time after which an instance that was not heard from is presumed to admit its even part.
 	silence = 1200 * time.Millisecond
-	// startLevel is the part of the burst that is there when an instance first meets an organisation: others may
-	// have admitted some of it already.
-	startLevel = 0.35
+	// startLevel is the part of the burst that is there when an instance first meets an organisation and no other can
+	// tell it what is left: requests may have been admitted before all instances started again.
+	startLevel = 0.6
 	// shareMargin is how much more than its part of the demand an instance may spend between two tellings.
 	shareMargin = 1.5
 	// largePart is the part of a second's rate from which a request counts as large, and largeShare the part of the
@@ -26,15 +26,33 @@
 	largeShare = 0.6
 	// demandMemory is the time over which the demand of an instance is averaged.
 	demandMemory = 3 * time.Second
+	// settleTime is the time after which an instance's own account of an organisation is good enough for others.
+	settleTime = 8 * time.Second
 	// minWait and maxWait bound what a refused caller is told to wait.
 	minWait = 100 * time.Millisecond
 	maxWait = 3 * time.Second
 )
 
-// Tally is what one instance tells of one organisation since it started: the tokens admitted and those asked for.
+// Tally is what one instance tells of one organisation.
 type Tally struct {
+	// Admitted and Asked are the tokens admitted and asked for since the instance started.
 	Admitted float64
 	Asked    float64
+	// Left is what the instance believes the whole fleet may still admit.
+	Left float64
+	// Settled tells that Left rests on more than the instance's own time since its start.
+	Settled bool
+}
+
+// Telling is all that one instance tells.
+type Telling struct {
+	// Instance names the instance and Start this start of its process, whose tallies begin at zero.
+	Instance string
+	Start    string
+	// Leaving instances take no new connections: while silent they are presumed to admit nothing.
+	Leaving bool
+	// Tallies are by organisation.
+	Tallies map[string]Tally
 }
 
 // Allotter keeps all organisations' buckets. It is safe for concurrent use.
@@ -47,10 +65,13 @@
 type bucket struct {
 	rate  float64
 	burst float64
-	level float64
-	at    time.Time
-	own   Tally
-	asked average
+	// level is what the fleet may still admit. It is a guess until settled.
+	level   float64
+	settled bool
+	metAt   time.Time
+	at      time.Time
+	own     Tally
+	asked   average
 	// unheard is what this instance has admitted that the others may not have been told of yet.
 	unheard float64
 }
@@ -58,6 +79,7 @@
 // peer is what another instance has told.
 type peer struct {
 	start   string
+	leaving bool
 	heardAt time.Time
 	tallies map[string]*told
 }
@@ -106,7 +128,7 @@
 func (al *Allotter) bucket(og *router.Organisation, now time.Time) *bucket {
 	bu, ok := al.buckets[og.Name()]
 	if !ok {
-		bu = &bucket{level: og.Burst() * startLevel, at: now, asked: average{at: now}}
+		bu = &bucket{level: og.Burst() * startLevel, at: now, metAt: now, asked: average{at: now}}
 		al.buckets[og.Name()] = bu
 	}
 	bu.rate, bu.burst = og.Rate(), og.Burst()
@@ -120,7 +142,7 @@
 	bu.level += bu.rate * seconds
 	even := bu.rate / float64(len(al.peers)+1)
 	for _, pe := range al.peers {
-		if now.Sub(pe.heardAt) > silence {
+		if !pe.leaving && now.Sub(pe.heardAt) > silence {
 			bu.level -= pe.told(name, now).presume(even, pe.heardAt, now)
 		}
 	}
@@ -176,13 +198,15 @@
 func (al *Allotter) share(name string, bu *bucket, now time.Time) float64 {
 	own := bu.asked.now(now)
 	all := own
+	heard := len(al.peers) == 0
 	for _, pe := range al.peers {
+		heard = heard || pe.start != ""
 		if to, ok := pe.tallies[name]; ok {
 			all += to.asked.now(now)
 		}
 	}
 	even := 1 / float64(len(al.peers)+1)
-	if all <= 0 {
+	if all <= 0 || !heard {
 		return even
 	}
 	return min(max(own/all*shareMargin, even), 1)
@@ -205,44 +229,72 @@
 	defer al.mu.Unlock()
 	tallies := make(map[string]Tally, len(al.buckets))
 	for name, bu := range al.buckets {
-		tallies[name] = bu.own
+		tally := bu.own
+		tally.Left = bu.level
+		tally.Settled = bu.settled || time.Since(bu.metAt) > settleTime
+		tallies[name] = tally
 	}
 	return tallies
 }
 
-// Heard takes in what another instance tells; start names its process, whose tallies begin at zero.
-func (al *Allotter) Heard(instance, start string, tallies map[string]Tally) {
+// Heard takes in what another instance tells.
+func (al *Allotter) Heard(te Telling) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	now := time.Now()
-	pe, ok := al.peers[instance]
-	if !ok || pe.start != start {
-		pe = &peer{start: start, tallies: make(map[string]*told)}
-		al.peers[instance] = pe
-		for name, tally := range tallies {
-			pe.told(name, now).tally = tally
-		}
-	}
 	for name, bu := range al.buckets {
 		al.flow(name, bu, now)
 	}
-	pe.heardAt = now
+	pe := al.met(te, now)
+	pe.heardAt, pe.leaving = now, te.Leaving
 	heard := 1 / float64(len(al.peers))
 	for _, bu := range al.buckets {
 		bu.unheard *= 1 - heard
 	}
-	for name, tally := range tallies {
+	for name, tally := range te.Tallies {
 		to := pe.told(name, now)
-		admitted := tally.Admitted - to.tally.Admitted
+		admitted := max(tally.Admitted-to.tally.Admitted, 0)
 		to.asked.add(max(tally.Asked-to.tally.Asked, 0), now)
 		to.tally = tally
 		if bu, ok := al.buckets[name]; ok {
-			bu.level = min(bu.level-admitted+to.presumed, bu.burst)
+			bu.take(tally, admitted-to.presumed)
 		}
 		to.presumed = 0
 	}
 }
 
+// met returns the peer that tells. What was presumed of a process before this one is given back, as it has ended.
+func (al *Allotter) met(te Telling, now time.Time) *peer {
+	pe, ok := al.peers[te.Instance]
+	if ok && pe.start == te.Start {
+		return pe
+	}
+	fresh := &peer{start: te.Start, tallies: make(map[string]*told)}
+	for name, tally := range te.Tallies {
+		fresh.told(name, now).tally = tally
+	}
+	al.peers[te.Instance] = fresh
+	if !ok {
+		return fresh
+	}
+	for name, to := range pe.tallies {
+		if bu, ok := al.buckets[name]; ok {
+			bu.level = min(bu.level+to.presumed, bu.burst)
+		}
+	}
+	return fresh
+}
+
+// take takes in a peer's tally; admitted is what it admitted beyond what was presumed. Until settled, the bucket goes by
+// what a settled peer believes is left.
+func (bu *bucket) take(tally Tally, admitted float64) {
+	if !bu.settled && tally.Settled {
+		bu.level, bu.settled = tally.Left, true
+		return
+	}
+	bu.level = min(bu.level-admitted, bu.burst)
+}
+
 // Member makes an instance count although it has not been heard from yet.
 func (al *Allotter) Member(instance string) {
 	al.mu.Lock()
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -21,7 +21,10 @@
 // fleet is some instances that tell each other, unless they are cut off.
 type fleet struct {
 	members  []*allotter.Allotter
+	starts   [instances]string
 	cut      map[int]bool
+	leaving  map[int]bool
+	down     map[int]bool
 	admitted []admission
 	refused  float64
 	asked    float64
@@ -33,7 +36,9 @@
 }
 
 func newFleet() *fleet {
-	fl := &fleet{cut: make(map[int]bool)}
+	fl := &fleet{
+		starts: [instances]string{"0", "1", "2", "3", "4", "5", "6", "7"}, cut: make(map[int]bool), leaving: make(map[int]bool), down: make(map[int]bool),
+	}
 	for range instances {
 		fl.members = append(fl.members, allotter.New())
 	}
@@ -44,10 +49,12 @@
 func (fl *fleet) tellAll() {
 	for from, sender := range fl.members {
 		for to, receiver := range fl.members {
-			if from == to || fl.cut[from] != fl.cut[to] {
+			if from == to || fl.cut[from] != fl.cut[to] || fl.down[from] || fl.down[to] {
 				continue
 			}
-			receiver.Heard(fmt.Sprint(from), "start", sender.Tallies())
+			receiver.Heard(allotter.Telling{
+				Instance: fmt.Sprint(from), Start: fl.starts[from], Leaving: fl.leaving[from], Tallies: sender.Tallies(),
+			})
 		}
 	}
 }
@@ -66,6 +73,9 @@
 			fl.tellAll()
 		}
 		for at, member := range fl.members {
+			if fl.down[at] {
+				continue
+			}
 			due[at] += multiple * rate * step.Seconds() * weights[at]
 			for ; due[at] >= cost; due[at] -= cost {
 				fl.charge(member, og, cost)
@@ -147,6 +157,54 @@
 	}
 }
 
+// restart ends an instance's process gracefully, lets time pass and starts it again.
+func (fl *fleet) restart(at int, down time.Duration, multiple float64) {
+	fl.leaving[at] = true
+	fl.tellAll()
+	fl.down[at] = true
+	fl.play(down, multiple, even, 700)
+	fl.members[at] = allotter.New()
+	for other := range instances {
+		if other != at {
+			fl.members[at].Member(fmt.Sprint(other))
+		}
+	}
+	fl.starts[at] += "again"
+	fl.leaving[at], fl.down[at] = false, false
+}
+
+// The pattern of ipva-hq trouble-1, 30 to 41 s: instances are stopped and started in turn while a failure domain is cut
+// off. Usual demand must not be refused, and one that asks for eight times must not get more.
+func TestRestartsInTurn(t *testing.T) {
+	tests := map[string]struct {
+		multiple, served float64
+	}{
+		"usual demand": {0.5, 0.97}, "eight times the rate": {8, 0.5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet()
+				fl.play(10*time.Second, 0.5, even, 700)
+				fl.admitted, fl.refused, fl.asked = nil, 0, 0
+				fl.cut[6], fl.cut[7] = true, true
+				for _, at := range []int{0, 1, 2, 3} {
+					fl.restart(at, 4*time.Second, tt.multiple)
+				}
+				fl.cut[6], fl.cut[7] = false, false
+				fl.play(8*time.Second, tt.multiple, even, 700)
+				if most := fl.most(); most > (rate*8+burst)*1.1 {
+					t.Errorf("%.0f tokens in a window", most)
+				}
+				admitted := fl.asked - fl.refused
+				if owed := min(fl.asked, rate*24); admitted < tt.served*owed {
+					t.Errorf("%.0f tokens admitted of %.0f owed", admitted, owed)
+				}
+			})
+		})
+	}
+}
+
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		og := router.NewOrganisation(router.OrganisationOptions{
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -109,7 +109,9 @@
 	known := su.revisions()
 	state.OperatorRevision, state.TargetRevision = known.operator, known.targets
 	for name, ta := range su.allotter.Tallies() {
-		state.Tallies = append(state.Tallies, &wire.OrganisationTally{Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked})
+		state.Tallies = append(state.Tallies, &wire.OrganisationTally{
+			Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked, Left: ta.Left, Settled: ta.Settled,
+		})
 	}
 	for _, ho := range su.holdings.held() {
 		state.Held = append(state.Held, heldTarget(ho))
@@ -161,9 +163,13 @@
 	peer := state.GetInstance()
 	tallies := make(map[string]allotter.Tally, len(state.GetTallies()))
 	for _, ta := range state.GetTallies() {
-		tallies[ta.GetOrganisation()] = allotter.Tally{Admitted: ta.GetAdmitted(), Asked: ta.GetAsked()}
+		tallies[ta.GetOrganisation()] = allotter.Tally{
+			Admitted: ta.GetAdmitted(), Asked: ta.GetAsked(), Left: ta.GetLeft(), Settled: ta.GetSettled(),
+		}
 	}
-	su.allotter.Heard(peer, state.GetStart(), tallies)
+	su.allotter.Heard(allotter.Telling{
+		Instance: peer, Start: state.GetStart(), Leaving: state.GetLeaving(), Tallies: tallies,
+	})
 	for _, held := range state.GetHeld() {
 		su.balancer.Heard(holding(peer, held))
 	}
