Add an emulator of the users' platform, and play the whole path on it as processes

A store with revisions, leases, watches and transactions, that can be away, lose answers and drop its history; engines with adapters, orders and reports; plain applications; an operator.

--- /dev/null
+++ b/emulator/fleet.go
@@ -0,0 +1,226 @@
+package emulator
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// Host is the host of all routes, and Key the key of the sample organisation.
+	Host = "sample.example"
+	Key  = "sample-key"
+	// engines, applications and zones are the sizes of the sample deployment.
+	engines      = 4
+	applications = 2
+	zones        = 2
+	// readyPatience bounds the wait for an instance to become ready.
+	readyPatience = 30 * time.Second
+	readyStep     = 50 * time.Millisecond
+)
+
+// Fleet is a store, targets and entry instances as processes of their own.
+type Fleet struct {
+	program string
+	folder  string
+	store   *Store
+	server  *http.Server
+	address string
+	ledger  *Ledger
+	targets map[string]*Target
+	entries map[string]*Entry
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	process *exec.Cmd
+	ended   chan error
+	callers string
+	ready   string
+	run     func() error
+}
+
+// NewFleet starts a store and targets; program is the built lovagebank, and folder takes settings and logs.
+func NewFleet(program, folder string) (*Fleet, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	fl := &Fleet{
+		program: program, folder: folder, store: NewStore(), address: listener.Addr().String(), ledger: &Ledger{},
+		targets: make(map[string]*Target), entries: make(map[string]*Entry),
+	}
+	fl.server = &http.Server{Handler: fl.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = fl.server.Serve(listener) }()
+	for number := range engines {
+		if err := fl.AddTarget("engine-"+strconv.Itoa(number), "engines", true, zone(number)); err != nil {
+			return nil, err
+		}
+	}
+	for number := range applications {
+		if err := fl.AddTarget("application-"+strconv.Itoa(number), "applications", false, zone(number)); err != nil {
+			return nil, err
+		}
+	}
+	return fl, fl.Configure(1, Key)
+}
+
+func zone(number int) string { return "zone-" + strconv.Itoa(number%zones) }
+
+// AddTarget starts a target and registers it.
+func (fl *Fleet) AddTarget(id, service string, engine bool, zone string) error {
+	ta, err := newTarget(id, service, engine, fl.ledger)
+	if err != nil {
+		return err
+	}
+	fl.targets[id] = ta
+	return fl.store.Put("servers/"+id, ta.entry(zone, "ready"))
+}
+
+// Target returns a target.
+func (fl *Fleet) Target(id string) *Target { return fl.targets[id] }
+
+// Store returns the store.
+func (fl *Fleet) Store() *Store { return fl.store }
+
+// Runs returns what the targets have run.
+func (fl *Fleet) Runs() []Run { return fl.ledger.Runs() }
+
+// Configure writes a version of the operator's configuration in which one key is valid.
+func (fl *Fleet) Configure(version int, key string) error {
+	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "prefix": prefix, "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 800,
+			"priority": 0, "service": service, "attempts": 2, "resumable": resumable, "sticky": service == "engines",
+		}
+	}
+	return fl.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("ask", "/ask/", "stream", "engines", true),
+			route("order", "/order/", "unsafe", "applications", false),
+			route("check", "/check/", "safe", "applications", false),
+		},
+		"services": []any{
+			map[string]any{"name": "applications", "healthPath": "/health", "maxConns": 100},
+			map[string]any{"name": "engines", "healthPath": "/health", "maxConns": 100, "engine": map[string]any{
+				"slots": 8, "adapterSlots": adapterSlots, "weightsMb": 1000.0, "loadsPerS": 5.0,
+				"models": []any{map[string]any{"name": Model, "weightsMb": 500.0, "loadS": 0.5, "adapters": 100, "adapterMb": 10.0}},
+			}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "sample", "apiKeys": []string{key}, "billingUnit": "tokens", "uncachedTokens": 10, "ratePerS": 1e6, "burst": 1e6}},
+	})
+}
+
+// StartEntry starts an entry instance; number names it and picks its address in the loopback range.
+func (fl *Fleet) StartEntry(number int) (*Entry, error) {
+	ip := "127.0.1." + strconv.Itoa(number+1)
+	ports, err := freePorts(ip, 3)
+	if err != nil {
+		return nil, err
+	}
+	en := &Entry{callers: net.JoinHostPort(ip, ports[0]), ready: net.JoinHostPort(ip, ports[1])}
+	path := filepath.Join(fl.folder, fmt.Sprintf("entry-%d.conf", number))
+	settings := strings.Join([]string{
+		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + zone(number),
+		"listen.front=" + en.callers, "listen.ready=" + en.ready,
+		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + fl.address, "limits.memoryMb=284", "",
+	}, "\n")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	en.run = func() error { return en.start(fl.program, path) }
+	fl.entries[ip] = en
+	return en, en.run()
+}
+
+// freePorts returns ports that nobody listens on now; all instances call each other at their own addresses.
+func freePorts(ip string, count int) ([]string, error) {
+	ports := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		_, port, err := net.SplitHostPort(listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
+
+func (en *Entry) start(program, settings string) error {
+	output, err := os.OpenFile(settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	en.process = exec.Command(program, "entry", "--settings", settings, "--metrics-port", "0")
+	en.process.Stdout, en.process.Stderr = output, output
+	if err := en.process.Start(); err != nil {
+		return err
+	}
+	process, ended := en.process, make(chan error, 1)
+	en.ended = ended
+	go func() {
+		err := process.Wait()
+		_ = output.Close()
+		ended <- err
+	}()
+	return en.WaitReady()
+}
+
+// Address is where callers connect.
+func (en *Entry) Address() string { return en.callers }
+
+// Ready tells whether the instance says that it is ready.
+func (en *Entry) Ready() bool {
+	rs, err := http.Get("http://" + en.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = rs.Body.Close()
+	return rs.StatusCode == http.StatusOK
+}
+
+// WaitReady waits until the instance is ready.
+func (en *Entry) WaitReady() error {
+	for until := time.Now().Add(readyPatience); time.Now().Before(until); time.Sleep(readyStep) {
+		if en.Ready() {
+			return nil
+		}
+	}
+	return fmt.Errorf("the instance at %s did not become ready", en.callers)
+}
+
+// Signal sends the process a signal.
+func (en *Entry) Signal(sg os.Signal) error { return en.process.Process.Signal(sg) }
+
+// Wait waits for the process to end.
+func (en *Entry) Wait() error { return <-en.ended }
+
+// Restart starts the instance again at its addresses.
+func (en *Entry) Restart() error { return en.run() }
+
+// Close ends all processes and listeners that the fleet started.
+func (fl *Fleet) Close() {
+	for _, en := range fl.entries {
+		if en.process != nil && en.process.Process != nil {
+			_ = en.process.Process.Kill()
+		}
+	}
+	for _, ta := range fl.targets {
+		ta.Crash()
+	}
+	_ = fl.server.Close()
+	fl.store.Close()
+}
--- /dev/null
+++ b/emulator/fleet_test.go
@@ -0,0 +1,257 @@
+package emulator_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lovagebank/emulator"
+)
+
+// user calls the entry instances of a fleet in turn, each request with an ID of its own, and keeps what came back.
+type user struct {
+	t       *testing.T
+	entries []*emulator.Entry
+
+	mu      sync.Mutex
+	next    int
+	answers map[string]int
+	broken  []string
+}
+
+// ask sends one request and returns its ID, status and body; status 0 stands for a broken connection.
+func (us *user) ask(path, adapter, key string) (string, int, string) {
+	us.mu.Lock()
+	number := us.next
+	us.next++
+	us.mu.Unlock()
+	id := fmt.Sprintf("r%d", number)
+	address := us.entries[number%len(us.entries)].Address()
+	rq, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+	if err != nil {
+		us.t.Fatal(err)
+	}
+	rq.Host = emulator.Host
+	rq.Header.Set("Request-Id", id)
+	rq.Header.Set("X-Api-Key", key)
+	rq.Header.Set("Deadline-Ms", "5000")
+	if adapter != "" {
+		rq.Header.Set("Model-Name", emulator.Model+"/"+adapter)
+	}
+	status, text := 0, ""
+	if rs, err := http.DefaultClient.Do(rq); err == nil {
+		body, err := io.ReadAll(rs.Body)
+		_ = rs.Body.Close()
+		if err == nil {
+			status, text = rs.StatusCode, string(body)
+		}
+	}
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	us.answers[id] = status
+	if status == http.StatusOK && strings.HasPrefix(path, "/ask/") && strings.Count(text, "data: "+adapter+"\n\n") != 6 {
+		us.broken = append(us.broken, id+" "+text)
+	}
+	return id, status, text
+}
+
+// many sends requests of all kinds for a while, and returns how many were served of how many.
+func (us *user) many(count int) (served, asked int) {
+	var tasks sync.WaitGroup
+	var mu sync.Mutex
+	for number := range count {
+		paths := []string{"/ask/1", "/order/1", "/check/1"}
+		adapter := ""
+		if number%3 == 0 {
+			adapter = fmt.Sprintf("a%d", number%10)
+		}
+		tasks.Go(func() {
+			_, status, _ := us.ask(paths[number%3], adapter, emulator.Key)
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			if status == http.StatusOK {
+				served++
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	tasks.Wait()
+	return served, asked
+}
+
+func newFleet(t *testing.T) (*emulator.Fleet, *user) {
+	t.Helper()
+	folder := t.TempDir()
+	program := filepath.Join(folder, "lovagebank")
+	if text, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, text)
+	}
+	fl, err := emulator.NewFleet(program, folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fl.Close)
+	us := &user{t: t, answers: make(map[string]int)}
+	for number := range 3 {
+		en, err := fl.StartEntry(number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		us.entries = append(us.entries, en)
+	}
+	us.warmUp()
+	return fl, us
+}
+
+// warmUp waits until the targets have holders that load adapters.
+func (us *user) warmUp() {
+	us.t.Helper()
+	for range 200 {
+		if _, status, _ := us.ask("/ask/1", "a1", emulator.Key); status == http.StatusOK {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	us.t.Fatal("no adapter could be loaded")
+}
+
+// check holds the targets' view against what must always hold.
+func (us *user) check(fl *emulator.Fleet) {
+	us.t.Helper()
+	runs := make(map[string]int)
+	for _, ru := range fl.Runs() {
+		if strings.HasPrefix(ru.Path, "/order/") {
+			runs[ru.ID]++
+		}
+		if ru.Organisation != "sample" || ru.SawKey {
+			us.t.Errorf("request %s ran for %q, key seen %v", ru.ID, ru.Organisation, ru.SawKey)
+		}
+	}
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	for id, count := range runs {
+		if count > 1 {
+			us.t.Errorf("request %s ran %d times", id, count)
+		}
+		if status := us.answers[id]; status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			us.t.Errorf("request %s ran and was refused with %d", id, status)
+		}
+	}
+	for _, text := range us.broken {
+		us.t.Errorf("stream looks complete and is not: %s", text)
+	}
+	for number := range 4 {
+		if most := fl.Target(fmt.Sprintf("engine-%d", number)).Most(); most > 4 {
+			us.t.Errorf("engine %d was ordered to hold %d adapters", number, most)
+		}
+	}
+}
+
+// Each scenario reads like an operator's steps: what is done to the fleet while callers go on, and how many of them
+// must be served at least.
+func TestFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	tests := map[string]struct {
+		step   func(*testing.T, *emulator.Fleet, *user)
+		served float64
+	}{
+		"calm": {func(*testing.T, *emulator.Fleet, *user) {}, 0.99},
+		"a target crashes and its entry lapses later": {func(_ *testing.T, fl *emulator.Fleet, _ *user) {
+			fl.Target("engine-1").Crash()
+			time.Sleep(500 * time.Millisecond)
+			fl.Store().Remove("servers/engine-1")
+		}, 0.9},
+		"the store is away": {func(_ *testing.T, fl *emulator.Fleet, _ *user) {
+			fl.Store().SetDown(true)
+			time.Sleep(1500 * time.Millisecond)
+			fl.Store().SetDown(false)
+		}, 0.95},
+		"the store loses answers and its history": {func(_ *testing.T, fl *emulator.Fleet, _ *user) {
+			fl.Store().LoseAnswers(3)
+			fl.Store().Compact()
+			time.Sleep(time.Second)
+			fl.Store().LoseAnswers(0)
+		}, 0.95},
+		"an instance is stopped gracefully": {func(t *testing.T, _ *emulator.Fleet, us *user) {
+			if err := us.entries[0].Signal(syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
+			if err := us.entries[0].Wait(); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+			if err := us.entries[0].Restart(); err != nil {
+				t.Error(err)
+			}
+		}, 0.6},
+		"an instance is killed and starts again": {func(t *testing.T, _ *emulator.Fleet, us *user) {
+			if err := us.entries[1].Signal(syscall.SIGKILL); err != nil {
+				t.Error(err)
+			}
+			_ = us.entries[1].Wait()
+			if err := us.entries[1].Restart(); err != nil {
+				t.Error(err)
+			}
+		}, 0.6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fl, us := newFleet(t)
+			var step sync.WaitGroup
+			step.Go(func() {
+				time.Sleep(300 * time.Millisecond)
+				tt.step(t, fl, us)
+			})
+			served, asked := us.many(300)
+			step.Wait()
+			us.check(fl)
+			if float64(served) < tt.served*float64(asked) {
+				t.Errorf("%d of %d served", served, asked)
+			}
+			if after, asked := us.many(30); float64(after) < 0.95*float64(asked) {
+				t.Errorf("%d of %d served afterwards", after, asked)
+			}
+			us.check(fl)
+		})
+	}
+}
+
+// A key that is taken away stops working everywhere, and a configuration never reverts.
+func TestWithdrawnKey(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	fl, us := newFleet(t)
+	if err := fl.Configure(2, "new-key"); err != nil {
+		t.Fatal(err)
+	}
+	for tries := 0; ; tries++ {
+		_, status, _ := us.ask("/check/1", "", emulator.Key)
+		if status == http.StatusUnauthorized {
+			break
+		}
+		if tries > 300 {
+			t.Fatal("the old key still works")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for range 9 {
+		if _, status, _ := us.ask("/check/1", "", emulator.Key); status != http.StatusUnauthorized {
+			t.Errorf("status %d with the old key", status)
+		}
+		if _, status, _ := us.ask("/check/1", "", "new-key"); status != http.StatusOK {
+			t.Errorf("status %d with the new key", status)
+		}
+	}
+}
--- /dev/null
+++ b/emulator/store.go
@@ -0,0 +1,328 @@
+// Package emulator is a small stand-in for the users' platform: its store, its targets and its operator, over loopback,
+// with the faults that tests ask for. It follows the platform's pages and shares no code with what it stands in for.
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// watchStep is the time between two looks of a waiting watch.
+	watchStep = 20 * time.Millisecond
+	// sweepStep is the time between two looks for leases that have run out.
+	sweepStep = 50 * time.Millisecond
+)
+
+// item is a key of the store.
+type item struct {
+	Key        string `json:"key"`
+	Value      []byte `json:"value,omitempty"`
+	Revision   int64  `json:"revision"`
+	CreatedRev int64  `json:"createdRev,omitempty"`
+	Lease      int64  `json:"lease"`
+	Deleted    bool   `json:"deleted,omitempty"`
+}
+
+// Store is the platform's store.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]item
+	history  []item
+	from     int64
+	leases   map[int64]lease
+	next     int64
+	down     bool
+	loses    int
+	calls    int
+	done     chan struct{}
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// NewStore makes an empty store; Close ends its work.
+func NewStore() *Store {
+	st := &Store{items: make(map[string]item), leases: make(map[int64]lease), done: make(chan struct{})}
+	go st.sweep()
+	return st
+}
+
+// Close ends the store's work.
+func (st *Store) Close() { close(st.done) }
+
+// SetDown makes all calls fail, or work again.
+func (st *Store) SetDown(down bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.down = down
+}
+
+// LoseAnswers makes every nth write take effect without an answer; 0 for none.
+func (st *Store) LoseAnswers(nth int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.loses = nth
+}
+
+// Compact drops the history.
+func (st *Store) Compact() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.history, st.from = nil, st.revision
+}
+
+// Put writes a key as the operator or a target does.
+func (st *Store) Put(key string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.revision++
+	st.write(item{Key: key, Value: text, Revision: st.revision})
+	return nil
+}
+
+// Remove removes a key.
+func (st *Store) Remove(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.revision++
+	st.write(item{Key: key, Revision: st.revision, Deleted: true})
+}
+
+func (st *Store) write(it item) {
+	if it.Deleted {
+		delete(st.items, it.Key)
+	} else {
+		it.CreatedRev = it.Revision
+		if known, ok := st.items[it.Key]; ok {
+			it.CreatedRev = known.CreatedRev
+		}
+		st.items[it.Key] = it
+	}
+	st.history = append(st.history, it)
+}
+
+func (st *Store) sweep() {
+	ticker := time.NewTicker(sweepStep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-st.done:
+			return
+		case now := <-ticker.C:
+			st.expire(now)
+		}
+	}
+}
+
+func (st *Store) expire(now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id, le := range st.leases {
+		if now.After(le.until) {
+			st.endLease(id)
+		}
+	}
+}
+
+func (st *Store) endLease(id int64) {
+	delete(st.leases, id)
+	for key, it := range st.items {
+		if it.Lease == id {
+			st.revision++
+			st.write(item{Key: key, Revision: st.revision, Deleted: true})
+		}
+	}
+}
+
+// ServeHTTP answers the store's calls.
+func (st *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	st.mu.Lock()
+	down := st.down
+	st.calls++
+	silent := st.loses > 0 && r.Method == http.MethodPost && st.calls%st.loses == 0
+	st.mu.Unlock()
+	if down {
+		http.Error(w, `{"error":"try later"}`, http.StatusServiceUnavailable)
+		return
+	}
+	status, body := st.answer(r)
+	if silent {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func (st *Store) answer(r *http.Request) (int, any) {
+	switch path := r.URL.Path; {
+	case path == "/-/kv-range":
+		return st.list(r.URL.Query().Get("prefix"))
+	case path == "/-/kv-watch":
+		return st.watch(r)
+	case path == "/-/kv-txn":
+		return st.transact(r)
+	case path == "/-/kv-lease":
+		return st.grant(r)
+	case strings.HasPrefix(path, "/-/kv-keep/"):
+		return st.keep(strings.TrimPrefix(path, "/-/kv-keep/"))
+	case strings.HasPrefix(path, "/-/kv-lease-end/"):
+		return st.end(strings.TrimPrefix(path, "/-/kv-lease-end/"))
+	default:
+		return http.StatusNotFound, nil
+	}
+}
+
+type page struct {
+	Items   []item `json:"items,omitempty"`
+	Events  []item `json:"events,omitempty"`
+	HasMore bool   `json:"hasMore"`
+	AtRev   int64  `json:"atRev"`
+}
+
+func (st *Store) list(prefix string) (int, any) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	pa := page{AtRev: st.revision}
+	for key, it := range st.items {
+		if strings.HasPrefix(key, prefix) {
+			pa.Items = append(pa.Items, it)
+		}
+	}
+	return http.StatusOK, pa
+}
+
+func (st *Store) watch(r *http.Request) (int, any) {
+	query := r.URL.Query()
+	after, errAfter := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.Atoi(query.Get("waitMs"))
+	if errAfter != nil || errWait != nil {
+		return http.StatusBadRequest, nil
+	}
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		pa, compacted := st.events(query.Get("prefix"), after)
+		switch {
+		case compacted:
+			return http.StatusGone, nil
+		case len(pa.Events) > 0 || time.Now().After(until) || r.Context().Err() != nil:
+			return http.StatusOK, pa
+		}
+		time.Sleep(watchStep)
+	}
+}
+
+func (st *Store) events(prefix string, after int64) (page, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	pa := page{AtRev: st.revision}
+	if after < st.from {
+		return pa, true
+	}
+	for _, it := range st.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			pa.Events = append(pa.Events, it)
+		}
+	}
+	return pa, false
+}
+
+type transaction struct {
+	Expected []item   `json:"expected"`
+	Puts     []item   `json:"puts"`
+	Deletes  []string `json:"deletes"`
+}
+
+type revised struct {
+	Revision int64 `json:"revision"`
+}
+
+func (st *Store) transact(r *http.Request) (int, any) {
+	var tx transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, ex := range tx.Expected {
+		if st.items[ex.Key].Revision != ex.Revision {
+			return http.StatusPreconditionFailed, page{AtRev: st.revision}
+		}
+	}
+	for _, it := range tx.Puts {
+		if _, ok := st.leases[it.Lease]; it.Lease != 0 && !ok {
+			return http.StatusNotFound, nil
+		}
+	}
+	st.revision++
+	for _, it := range tx.Puts {
+		it.Revision = st.revision
+		st.write(it)
+	}
+	for _, key := range tx.Deletes {
+		st.write(item{Key: key, Revision: st.revision, Deleted: true})
+	}
+	return http.StatusOK, revised{Revision: st.revision}
+}
+
+type granted struct {
+	Lease int64 `json:"lease,omitempty"`
+	TTLMs int64 `json:"ttlMs"`
+}
+
+func (st *Store) grant(r *http.Request) (int, any) {
+	var asked granted
+	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	ttl := time.Duration(asked.TTLMs) * time.Millisecond
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.next++
+	st.leases[st.next] = lease{ttl: ttl, until: time.Now().Add(ttl)}
+	return http.StatusOK, granted{Lease: st.next, TTLMs: asked.TTLMs}
+}
+
+func (st *Store) keep(text string) (int, any) {
+	id, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	le, ok := st.leases[id]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	le.until = time.Now().Add(le.ttl)
+	st.leases[id] = le
+	return http.StatusOK, granted{TTLMs: le.ttl.Milliseconds()}
+}
+
+func (st *Store) end(text string) (int, any) {
+	id, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if _, ok := st.leases[id]; !ok {
+		return http.StatusNotFound, nil
+	}
+	st.endLease(id)
+	return http.StatusOK, nil
+}
