--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -20,10 +20,10 @@
 	startLevel = 0.6
 	// shareMargin is how much more than its part of the demand an instance may spend between two tellings.
 	shareMargin = 1.5
-	// largePart is the part of a second's rate from which a request counts as large, and largeShare the part of the
-	// bucket that one large request may take.
-	largePart  = 0.05
-	largeShare = 0.6
+	// largePart is the part of a second's rate from which a request counts as large. The bucket may owe up to debtTime
+	// of the rate for one: where small requests empty it all the time, it never holds enough for a large one.
+	largePart = 0.05
+	debtTime  = 500 * time.Millisecond
 	// demandMemory is the time over which the demand of an instance is averaged.
 	demandMemory = 3 * time.Second
 	// settleTime is the time after which an instance's own account of an organisation is good enough for others.
@@ -184,14 +184,14 @@
 // affords tells whether a request fits into what this instance may spend until the others have been told. A large one
 // may go beyond its part, as a part would not pay for it.
 func (bu *bucket) affords(cost, share float64) bool {
-	if cost > bu.level {
-		return false
-	}
 	part := share * (bu.level + bu.unheard)
 	if bu.unheard+cost <= part {
-		return true
+		return cost <= bu.level
+	}
+	if cost < bu.rate*largePart || bu.unheard > part {
+		return false
 	}
-	return cost >= bu.rate*largePart && bu.unheard <= part && cost <= bu.level*largeShare
+	return bu.level > 0 && cost <= bu.level+bu.rate*debtTime.Seconds()
 }
 
 // share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -157,6 +157,39 @@
 	}
 }
 
+// The pattern of quiet-1: the rate is lowered to a third of what is asked. One request in fifty is twenty times as
+// long as the others; it must not be refused much more often than they.
+func TestLongRequestsAmongManyShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		og := router.NewOrganisation(router.OrganisationOptions{
+			Name: "o", TokensPerSecond: 25000, BurstTokens: 90000, CountsTokens: true,
+		})
+		fl := newFleet()
+		var served, asked [2]float64
+		told := time.Now()
+		for number := range 40 * 75 {
+			if time.Since(told) >= tell {
+				told = time.Now()
+				fl.tellAll()
+			}
+			kind, cost := 0, 700.0
+			if number%50 == 0 {
+				kind, cost = 1, 11000
+			}
+			ok, _ := fl.members[number%instances].Charge(og, cost)
+			asked[kind]++
+			if ok {
+				served[kind]++
+			}
+			time.Sleep(time.Second / 75)
+		}
+		short, long := served[0]/asked[0], served[1]/asked[1]
+		if long < short/2 {
+			t.Errorf("%.2f of the long requests served, %.2f of the short ones", long, short)
+		}
+	})
+}
+
 // restart ends an instance's process gracefully, lets time pass and starts it again.
 func (fl *fleet) restart(at int, down time.Duration, multiple float64) {
 	fl.leaving[at] = true
