--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -85,6 +85,9 @@
 		return
 	}
 	ex.ac.op.Budgeter.Request(ex.service.Name())
+	if ex.service.Engine() != nil {
+		ex.outcome.adapter = ex.caller.Adapter
+	}
 	rf := ex.dispatch()
 	if ex.ran == 0 {
 		ex.refund()
@@ -233,6 +236,7 @@
 // load has the target's holder load the adapter; a target where that fails is not tried again.
 func (ex *exchange) load(ch *balancer.Choice) {
 	ex.loads++
+	ex.outcome.asked = append(ex.outcome.asked, ch.Target().ID())
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ex.ctx, loadPatience)
 	defer cancel()
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -1,8 +1,10 @@
 package acceptor
 
 import (
+	"strings"
 	"time"
 
+	"lovagebank/balancer"
 	"lovagebank/router"
 )
 
@@ -23,8 +25,11 @@
 	loadAge      time.Duration
 	tries        int
 	loadWait     time.Duration
-	events       int
-	failure      error
+	adapter      balancer.Adapter
+	// asked are the targets that were asked to load the adapter.
+	asked   []string
+	events  int
+	failure error
 }
 
 func (ou *Outcome) note(err error) {
@@ -77,8 +82,11 @@
 		fields = append(fields, "target", ou.target, "load", int(ou.load*100), "load-age-ms", ou.loadAge.Milliseconds(),
 			"tries", ou.tries, "first-ms", ou.First().Milliseconds())
 	}
-	if ou.loadWait > 0 {
-		fields = append(fields, "load-wait-ms", ou.loadWait.Milliseconds())
+	if ou.adapter.Model != "" {
+		fields = append(fields, "adapter", ou.adapter)
+	}
+	if len(ou.asked) > 0 {
+		fields = append(fields, "load-wait-ms", ou.loadWait.Milliseconds(), "asked", strings.Join(ou.asked, ","))
 	}
 	if ou.reason != "" {
 		fields = append(fields, "reason", ou.reason)
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -38,7 +38,9 @@
 		Mirror:  su.mirror,
 		Failed: func(peer string, err error) {
 			su.reporter.Count("exchange_failures", 1)
-			su.logger.Debug("exchange failed", "peer", peer, "error", err)
+			if su.silent.lose(peer) {
+				su.logger.Warn("peer lost", "peer", peer, "error", err)
+			}
 		},
 	})
 }
@@ -56,6 +58,7 @@
 func (su *Supervisor) instanceGone(name string) {
 	su.allotter.Gone(name)
 	su.holdings.gone(name)
+	su.silent.regain(name)
 	su.logger.Info("instance gone", "peer", name)
 }
 
@@ -161,6 +164,9 @@
 // takeState takes in what a peer tells.
 func (su *Supervisor) takeState(state *wire.FleetState) {
 	peer := state.GetInstance()
+	if su.silent.regain(peer) {
+		su.logger.Info("peer regained", "peer", peer)
+	}
 	tallies := make(map[string]allotter.Tally, len(state.GetTallies()))
 	for _, ta := range state.GetTallies() {
 		tallies[ta.GetOrganisation()] = allotter.Tally{
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -94,6 +94,7 @@
 	configuration atomic.Pointer[router.Configuration]
 	versions      versions
 	newer         newer
+	silent        silent
 	troubleAt     atomic.Int64
 	began         time.Time
 	draining      atomic.Bool
