--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -348,7 +348,7 @@
 	var se *forwarder.SendError
 	mayHaveRun := errors.As(err, &se) && se.MayHaveRun()
 	if ex.ctx.Err() == nil && !errors.Is(err, forwarder.ErrNoConnection) {
-		ex.ac.op.Balancer.Failed(ta.ID())
+		ex.ac.op.Balancer.Failed(ta.ID(), !mayHaveRun)
 		ex.ac.op.Forwarder.Flush(ta.ID())
 	}
 	ex.excluded[ta.ID()] = true
--- a/acceptor/pass.go
+++ b/acceptor/pass.go
@@ -81,7 +81,7 @@
 	ex.outcome.note(err)
 	ex.excluded[ta.ID()] = true
 	if ex.ctx.Err() == nil {
-		ex.ac.op.Balancer.Failed(ta.ID())
+		ex.ac.op.Balancer.Failed(ta.ID(), false)
 		ex.ac.op.Quarantiner.Crashed(ex.fingerprint)
 	}
 	return broken
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,9 @@
 
 	failures     int
 	suspectUntil time.Time
+	// unreachable targets gave no connection at the last try; probes counts the requests that try them again.
+	unreachable  bool
+	probes       int
 	failureShare float64
 }
 
@@ -210,8 +213,8 @@
 	}
 }
 
-// Failed notes that a target could not be reached or broke a connection.
-func (ba *Balancer) Failed(target string) {
+// Failed notes that a target broke a connection, or that none could be opened to it.
+func (ba *Balancer) Failed(target string, unreachable bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	st, ok := ba.states[target]
@@ -220,6 +223,7 @@
 	}
 	wait := min(firstSuspicion<<min(st.failures, 8), maxSuspicion)
 	st.failures++
+	st.unreachable = unreachable
 	st.suspectUntil = time.Now().Add(wait)
 }
 
@@ -231,7 +235,7 @@
 	if !ok {
 		return
 	}
-	st.failures, st.suspectUntil = 0, time.Time{}
+	st.failures, st.suspectUntil, st.unreachable = 0, time.Time{}, false
 	st.failureShare *= 1 - failureWeight
 	if failure {
 		st.failureShare += failureWeight
@@ -246,6 +250,7 @@
 	tokens  int
 	begun   bool
 	overdue bool
+	probe   bool
 }
 
 // Send counts a request that goes to a target.
@@ -256,6 +261,10 @@
 	if se.st == nil {
 		se.st = &state{uses: make(map[Adapter]*Use)}
 	}
+	if se.st.unreachable {
+		se.probe = true
+		se.st.probes++
+	}
 	se.use = se.st.use(ad)
 	se.use.Sent++
 	se.use.Running++
@@ -297,6 +306,9 @@
 	se.ba.mu.Lock()
 	defer se.ba.mu.Unlock()
 	se.begin()
+	if se.probe {
+		se.st.probes--
+	}
 	se.st.inFlight--
 	se.use.Running--
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -71,13 +71,13 @@
 			need: need(7), target: id(2), holds: true,
 		},
 		"not a target that has just failed": {
-			prepare: func(ba *balancer.Balancer) { hear(ba, 1, 0, 7); hear(ba, 2, 5, 7); ba.Failed(id(1)) },
+			prepare: func(ba *balancer.Balancer) { hear(ba, 1, 0, 7); hear(ba, 2, 5, 7); ba.Failed(id(1), false) },
 			need:    need(7), target: id(2), holds: true,
 		},
 		"a failed one rather than none": {
 			prepare: func(ba *balancer.Balancer) {
 				for number := range 4 {
-					ba.Failed(id(number))
+					ba.Failed(id(number), false)
 				}
 				hear(ba, 1, 0, 7)
 			},
@@ -262,6 +262,31 @@
 	}
 }
 
+// The pattern of incident 2f0b, 32 to 40 s: the only target of a service lies behind a cut. One request at a time tries
+// it; the others are refused at once, and all go there again once it answers.
+func TestUnreachableTarget(t *testing.T) {
+	ba := fleet(1)
+	hear(ba, 0, 0, 7)
+	ba.Failed(id(0), true)
+	if _, ok := ba.Choose(need(7)); !ok {
+		t.Fatal("nobody tries the target")
+	}
+	sent := ba.Send(id(0), adapter(7), 10)
+	if _, ok := ba.Choose(need(7)); ok {
+		t.Error("a second request waits for the same connection")
+	}
+	ba.Failed(id(0), true)
+	sent.Ended()
+	if _, ok := ba.Choose(need(7)); !ok {
+		t.Error("nobody tries the target again")
+	}
+	ba.Answered(id(0), false)
+	ba.Send(id(0), adapter(7), 10)
+	if _, ok := ba.Choose(need(7)); !ok {
+		t.Error("the target is not used although it answered")
+	}
+}
+
 func TestUsesAreToldOnce(t *testing.T) {
 	ba := fleet(1)
 	sent := ba.Send(id(0), adapter(1), 10)
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -115,7 +115,8 @@
 	return ch
 }
 
-// usable returns the targets that may take the request: those not suspected, or else all.
+// usable returns the targets that may take the request: those not suspected, or else all but those that cannot be
+// reached and are being tried already: waiting for the same connection again would be in vain.
 func (ba *Balancer) usable(ne Need, now time.Time) []*state {
 	all := ba.service[ne.Service]
 	open := make([]*state, 0, len(all))
@@ -134,7 +135,8 @@
 		return open
 	}
 	for _, st := range all {
-		if !st.target.Draining() && !ne.Excluded[st.target.ID()] {
+		hopeless := st.unreachable && st.probes > 0
+		if !st.target.Draining() && !ne.Excluded[st.target.ID()] && !hopeless {
 			open = append(open, st)
 		}
 	}
