Let an instance that starts while the store turns it away learn from the instances that its settings name

It now asks the seeds of its settings for their copy of the store, instances included, so that it tells them what it admits. Scenario on the emulator: an instance killed and started while the store is away becomes ready.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -35,6 +35,8 @@
 	ledger  *Ledger
 	targets map[string]*Target
 	entries map[string]*Entry
+	// seeds are the control addresses of the instances started so far.
+	seeds []string
 }
 
 // Entry is an entry instance.
@@ -122,7 +124,7 @@
 // StartEntry starts an entry instance; number names it and picks its address in the loopback range.
 func (fl *Fleet) StartEntry(number int) (*Entry, error) {
 	ip := "127.0.1." + strconv.Itoa(number+1)
-	ports, err := freePorts(ip, 3)
+	ports, err := freePorts(ip, 4)
 	if err != nil {
 		return nil, err
 	}
@@ -131,13 +133,15 @@
 	settings := strings.Join([]string{
 		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + zone(number),
 		"listen.front=" + en.callers, "listen.ready=" + en.ready,
-		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + fl.address, "limits.memoryMb=284", "",
+		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + fl.address, "limits.memoryMb=284",
+		"listen.control=" + net.JoinHostPort(ip, ports[3]), "seeds=" + strings.Join(fl.seeds, ","), "",
 	}, "\n")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
 	en.run = func() error { return en.start(fl.program, path) }
 	fl.entries[ip] = en
+	fl.seeds = append(fl.seeds, net.JoinHostPort(ip, ports[3]))
 	return en, en.run()
 }
 
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -193,6 +193,17 @@
 				t.Error(err)
 			}
 		}, 0.6},
+		"an instance starts again while the store is away": {func(t *testing.T, fl *emulator.Fleet, us *user) {
+			if err := us.entries[2].Signal(syscall.SIGKILL); err != nil {
+				t.Error(err)
+			}
+			_ = us.entries[2].Wait()
+			fl.Store().SetDown(true)
+			if err := us.entries[2].Restart(); err != nil {
+				t.Errorf("the instance learned nothing from its seeds: %v", err)
+			}
+			fl.Store().SetDown(false)
+		}, 0.6},
 		"an instance is killed and starts again": {func(t *testing.T, _ *emulator.Fleet, us *user) {
 			if err := us.entries[1].Signal(syscall.SIGKILL); err != nil {
 				t.Error(err)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -44,10 +44,11 @@
 	Revision int64
 }
 
-// Mirror is an instance's copy of the operator's keys and of the registered targets.
+// Mirror is an instance's copy of the operator's keys, of the registered targets and of the instances' own keys.
 type Mirror struct {
 	Operator Copy
 	Targets  Copy
+	Own      Copy
 }
 
 // Options set an Exchanger up.
@@ -199,6 +200,7 @@
 	return Mirror{
 		Operator: Copy{Items: decodeItems(answer.Msg.GetOperatorItems()), Revision: answer.Msg.GetOperatorRevision()},
 		Targets:  Copy{Items: decodeItems(answer.Msg.GetTargetItems()), Revision: answer.Msg.GetTargetRevision()},
+		Own:      Copy{Items: decodeItems(answer.Msg.GetOwnItems()), Revision: answer.Msg.GetOwnRevision()},
 	}, nil
 }
 
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -55,6 +55,8 @@
 		TargetRevision:   mi.Targets.Revision,
 		OperatorItems:    encodeItems(mi.Operator.Items),
 		TargetItems:      encodeItems(mi.Targets.Items),
+		OwnRevision:      mi.Own.Revision,
+		OwnItems:         encodeItems(mi.Own.Items),
 	}), nil
 }
 
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -13,6 +13,7 @@
 	"lovagebank/pauser"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
+	"lovagebank/watcher"
 	"lovagebank/wire"
 )
 
@@ -243,33 +244,58 @@
 	return revisions{operator: su.operatorWatcher.Revision(), targets: su.targetWatcher.Revision()}
 }
 
-// mirror is this instance's copy of the operator's keys and the registered targets.
+// mirror is this instance's copy of the store's keys.
 func (su *Supervisor) mirror() exchanger.Mirror {
-	known := su.revisions()
 	return exchanger.Mirror{
-		Operator: exchanger.Copy{Items: su.operatorWatcher.Items(), Revision: known.operator},
-		Targets:  exchanger.Copy{Items: su.targetWatcher.Items(), Revision: known.targets},
+		Operator: copyOf(su.operatorWatcher),
+		Targets:  copyOf(su.targetWatcher),
+		Own:      copyOf(su.ownWatcher),
 	}
 }
 
-// askMirror takes in the copy of a peer that knows more of the store.
+func copyOf(wa *watcher.Watcher) exchanger.Copy {
+	// The revision goes first: what comes in between is in the copy, and is told again.
+	revision := wa.Revision()
+	return exchanger.Copy{Items: wa.Items(), Revision: revision}
+}
+
+// askMirror takes in the copy of a peer that knows more of the store. An instance that has never read the store asks
+// those that the settings name.
 func (su *Supervisor) askMirror(ctx context.Context) {
+	if su.configuration.Load() == nil {
+		su.askSeeds(ctx)
+		return
+	}
 	peer, ok := su.newer.best(su.revisions())
 	if !ok {
 		return
 	}
 	for _, in := range su.keeper.Instances() {
-		if in.Name != peer {
-			continue
+		if in.Name == peer {
+			su.learnFrom(ctx, peer, in.Address)
 		}
-		mi, err := su.exchanger.Mirror(ctx, in.Address)
-		if err != nil {
-			su.logger.Warn("copy of the store not had from peer", "peer", peer, "error", err)
+	}
+}
+
+func (su *Supervisor) askSeeds(ctx context.Context) {
+	for _, address := range su.settings.Seeds() {
+		if address != su.settings.ControlAddress() && su.learnFrom(ctx, address, address) {
 			return
 		}
-		su.operatorWatcher.Learn(mi.Operator.Items, mi.Operator.Revision)
-		su.targetWatcher.Learn(mi.Targets.Items, mi.Targets.Revision)
-		su.logger.Info("store followed through peer", "peer", peer,
-			"operator-revision", mi.Operator.Revision, "target-revision", mi.Targets.Revision)
 	}
 }
+
+// learnFrom takes in a peer's copy of the store; false where there is none.
+func (su *Supervisor) learnFrom(ctx context.Context, peer, address string) bool {
+	mi, err := su.exchanger.Mirror(ctx, address)
+	if err != nil {
+		su.logger.Warn("copy of the store not had from peer", "peer", peer, "error", err)
+		return false
+	}
+	su.operatorWatcher.Learn(mi.Operator.Items, mi.Operator.Revision)
+	su.targetWatcher.Learn(mi.Targets.Items, mi.Targets.Revision)
+	su.ownWatcher.Learn(mi.Own.Items, mi.Own.Revision)
+	su.logger.Info("store followed through peer", "peer", peer,
+		"operator-revision", mi.Operator.Revision, "target-revision", mi.Targets.Revision)
+	return mi.Operator.Revision > 0
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -287,6 +287,9 @@
 		&http.Server{Addr: su.settings.ReadyAddress(), Handler: su.readyHandler(), ReadHeaderTimeout: headerTimeout},
 		&http.Server{Addr: peers, Handler: su.exchanger.Handler(), ReadHeaderTimeout: headerTimeout},
 	)
+	if address := su.settings.ControlAddress(); address != "" {
+		sv.others = append(sv.others, &http.Server{Addr: address, Handler: su.exchanger.Handler(), ReadHeaderTimeout: headerTimeout})
+	}
 	if su.op.MetricsPort > 0 {
 		address := net.JoinHostPort(su.settings.IP(), strconv.Itoa(su.op.MetricsPort))
 		sv.others = append(sv.others, &http.Server{Addr: address, Handler: su.reporter.Handler(), ReadHeaderTimeout: headerTimeout})
