--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -99,7 +99,7 @@
 		return nil, false
 	}
 	if ne.Adapter.Model == "" {
-		return ba.choice(ba.idlest(usable, now), now), true
+		return ba.choice(ba.idlest(usable), now), true
 	}
 	if !ne.Again {
 		ba.demand.add(ne.Adapter, now)
@@ -160,7 +160,7 @@
 	return cost
 }
 
-func (ba *Balancer) idlest(states []*state, _ time.Time) *state {
+func (ba *Balancer) idlest(states []*state) *state {
 	best, least := states[0], ba.cost(states[0])
 	for _, st := range states[1:] {
 		if cost := ba.cost(st); cost < least {
@@ -178,7 +178,7 @@
 	return st.holder
 }
 
-// Rank is a target's place in the order in which targets are preferred for an adapter: the lowest first. All
+// rank is a target's place in the order in which targets are preferred for an adapter: the lowest first. All
 // instances agree on it without a message.
 func rank(adapter, target uint64) uint64 {
 	mixed := (adapter ^ target) * 0x9e3779b97f4a7c15
@@ -211,7 +211,7 @@
 	if len(holding) == 0 {
 		return ba.chooseLoader(ne, usable, now)
 	}
-	st := ba.chooseHolding(ne, holding, now)
+	st := ba.chooseHolding(ne, holding)
 	if st.weight() > overfull {
 		if ch, ok := ba.chooseLoader(ne, usable, now); ok && ch.load < crowded {
 			return ch, true
@@ -227,8 +227,8 @@
 
 // chooseHolding picks among targets that hold the adapter: the idlest, or for long prompts the one where the
 // session's parts are likely kept, unless it is much busier.
-func (ba *Balancer) chooseHolding(ne Need, holding []*state, now time.Time) *state {
-	best := ba.idlest(holding, now)
+func (ba *Balancer) chooseHolding(ne Need, holding []*state) *state {
+	best := ba.idlest(holding)
 	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
 		return best
 	}
--- a/router/route.go
+++ b/router/route.go
@@ -46,8 +46,6 @@
 	Timeout time.Duration
 	// Objective is the time within which the answer, or a stream's first event, counts as on time.
 	Objective time.Duration
-	// MaxGap is the longest pause between two events of a stream that counts as on time.
-	MaxGap time.Duration
 	// Priority is the route's rank; 0 is the most urgent.
 	Priority int
 	// Shares are the services that the requests go to; at least one.
@@ -56,8 +54,6 @@
 	Attempts int
 	// Public routes ask for no key.
 	Public bool
-	// PrefersCachedPrompt tells that targets keep parts of prompts, so that like requests belong together.
-	PrefersCachedPrompt bool
 	// Resumable streams may go on at another target after the last event delivered.
 	Resumable bool
 }
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -20,6 +20,8 @@
 const (
 	// mirrorInterval is the time between two looks at whether a peer knows more of the store.
 	mirrorInterval = 400 * time.Millisecond
+	// reportInterval is the time between two settings of the gauges.
+	reportInterval = 2 * time.Second
 	// toldInterval is the time between two looks of the balancer at the targets held by this instance itself.
 	toldInterval = 100 * time.Millisecond
 )
@@ -224,7 +226,7 @@
 // followPeers tells the balancer and the orderers of this instance what it knows itself, and asks a peer for its copy
 // of the store when the store does not serve this instance.
 func (su *Supervisor) followPeers(ctx context.Context) {
-	mirrorAt := time.Now()
+	mirrorAt, reportAt := time.Now(), time.Now()
 	for pauser.For(ctx, toldInterval) {
 		for _, ho := range su.holdings.held() {
 			su.balancer.Heard(ho)
@@ -232,6 +234,10 @@
 				or.Used(su.settings.IP(), su.balancer.TakeUses(ho.Target))
 			}
 		}
+		if time.Since(reportAt) > reportInterval {
+			reportAt = time.Now()
+			su.reportState()
+		}
 		if su.troubled(troubleMemory) && time.Since(mirrorAt) > mirrorInterval {
 			mirrorAt = time.Now()
 			su.askMirror(ctx)
@@ -239,6 +245,16 @@
 	}
 }
 
+// reportState sets the gauges.
+func (su *Supervisor) reportState() {
+	su.reporter.Set("store_calls", float64(su.store.Calls()))
+	su.reporter.Set("store_calls_failed", float64(su.store.Failed()))
+	su.reporter.Set("targets", float64(su.balancer.Targets()))
+	su.reporter.Set("targets_held", float64(len(su.keeper.Held())))
+	su.reporter.Set("peers", float64(su.instances()-1))
+	su.reporter.Set("log_lines_dropped", float64(su.recorder.Dropped()))
+}
+
 // revisions are those of the store up to which the operator's keys and the targets are known.
 func (su *Supervisor) revisions() revisions {
 	return revisions{operator: su.operatorWatcher.Revision(), targets: su.targetWatcher.Revision()}
