--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// Host is the host of all routes, and Key the key of the sample organisation.
+	// Host is the host of all routes.
 	Host = "sample.example"
-	Key  = "sample-key"
+	// Key is the key of the sample organisation.
+	Key = "sample-key"
 	// engines, applications and zones are the sizes of the sample deployment.
 	engines      = 4
 	applications = 2
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -26,8 +26,8 @@
 	broken  []string
 }
 
-// ask sends one request and returns its ID, status and body; status 0 stands for a broken connection.
-func (us *user) ask(path, adapter, key string) (string, int, string) {
+// ask sends one request and returns the status of its answer; 0 stands for a broken connection.
+func (us *user) ask(path, adapter, key string) int {
 	us.mu.Lock()
 	number := us.next
 	us.next++
@@ -59,7 +59,7 @@
 	if status == http.StatusOK && strings.HasPrefix(path, "/ask/") && strings.Count(text, "data: "+adapter+"\n\n") != 6 {
 		us.broken = append(us.broken, id+" "+text)
 	}
-	return id, status, text
+	return status
 }
 
 // many sends requests of all kinds for a while, and returns how many were served of how many.
@@ -73,7 +73,7 @@
 			adapter = fmt.Sprintf("a%d", number%10)
 		}
 		tasks.Go(func() {
-			_, status, _ := us.ask(paths[number%3], adapter, emulator.Key)
+			status := us.ask(paths[number%3], adapter, emulator.Key)
 			mu.Lock()
 			defer mu.Unlock()
 			asked++
@@ -115,7 +115,7 @@
 func (us *user) warmUp() {
 	us.t.Helper()
 	for range 200 {
-		if _, status, _ := us.ask("/ask/1", "a1", emulator.Key); status == http.StatusOK {
+		if status := us.ask("/ask/1", "a1", emulator.Key); status == http.StatusOK {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -247,7 +247,7 @@
 		t.Fatal(err)
 	}
 	for tries := 0; ; tries++ {
-		_, status, _ := us.ask("/check/1", "", emulator.Key)
+		status := us.ask("/check/1", "", emulator.Key)
 		if status == http.StatusUnauthorized {
 			break
 		}
@@ -258,10 +258,10 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	for range 9 {
-		if _, status, _ := us.ask("/check/1", "", emulator.Key); status != http.StatusUnauthorized {
+		if status := us.ask("/check/1", "", emulator.Key); status != http.StatusUnauthorized {
 			t.Errorf("status %d with the old key", status)
 		}
-		if _, status, _ := us.ask("/check/1", "", "new-key"); status != http.StatusOK {
+		if status := us.ask("/check/1", "", "new-key"); status != http.StatusOK {
 			t.Errorf("status %d with the new key", status)
 		}
 	}
