Settle holders in the store, so that a machine that lost power orders again at once

The holder now writes, just before its first order, that its wait is over. The scenario of all machines losing power fails without that write.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -29,6 +29,8 @@
 	retryEvery = 600 * time.Millisecond
 	// leaseMargin is how long before the lease can run out a holder stops.
 	leaseMargin = 500 * time.Millisecond
+	// settleBefore is how long before the first order the holder notes in the store that it need not wait any more.
+	settleBefore = 400 * time.Millisecond
 	// step is the time between two looks at what is due.
 	step = 250 * time.Millisecond
 )
@@ -65,6 +67,8 @@
 	epoch int64
 	// from is the boot time from which orders may be given.
 	from time.Duration
+	// settled tells that the store says that no wait is left, or that this was tried.
+	settled bool
 }
 
 // Keeper keeps the lease and the held targets. It is safe for concurrent use.
@@ -123,14 +127,21 @@
 	ke.op.Changed()
 }
 
-// dropLost drops targets that another instance has taken over.
+// dropLost drops targets that another instance has taken over. An entry of this instance's own that is newer than the
+// epoch is of a write whose answer was lost.
 func (ke *Keeper) dropLost() {
 	for target, te := range ke.held {
 		rc, ok := ke.ledger.holders[target]
-		if ok && rc.instance != ke.op.Name && rc.revision > te.epoch {
-			delete(ke.held, target)
-			ke.op.Logger.Warn("target lost", "target", target, "epoch", te.epoch, "holder", rc.instance)
+		if !ok || rc.revision <= te.epoch {
+			continue
+		}
+		if rc.instance == ke.op.Name {
+			te.epoch = rc.revision
+			ke.held[target] = te
+			continue
 		}
+		delete(ke.held, target)
+		ke.op.Logger.Warn("target lost", "target", target, "epoch", te.epoch, "holder", rc.instance)
 	}
 }
 
@@ -206,6 +217,59 @@
 		ke.renew(ctx)
 	}
 	ke.claim(ctx)
+	ke.settle(ctx)
+}
+
+// settle notes in the store, just before the first order, that the wait of a claim is over. A later process on this
+// machine need not wait then, even if the machine has lost power and counts its time anew.
+func (ke *Keeper) settle(ctx context.Context) {
+	value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name})
+	if err != nil {
+		ke.op.Logger.Error("encode holder entry", "error", err)
+		return
+	}
+	tx := platform.Transaction{}
+	var targets []string
+	ke.mu.Lock()
+	for target, te := range ke.held {
+		left := te.from - ke.op.Boot()
+		if te.settled || left > settleBefore || !ke.registered || len(targets) == maxClaims {
+			continue
+		}
+		te.settled = true
+		ke.held[target] = te
+		if left <= 0 {
+			continue
+		}
+		targets = append(targets, target)
+		tx.Expected = append(tx.Expected, platform.Expectation{Key: holderPrefix + target, Revision: te.epoch})
+		tx.Writes = append(tx.Writes, platform.Write{Key: holderPrefix + target, Value: value})
+	}
+	ke.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	revision, err := ke.op.Transact(ctx, tx)
+	if err != nil {
+		ke.op.Logger.Warn("holders not settled", "targets", len(targets), "error", err)
+		return
+	}
+	ke.settledAt(targets, revision)
+}
+
+func (ke *Keeper) settledAt(targets []string, revision int64) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	for _, target := range targets {
+		te, ok := ke.held[target]
+		if !ok {
+			continue
+		}
+		te.epoch = revision
+		ke.held[target] = te
+		ke.ledger.holders[target] = holderRecord{instance: ke.op.Name, revision: revision}
+	}
+	ke.op.Logger.Info("holders settled", "targets", len(targets), "epoch", revision)
 }
 
 func (ke *Keeper) forget() {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -42,13 +42,15 @@
 
 // tell passes changes on to all instances that are not cut off.
 func (st *store) tell(items []platform.Item) {
+	st.mu.Lock()
+	keepers := make(map[string]*keeper.Keeper)
 	for name, ke := range st.keepers {
-		st.mu.Lock()
-		cut := st.cut[name]
-		st.mu.Unlock()
-		if cut {
-			continue
+		if !st.cut[name] {
+			keepers[name] = ke
 		}
+	}
+	st.mu.Unlock()
+	for _, ke := range keepers {
 		for _, it := range items {
 			ke.Take(it)
 		}
@@ -180,16 +182,32 @@
 		Troubled:   func(time.Duration) bool { return st.isCut(name) },
 		Changed:    func() {},
 		Gone:       func(string) {},
-		Boot:       func() time.Duration { return time.Since(epoch) + fl.frozen[name] },
+		Boot:       func() time.Duration { return fl.boot(name) },
 		Logger:     log.New(io.Discard),
 	})
+	st.mu.Lock()
 	st.keepers[name] = ke
+	st.mu.Unlock()
 	ctx, stop := context.WithCancel(t.Context())
 	fl.stops[name] = stop
 	go ke.Run(ctx)
 	return ke
 }
 
+// boot is the time since an instance's machine started.
+func (fl *fleet) boot(name string) time.Duration {
+	fl.store.mu.Lock()
+	defer fl.store.mu.Unlock()
+	return time.Since(epoch) + fl.frozen[name]
+}
+
+// shift moves the time since the start of an instance's machine.
+func (fl *fleet) shift(name string, by time.Duration) {
+	fl.store.mu.Lock()
+	defer fl.store.mu.Unlock()
+	fl.frozen[name] += by
+}
+
 // epoch is before all times of the bubble, whose clock begins at the start of the year 2000.
 var epoch = time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -251,12 +269,35 @@
 		"the holder's machine is suspended past its lease": func(t *testing.T, fl *fleet, last *orders) {
 			holder := last.holder
 			fl.store.setCut(holder, true)
-			fl.frozen[holder] += 20 * time.Second
+			fl.shift(holder, 20*time.Second)
 			if _, ok := fl.store.keepers[holder].Authority("t"); ok {
 				t.Error("the holder orders after a suspension longer than its lease")
 			}
 			fl.watchFor(t, last, 30*time.Second)
 		},
+		"all machines lose power": func(t *testing.T, fl *fleet, last *orders) {
+			holder := last.holder
+			for name, stop := range fl.stops {
+				stop()
+				<-fl.store.keepers[name].Done()
+				// The time since the machine's start begins anew.
+				fl.shift(name, -time.Since(epoch))
+			}
+			for _, name := range []string{"a", "b", "c"} {
+				fl.add(t, name)
+				fl.store.setCut(name, false)
+			}
+			began := time.Now()
+			for until := began.Add(2 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+				if _, ok := fl.store.keepers[holder].Authority("t"); ok {
+					break
+				}
+			}
+			if time.Since(began) >= 2*time.Second {
+				t.Error("the holder waits although nobody else can have given orders")
+			}
+			fl.watchFor(t, last, 20*time.Second)
+		},
 		"the holder leaves": func(t *testing.T, fl *fleet, last *orders) {
 			holder := last.holder
 			fl.store.keepers[holder].Leave(t.Context())
