--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -21,7 +21,9 @@
 	// tell it what is left: requests may have been admitted before all instances started again.
 	startLevel = 0.6
 	// shareMargin is how much more than its part of the demand an instance may spend between two tellings.
-	shareMargin = 1.5
+	shareMargin = 1.1
+	// leastShare is the least part of an instance, in even parts: where nothing was asked of late, something may be.
+	leastShare = 0.3
 	// largePart is the part of a second's rate from which a request counts as large. The bucket may owe up to debtTime
 	// of the rate for one: where small requests empty it all the time, it never holds enough for a large one.
 	largePart = 0.05
@@ -219,7 +221,7 @@
 	if all <= 0 || !heard {
 		return even
 	}
-	return min(max(own/all*shareMargin, even), 1)
+	return min(max(own/all*shareMargin, even*leastShare), 1)
 }
 
 // Refund gives back the cost of a request that did not run.
