Let a holder go on until it exits, and its successor on the machine order at once

The lease is now ended at the exit and the entries stay; a process that starts on the same machine takes them up, and others do if none starts.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -454,29 +454,16 @@
 	ke.op.Changed()
 }
 
-// Leave gives up all targets, so that others can take them over, and ends the lease.
+// Leave stops all orders and ends the lease, so that the instance counts as gone at once. Its targets stay its own in
+// the store: the next process on this machine may order them without a wait, and if there is none, others take them over.
 func (ke *Keeper) Leave(ctx context.Context) {
 	ke.mu.Lock()
 	ke.leaving = true
-	lease, held := ke.lease, ke.held
-	ke.held = make(map[string]tenure)
-	tx := platform.Transaction{}
-	for target, te := range held {
-		if len(tx.Deletes) < 2*maxClaims {
-			tx.Expected = append(tx.Expected, platform.Expectation{Key: holderPrefix + target, Revision: te.epoch})
-			tx.Deletes = append(tx.Deletes, holderPrefix+target)
-		}
-	}
-	ke.mu.Unlock()
-	ke.op.Changed()
-	if len(tx.Deletes) > 0 {
-		if _, err := ke.op.Transact(ctx, tx); err != nil {
-			ke.op.Logger.Warn("targets not given up", "targets", len(tx.Deletes), "error", err)
-		}
-	}
-	ke.mu.Lock()
+	lease := ke.lease
+	clear(ke.held)
 	ke.registered, ke.renewAt = false, time.Now().Add(time.Hour)
 	ke.mu.Unlock()
+	ke.op.Changed()
 	if lease == 0 {
 		return
 	}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -298,6 +298,21 @@
 			}
 			fl.watchFor(t, last, 20*time.Second)
 		},
+		// The pattern of castaneda-stock trouble-2 and of incident 6a74: instances are stopped and started in turn.
+		"the holder is stopped and started again": func(t *testing.T, fl *fleet, last *orders) {
+			holder := last.holder
+			fl.store.keepers[holder].Leave(t.Context())
+			fl.stops[holder]()
+			<-fl.store.keepers[holder].Done()
+			fl.watchFor(t, last, 600*time.Millisecond)
+			fl.add(t, holder)
+			fl.store.setCut(holder, false)
+			fl.watchFor(t, last, time.Second)
+			if _, ok := fl.store.keepers[holder].Authority("t"); !ok {
+				t.Error("the holder waits after its restart")
+			}
+			fl.watchFor(t, last, 10*time.Second)
+		},
 		"the holder leaves": func(t *testing.T, fl *fleet, last *orders) {
 			holder := last.holder
 			fl.store.keepers[holder].Leave(t.Context())
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -233,18 +233,18 @@
 	// noticeTime is how long a draining instance goes on taking connections: until the platform has asked twice
 	// whether it is ready.
 	noticeTime = 2500 * time.Millisecond
+	// leaveTime bounds the end of the lease in the store.
+	leaveTime = 300 * time.Millisecond
 	// killMargin is how long before the kill the instance ends by itself.
 	killMargin = 700 * time.Millisecond
 )
 
-// drain reports not ready, goes on serving until the platform has noticed, lets requests end, and hands over targets.
+// drain reports not ready, goes on serving until the platform has noticed, lets requests end, and gives up its lease. It
+// orders its targets until then: the next process on this machine takes them up again.
 func (su *Supervisor) drain(ctx context.Context, sv *servers) {
 	su.draining.Store(true)
 	began := time.Now()
 	su.logger.Info("draining", "serving", su.serving.Load())
-	leaveCtx, cancel := context.WithTimeout(ctx, noticeTime)
-	defer cancel()
-	su.keeper.Leave(leaveCtx)
 	pauser.For(ctx, noticeTime-time.Since(began))
 	left := su.settings.ShutdownGrace() - killMargin - time.Since(began)
 	endCtx, cancelEnd := context.WithTimeout(ctx, left)
@@ -252,6 +252,9 @@
 	if err := sv.callers.Shutdown(endCtx); err != nil {
 		su.logger.Warn("requests cut by the shutdown", "serving", su.serving.Load(), "error", err)
 	}
+	leaveCtx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+	su.keeper.Leave(leaveCtx)
 	sv.close()
 }
 
