--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -139,7 +139,7 @@
 	stops  map[string]context.CancelFunc
 }
 
-func (fl *fleet) add(t *testing.T, name string) *keeper.Keeper {
+func (fl *fleet) add(t *testing.T, name string) {
 	st := fl.store
 	ke := keeper.New(keeper.Options{
 		Name: name, Address: name + ":1", FailureDomain: "east", Start: name, Turn: 3 * time.Second,
@@ -191,7 +191,6 @@
 	ctx, stop := context.WithCancel(t.Context())
 	fl.stops[name] = stop
 	go ke.Run(ctx)
-	return ke
 }
 
 // boot is the time since an instance's machine started.
