--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -7,17 +7,14 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/sys/unix"
-	"google.golang.org/protobuf/proto"
 
 	"lovagebank/pauser"
 	"lovagebank/platform"
-	"lovagebank/wire"
 )
 
 const (
@@ -220,58 +217,6 @@
 	ke.settle(ctx)
 }
 
-// settle notes in the store, just before the first order, that the wait of a claim is over. A later process on this
-// machine need not wait then, even if the machine has lost power and counts its time anew.
-func (ke *Keeper) settle(ctx context.Context) {
-	value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name})
-	if err != nil {
-		ke.op.Logger.Error("encode holder entry", "error", err)
-		return
-	}
-	tx := platform.Transaction{}
-	var targets []string
-	ke.mu.Lock()
-	for target, te := range ke.held {
-		left := te.from - ke.op.Boot()
-		if te.settled || left > settleBefore || !ke.registered || len(targets) == maxClaims {
-			continue
-		}
-		te.settled = true
-		ke.held[target] = te
-		if left <= 0 {
-			continue
-		}
-		targets = append(targets, target)
-		tx.Expected = append(tx.Expected, platform.Expectation{Key: holderPrefix + target, Revision: te.epoch})
-		tx.Writes = append(tx.Writes, platform.Write{Key: holderPrefix + target, Value: value})
-	}
-	ke.mu.Unlock()
-	if len(targets) == 0 {
-		return
-	}
-	revision, err := ke.op.Transact(ctx, tx)
-	if err != nil {
-		ke.op.Logger.Warn("holders not settled", "targets", len(targets), "error", err)
-		return
-	}
-	ke.settledAt(targets, revision)
-}
-
-func (ke *Keeper) settledAt(targets []string, revision int64) {
-	ke.mu.Lock()
-	defer ke.mu.Unlock()
-	for _, target := range targets {
-		te, ok := ke.held[target]
-		if !ok {
-			continue
-		}
-		te.epoch = revision
-		ke.held[target] = te
-		ke.ledger.holders[target] = holderRecord{instance: ke.op.Name, revision: revision}
-	}
-	ke.op.Logger.Info("holders settled", "targets", len(targets), "epoch", revision)
-}
-
 func (ke *Keeper) forget() {
 	ke.mu.Lock()
 	gone := ke.ledger.forget(time.Now())
@@ -281,179 +226,6 @@
 	}
 }
 
-func (ke *Keeper) postpone(by time.Duration) {
-	ke.mu.Lock()
-	defer ke.mu.Unlock()
-	ke.renewAt = time.Now().Add(by)
-}
-
-func (ke *Keeper) grant(ctx context.Context) {
-	before := ke.op.Boot()
-	lease, ttl, err := ke.op.Grant(ctx, leaseTime)
-	if err != nil {
-		ke.op.Logger.Warn("no lease", "error", err)
-		ke.postpone(retryEvery)
-		return
-	}
-	ke.mu.Lock()
-	ke.lease, ke.registered, ke.validUntil = lease, false, before+ttl
-	ke.mu.Unlock()
-	ke.register(ctx)
-}
-
-// register writes this instance's entry, on condition that it still holds what it held before its lease ended.
-func (ke *Keeper) register(ctx context.Context) {
-	value, err := proto.Marshal(&wire.InstanceEntry{
-		Address: ke.op.Address, FailureDomain: ke.op.FailureDomain, Start: ke.op.Start,
-	})
-	if err != nil {
-		ke.op.Logger.Error("encode instance entry", "error", err)
-		return
-	}
-	tx := platform.Transaction{Expected: ke.expectHeld()}
-	ke.mu.Lock()
-	tx.Writes = []platform.Write{{Key: instancePrefix + ke.op.Name, Value: value, Lease: ke.lease}}
-	ke.mu.Unlock()
-	revision, err := ke.op.Transact(ctx, tx)
-	if err != nil {
-		ke.registrationFailed(err)
-		return
-	}
-	ke.mu.Lock()
-	if ke.registeredAt.IsZero() {
-		ke.registeredAt = time.Now()
-	}
-	ke.registered, ke.revision = true, revision
-	ke.renewAt = time.Now().Add(renewEvery)
-	held := len(ke.held)
-	ke.mu.Unlock()
-	ke.op.Logger.Info("registered", "revision", revision, "held", held)
-}
-
-func (ke *Keeper) registrationFailed(err error) {
-	ke.op.Logger.Warn("not registered", "error", err)
-	ke.mu.Lock()
-	switch {
-	case errors.Is(err, platform.ErrConflict):
-		clear(ke.held)
-	case errors.Is(err, platform.ErrNotFound):
-		ke.lease, ke.validUntil = 0, 0
-	}
-	ke.renewAt = time.Now().Add(retryEvery)
-	ke.mu.Unlock()
-	ke.op.Changed()
-}
-
-func (ke *Keeper) expectHeld() []platform.Expectation {
-	ke.mu.Lock()
-	defer ke.mu.Unlock()
-	expected := make([]platform.Expectation, 0, len(ke.held))
-	for target, te := range ke.held {
-		if len(expected) == 2*maxClaims {
-			delete(ke.held, target)
-			continue
-		}
-		expected = append(expected, platform.Expectation{Key: holderPrefix + target, Revision: te.epoch})
-	}
-	return expected
-}
-
-func (ke *Keeper) renew(ctx context.Context) {
-	ke.mu.Lock()
-	lease := ke.lease
-	ke.mu.Unlock()
-	before := ke.op.Boot()
-	ttl, err := ke.op.Renew(ctx, lease)
-	ke.mu.Lock()
-	defer ke.mu.Unlock()
-	switch {
-	case err == nil:
-		ke.validUntil = max(ke.validUntil, before+ttl)
-		ke.renewAt = time.Now().Add(renewEvery)
-	case errors.Is(err, platform.ErrLeaseEnded):
-		ke.op.Logger.Warn("lease ended", "lease", lease)
-		ke.lease, ke.registered, ke.validUntil = 0, false, 0
-		ke.lapsedAt = time.Now()
-		ke.renewAt = time.Time{}
-	default:
-		ke.op.Logger.Warn("lease not renewed", "lease", lease, "valid-for", ke.validUntil-ke.op.Boot(), "error", err)
-		ke.renewAt = time.Now().Add(retryEvery)
-	}
-}
-
-func (ke *Keeper) troubled() bool {
-	return ke.op.Troubled(leaseTime) || !ke.lapsedAt.IsZero() && time.Since(ke.lapsedAt) < leaseTime
-}
-
-// claim claims targets that need a holder, and deletes the entries of those that are gone.
-func (ke *Keeper) claim(ctx context.Context) {
-	candidates := ke.op.Candidates()
-	now := time.Now()
-	ke.mu.Lock()
-	if !ke.registered || ke.leaving {
-		ke.mu.Unlock()
-		return
-	}
-	claims := ke.ledger.claims(candidates, ke.held, situation{
-		now: now, boot: ke.op.Boot(), registeredAt: ke.registeredAt, troubled: ke.troubled(),
-	})
-	departed := ke.ledger.departed(candidates, now)
-	tx := ke.claimTransaction(claims, departed)
-	ke.mu.Unlock()
-	if len(claims)+len(departed) == 0 {
-		return
-	}
-	revision, err := ke.op.Transact(ctx, tx)
-	if err != nil {
-		ke.op.Logger.Warn("claim failed", "targets", len(claims), "error", err)
-		pauser.For(ctx, retryEvery)
-		return
-	}
-	ke.claimed(claims, departed, revision)
-}
-
-func (ke *Keeper) claimTransaction(claims []claim, departed []string) platform.Transaction {
-	tx := platform.Transaction{Expected: []platform.Expectation{{Key: instancePrefix + ke.op.Name, Revision: ke.revision}}}
-	absent := make(map[string]bool)
-	for _, cl := range claims {
-		key := holderPrefix + cl.target
-		value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name, OrdersFromMs: cl.from.Milliseconds()})
-		if err != nil {
-			ke.op.Logger.Error("encode holder entry", "error", err)
-			return platform.Transaction{}
-		}
-		tx.Expected = append(tx.Expected, platform.Expectation{Key: key, Revision: cl.record.revision})
-		tx.Writes = append(tx.Writes, platform.Write{Key: key, Value: value})
-		if cl.record.instance != "" && cl.record.instance != ke.op.Name {
-			absent[cl.record.instance] = true
-		}
-	}
-	for name := range absent {
-		tx.Expected = append(tx.Expected, platform.Expectation{Key: instancePrefix + name})
-	}
-	for _, target := range departed {
-		tx.Deletes = append(tx.Deletes, holderPrefix+target)
-	}
-	return tx
-}
-
-func (ke *Keeper) claimed(claims []claim, departed []string, revision int64) {
-	ke.mu.Lock()
-	for _, cl := range claims {
-		ke.held[cl.target] = tenure{epoch: revision, from: cl.from}
-		ke.ledger.holders[cl.target] = holderRecord{instance: ke.op.Name, revision: revision, ordersFrom: cl.from}
-	}
-	for _, target := range departed {
-		delete(ke.held, target)
-		delete(ke.ledger.holders, target)
-	}
-	ke.mu.Unlock()
-	for _, cl := range claims {
-		ke.op.Logger.Info("target held", "target", cl.target, "epoch", revision, "before", cl.record.instance, "wait", cl.wait)
-	}
-	ke.op.Changed()
-}
-
 // Leave stops all orders and ends the lease, so that the instance counts as gone at once. Its targets stay its own in
 // the store: the next process on this machine may order them without a wait, and if there is none, others take them over.
 func (ke *Keeper) Leave(ctx context.Context) {
