--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -51,15 +51,14 @@
 
 // Choice is the target for a request.
 type Choice struct {
-	target  *Target
-	holds   bool
-	version int64
-	holder  string
-	spread  *Target
-	by      string
-	urgent  bool
-	load    float64
-	age     time.Duration
+	target *Target
+	holds  bool
+	holder string
+	spread *Target
+	by     string
+	urgent bool
+	load   float64
+	age    time.Duration
 }
 
 // Target is where the request should go.
@@ -68,9 +67,6 @@
 // Holds tells whether the target is believed to hold the adapter; if not, Holder has to load it first.
 func (ch *Choice) Holds() bool { return ch.holds }
 
-// Version is the version of the adapter that the target is believed to hold.
-func (ch *Choice) Version() int64 { return ch.version }
-
 // Holder is the instance that may order the target to load.
 func (ch *Choice) Holder() string { return ch.holder }
 
@@ -218,7 +214,6 @@
 		}
 	}
 	ch := ba.choice(st, now)
-	ch.version = st.adapters[ne.Adapter]
 	if ne.Adapter.Name != "" {
 		ba.addSpread(ch, ne, usable, holding, now)
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -410,7 +410,7 @@
 		or.op.Logger.Warn("report failed", "target", or.op.Target.ID(), "error", err)
 		return
 	}
-	or.load, or.used, or.total = re.Running+re.Waiting, re.UsedTokens, re.TotalTokens
+	or.load = re.Running + re.Waiting
 	certain := or.reportAt.IsZero() || or.unsure
 	or.reportAt = now
 	if !certain && re.Orders < or.orders && now.Sub(or.orderAt) < settled {
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -102,9 +102,6 @@
 	}
 }
 
-// SetEngine takes in a changed configuration of the engine.
-func (sk *Stock) SetEngine(engine *router.Engine) { sk.engine = engine }
-
 // Observe takes in the engine's own word of what it holds and what is under way to it.
 func (sk *Stock) Observe(residents []balancer.Resident, pending map[balancer.Adapter]int64, now time.Time) {
 	old := sk.places
