--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -83,8 +83,6 @@
 	// tells how many orders the engine has accepted.
 	unsure bool
 	load   int
-	used   int
-	total  int
 }
 
 // Request asks for an adapter on the engine.
