Keep a new holder from evicting what the holder before still serves; ask a silent holder of tokens more often

Cause of the eviction in use: a load report counts all requests on an adapter. While a new holder's own requests ran, those of the holder before, which drains for longer than the settle time, were not told apart from them; when the own ones ended, the adapter counted as idle until the next report. Now no adapter is idle after a change of holder until a report of after the settle time shows nothing running. The scheduler's new case fails before (1 eviction in use).

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -88,6 +88,40 @@
 	}
 }
 
+// TestHolderAnswersAgain has the holder of the tokens out of reach for a while that is shorter than a request waits for
+// one: the request is served once the holder answers, and not refused between two attempts.
+func TestHolderAnswersAgain(t *testing.T) {
+	const away = unreachablePatience * 8 / 10
+	synctest.Test(t, func(t *testing.T) {
+		holder, _ := pair(t)
+		back := time.Now().Add(away)
+		lm := New(Options{
+			Instance: "i2", Domain: "d0",
+			Holds:  func(string) (uint64, time.Time, bool) { return 0, time.Time{}, false },
+			Holder: func(string) (string, bool) { return "i0", true },
+			Borrow: func(_ context.Context, _ string, rq *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+				if time.Now().Before(back) {
+					return nil, errors.New("no answer")
+				}
+				return holder.Borrow(rq), nil
+			},
+			Return: func(_ context.Context, _ string, rq *wire.ReturnRequest) (*wire.ReturnResponse, error) {
+				return holder.Return(rq), nil
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go lm.Run(ctx)
+		lm.SetDomains([]string{"d0"})
+		lm.SetPlan(testOrganisation, 100, 1000)
+		_, err := lm.Charge(t.Context(), testOrganisation, 100, time.Now().Add(time.Minute))
+		if err != nil || time.Now().Before(back) {
+			t.Errorf("got %v after %v", err, away-time.Until(back))
+		}
+		cancel()
+		<-lm.Done()
+	})
+}
+
 // TestUseBeyondTheChargeIsCharged has a target count more tokens than were charged: they are missing afterwards.
 func TestUseBeyondTheChargeIsCharged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -36,7 +36,7 @@
 	answerFresh = 250 * time.Millisecond
 	// failureBackoff and failureBackoffMax space the calls to a holder that doesn't answer.
 	failureBackoff    = 50 * time.Millisecond
-	failureBackoffMax = 2 * time.Second
+	failureBackoffMax = unreachablePatience / 4
 	// pendingPatience is how long a place in a holder's queue is kept for a borrower that doesn't ask again.
 	pendingPatience = 150 * time.Millisecond
 	// unreachablePatience is how long a request waits while no holder answers; a hand-over takes up to a second.
--- a/scheduler/adapter.go
+++ b/scheduler/adapter.go
@@ -33,7 +33,8 @@
 	// changed is the time of the last change of status that this holder made.
 	changed   time.Time
 	idleSince time.Time
-	// unsureSince is when a request ended without the target's word that it no longer runs.
+	// unsureSince is when a request ended without the target's word that it no longer runs, or when the requests of a
+	// holder before this one have begun at the latest.
 	unsureSince time.Time
 	// ordered tells that a load or unload order is in flight; reports don't correct the status meanwhile.
 	ordered  bool
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -82,7 +82,8 @@
 		return
 	case ad.status != statusLoaded:
 		st.setLoaded(ad, now)
-		ad.changed = at
+		// Others may use what they had loaded.
+		ad.changed, ad.unsureSince = at, st.hold.settled
 	}
 	if ad.unsureSince.Before(at) && rep.Running == 0 {
 		ad.unsureSince = time.Time{}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -25,6 +25,8 @@
 	held     bool
 	fencing  uint64
 	lost     bool
+	// evictedInUse counts the unloads of adapters that a request ran on.
+	evictedInUse int
 }
 
 const (
@@ -80,6 +82,9 @@
 func (en *engine) unload(_ context.Context, model string, _ uint64) error {
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	if en.running[model] > 0 {
+		en.evictedInUse++
+	}
 	delete(en.adapters, model)
 	return nil
 }
@@ -249,6 +254,22 @@
 				t.Errorf("load wait %v, error %v", wait, an.err)
 			}
 		},
+		"a new holder's own requests don't hide those that run for the holder before": func(t *testing.T, be *bench) {
+			be.en.set(func() { be.en.adapters["x@1"], be.en.adapters["y@1"] = true, true })
+			time.Sleep(2 * time.Second)
+			// The holder before left a long request on each adapter.
+			be.en.set(func() { be.en.fencing, be.en.running["x@1"], be.en.running["y@1"] = 2, 1, 1 })
+			for range 3 {
+				time.Sleep(defaultPollInterval / 2)
+				<-be.submit(t.Context(), requester.Fields{Adapter: "x"})
+			}
+			wanted := be.submit(t.Context(), requester.Fields{Adapter: "a"})
+			time.Sleep(defaultPollInterval)
+			be.en.set(func() { be.en.running["x@1"]-- })
+			if an := <-wanted; an.err != nil || be.en.evictedInUse > 0 {
+				t.Errorf("%d evictions in use, error %v", be.en.evictedInUse, an.err)
+			}
+		},
 		"deferrable work waits for a gap, and is urgent at its latest start": func(t *testing.T, be *bench) {
 			<-be.submit(t.Context(), requester.Fields{Adapter: "a"})
 			var ends []<-chan answer
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -112,7 +112,7 @@
 // decide brings the state up to date with the time, and starts what can start.
 func (st *state) decide(now time.Time) {
 	if st.hold.held && st.hold.settled.IsZero() {
-		st.hold.settled = now.Add(st.options.Settle)
+		st.settle(now.Add(st.options.Settle))
 	}
 	if !now.Before(st.hold.until) {
 		st.hold.held = false
@@ -139,6 +139,17 @@
 	}
 }
 
+// settle begins a hold. Requests that the holder before started may still run, and beside this holder's own a report
+// doesn't tell them apart: no adapter counts as idle until a report of after that time shows that nothing runs on it.
+func (st *state) settle(at time.Time) {
+	st.hold.settled = at
+	for _, ad := range st.adapters {
+		if ad.status != statusAbsent {
+			ad.unsureSince = at
+		}
+	}
+}
+
 // stopped tells that requests are refused: another instance may be the holder.
 func (st *state) stopped() bool {
 	return st.draining || (st.hold.ever && !st.hold.held)
@@ -211,7 +222,7 @@
 		return
 	}
 	// The target may still run what was cancelled or cut off, until a report says otherwise.
-	ad.unsureSince = now
+	ad.unsureSince = latest(now, ad.unsureSince)
 	if rf.Code() == requester.CodeWrongAdapter {
 		st.setAbsent(ad, now)
 	}
@@ -260,6 +271,13 @@
 	return at
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earliest(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
