Read the store with few instances of a failure domain; the others follow their copies

Pattern tests: follower (large domain, reader dead, without the store, behind), watcher (changes since a mark, a removal that waited).

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -13,7 +13,6 @@
 
 	"lovagebank/orderer"
 	"lovagebank/pauser"
-	"lovagebank/platform"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
 )
@@ -23,9 +22,8 @@
 	// perInstance, so that the work of telling stays bounded.
 	baseInterval = 300 * time.Millisecond
 	perInstance  = 25 * time.Millisecond
-	// exchangeTimeout bounds one exchange, and mirrorTimeout a copy of the store's keys.
+	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 600 * time.Millisecond
-	mirrorTimeout   = 2 * time.Second
 	// dialTimeout bounds the opening of a connection to a peer.
 	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is how long a connection to a peer is kept unused.
@@ -38,19 +36,6 @@
 	Address string
 }
 
-// Copy is an instance's copy of the store's keys below a prefix, as of a revision.
-type Copy struct {
-	Items    []platform.Item
-	Revision int64
-}
-
-// Mirror is an instance's copy of the operator's keys, of the registered targets and of the instances' own keys.
-type Mirror struct {
-	Operator Copy
-	Targets  Copy
-	Own      Copy
-}
-
 // Options set an Exchanger up.
 type Options struct {
 	// Peers returns the other instances.
@@ -60,8 +45,8 @@
 	Take    func(*wire.FleetState)
 	// Load has a target that this instance holds load an adapter.
 	Load func(ctx context.Context, target string, rq orderer.Request) error
-	// Mirror returns this instance's copy of the store's keys.
-	Mirror func() Mirror
+	// Mirror returns what changed in this instance's copies of the store's keys; it may wait for a change.
+	Mirror func(ctx context.Context, rq MirrorRequest) Mirror
 	// Failed is told of a peer that did not answer an exchange.
 	Failed func(peer string, err error)
 }
@@ -190,29 +175,6 @@
 	return answer.Msg.GetRefusal(), nil
 }
 
-// Mirror asks an instance for its copy of the store's keys.
-func (ex *Exchanger) Mirror(ctx context.Context, address string) (Mirror, error) {
-	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
-	defer cancel()
-	answer, err := ex.clientOf(address).Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{}))
-	if err != nil {
-		return Mirror{}, err
-	}
-	return Mirror{
-		Operator: Copy{Items: decodeItems(answer.Msg.GetOperatorItems()), Revision: answer.Msg.GetOperatorRevision()},
-		Targets:  Copy{Items: decodeItems(answer.Msg.GetTargetItems()), Revision: answer.Msg.GetTargetRevision()},
-		Own:      Copy{Items: decodeItems(answer.Msg.GetOwnItems()), Revision: answer.Msg.GetOwnRevision()},
-	}, nil
-}
-
-func decodeItems(wired []*wire.MirrorItem) []platform.Item {
-	items := make([]platform.Item, 0, len(wired))
-	for _, it := range wired {
-		items = append(items, platform.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision()})
-	}
-	return items
-}
-
 func (ex *Exchanger) clientOf(address string) wireconnect.FleetServiceClient {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -9,7 +9,6 @@
 
 	"lovagebank/balancer"
 	"lovagebank/orderer"
-	"lovagebank/platform"
 	"lovagebank/stocker"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
@@ -46,24 +45,3 @@
 	}
 	return connect.NewResponse(&wire.LoadResponse{}), nil
 }
-
-// Mirror returns the instance's copy of the store's keys.
-func (se *service) Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
-	mi := se.op.Mirror()
-	return connect.NewResponse(&wire.MirrorResponse{
-		OperatorRevision: mi.Operator.Revision,
-		TargetRevision:   mi.Targets.Revision,
-		OperatorItems:    encodeItems(mi.Operator.Items),
-		TargetItems:      encodeItems(mi.Targets.Items),
-		OwnRevision:      mi.Own.Revision,
-		OwnItems:         encodeItems(mi.Own.Items),
-	}), nil
-}
-
-func encodeItems(items []platform.Item) []*wire.MirrorItem {
-	wired := make([]*wire.MirrorItem, 0, len(items))
-	for _, it := range items {
-		wired = append(wired, &wire.MirrorItem{Key: it.Key, Value: it.Value, Revision: it.Revision})
-	}
-	return wired
-}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,207 @@
+// Package follower keeps the calls of the platform's store few in a large fleet: in each failure domain a few instances
+// read the store, and the others follow the copy of one of them. An instance reads the store itself as soon as the one
+// that it follows does not answer, is behind, or is itself without the store.
+package follower
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"lovagebank/exchanger"
+	"lovagebank/pauser"
+)
+
+const (
+	// instancesPerReader is how many instances of a failure domain one reader more is for.
+	instancesPerReader = 16
+	// askWait is how long a reader may wait for a change.
+	askWait = time.Second
+	// askPause is the time between an answer and the next call, so that changes in quick succession come together.
+	askPause = 100 * time.Millisecond
+	// behindPause is the time before a reader whose copy is older than the one here is asked again.
+	behindPause = 500 * time.Millisecond
+	// idlePause is the time between two looks for a reader.
+	idlePause = 500 * time.Millisecond
+	// patience is how long after its last answer a reader counts as followed: one call with its time-out.
+	patience = 1700 * time.Millisecond
+	// distrustTime is how long a reader that failed is not followed.
+	distrustTime = 5 * time.Second
+)
+
+var (
+	errWithoutStore = errors.New("the reader is without the store itself")
+	errBehind       = errors.New("another instance knows of a newer change")
+)
+
+// Instance is an instance of this failure domain.
+type Instance struct {
+	Name    string
+	Address string
+}
+
+// Options set a Follower up.
+type Options struct {
+	// Self is this instance's name.
+	Self string
+	// Domain returns the other instances of this failure domain.
+	Domain func() []Instance
+	// Ask gets a reader's changes.
+	Ask func(ctx context.Context, address string, rq exchanger.MirrorRequest) (exchanger.Mirror, error)
+	// Take takes in a reader's answer; it tells for each copy whether it was taken.
+	Take func(exchanger.Mirror) [exchanger.Copies]bool
+	// Logger takes a line when a reader is found or lost.
+	Logger *log.Logger
+}
+
+// Follower follows one reader at a time.
+type Follower struct {
+	op   Options
+	done chan struct{}
+
+	mu sync.Mutex
+	// reader is followed now; its name is empty while the store is read here.
+	reader     Instance
+	start      string
+	marks      exchanger.Marks
+	heardAt    time.Time
+	distrusted map[string]time.Time
+}
+
+// New makes a follower; Run does its work.
+func New(op Options) *Follower {
+	return &Follower{op: op, done: make(chan struct{}), distrusted: make(map[string]time.Time)}
+}
+
+// Done is closed when Run has ended.
+func (fo *Follower) Done() <-chan struct{} { return fo.done }
+
+// Leads tells whether a copy is kept up to date by a reader, so that the store need not be read for it.
+func (fo *Follower) Leads(index int) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.marks[index] > 0 && time.Since(fo.heardAt) < patience
+}
+
+// Behind says that an instance knows of a change that the reader has not told: the store is read here for a while.
+func (fo *Follower) Behind() {
+	fo.mu.Lock()
+	reader := fo.reader
+	fo.mu.Unlock()
+	if reader.Name != "" {
+		fo.lose(reader, errBehind)
+	}
+}
+
+// Run works until the context ends.
+func (fo *Follower) Run(ctx context.Context) {
+	defer close(fo.done)
+	for ctx.Err() == nil {
+		reader, ok := fo.choose()
+		if !ok {
+			fo.leave()
+			pauser.For(ctx, idlePause)
+			continue
+		}
+		pause, err := fo.ask(ctx, reader)
+		if err != nil && ctx.Err() == nil {
+			fo.lose(reader, err)
+		}
+		pauser.For(ctx, pause)
+	}
+}
+
+// choose returns the reader to follow; false if this instance reads the store itself.
+func (fo *Follower) choose() (Instance, bool) {
+	members := append(fo.op.Domain(), Instance{Name: fo.op.Self})
+	slices.SortFunc(members, func(a, b Instance) int { return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)) })
+	readers := members[:1+(len(members)-1)/instancesPerReader]
+	if slices.ContainsFunc(readers, func(in Instance) bool { return in.Name == fo.op.Self }) {
+		return Instance{}, false
+	}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	trusted := slices.DeleteFunc(slices.Clone(readers), func(in Instance) bool {
+		return time.Since(fo.distrusted[in.Name]) < distrustTime
+	})
+	if len(trusted) == 0 {
+		return Instance{}, false
+	}
+	return trusted[xxhash.Sum64String(fo.op.Self)%uint64(len(trusted))], true
+}
+
+// ask gets a reader's changes once, and returns the time until the next call.
+func (fo *Follower) ask(ctx context.Context, reader Instance) (time.Duration, error) {
+	mi, err := fo.op.Ask(ctx, reader.Address, fo.request(reader))
+	if err != nil {
+		return 0, err
+	}
+	if !mi.Current {
+		return 0, errWithoutStore
+	}
+	taken := fo.op.Take(mi)
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.reader != reader {
+		// Behind came in between.
+		return askPause, nil
+	}
+	if fo.start != mi.Start {
+		fo.op.Logger.Info("store followed through reader", "peer", reader.Name, "peer-start", mi.Start)
+	}
+	fo.start, fo.heardAt = mi.Start, time.Now()
+	pause := askPause
+	for index := range fo.marks {
+		fo.marks[index] = 0
+		if taken[index] {
+			fo.marks[index] = mi.Changes[index].Mark
+			continue
+		}
+		pause = behindPause
+	}
+	return pause, nil
+}
+
+// request says where this instance stands, from the beginning with a reader that it did not follow before.
+func (fo *Follower) request(reader Instance) exchanger.MirrorRequest {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.reader != reader {
+		fo.reader, fo.start, fo.marks = reader, "", exchanger.Marks{}
+	}
+	return exchanger.MirrorRequest{Start: fo.start, Marks: fo.marks, Wait: askWait}
+}
+
+// lose stops following a reader for a while.
+func (fo *Follower) lose(reader Instance, err error) {
+	fo.mu.Lock()
+	followed := fo.reader == reader && fo.start != ""
+	fo.distrusted[reader.Name] = time.Now()
+	fo.forget()
+	fo.mu.Unlock()
+	if followed {
+		fo.op.Logger.Warn("reader lost, reading the store", "peer", reader.Name, "error", err)
+	}
+}
+
+// leave ends the following, as this instance is a reader or has none.
+func (fo *Follower) leave() {
+	fo.mu.Lock()
+	followed := fo.start != ""
+	fo.forget()
+	fo.mu.Unlock()
+	if followed {
+		fo.op.Logger.Info("reading the store")
+	}
+}
+
+// forget drops the reader; the lock is held.
+func (fo *Follower) forget() {
+	fo.reader, fo.start, fo.marks, fo.heardAt = Instance{}, "", exchanger.Marks{}, time.Time{}
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,195 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/exchanger"
+	"lovagebank/follower"
+	"lovagebank/watcher"
+)
+
+// domain is the instances of one failure domain, each with a follower. Instances that are dead don't answer, and those
+// that are cut are without the store.
+type domain struct {
+	names     []string
+	followers map[string]*follower.Follower
+
+	mu   sync.Mutex
+	dead map[string]bool
+	cut  map[string]bool
+	old  map[string]bool
+}
+
+func newDomain(t *testing.T, size int) *domain {
+	do := &domain{
+		followers: make(map[string]*follower.Follower), dead: make(map[string]bool), cut: make(map[string]bool),
+		old: make(map[string]bool),
+	}
+	for index := range size {
+		do.names = append(do.names, fmt.Sprintf("10.0.0.%d", index+1))
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	for _, name := range do.names {
+		fo := follower.New(follower.Options{
+			Self:   name,
+			Domain: func() []follower.Instance { return do.others(name) },
+			Ask:    do.ask,
+			Take: func(mi exchanger.Mirror) (taken [exchanger.Copies]bool) {
+				for index, ch := range mi.Changes {
+					taken[index] = ch.Revision > 0
+				}
+				return taken
+			},
+			Logger: log.New(io.Discard),
+		})
+		do.followers[name] = fo
+		go fo.Run(ctx)
+	}
+	t.Cleanup(func() {
+		stop()
+		for _, fo := range do.followers {
+			<-fo.Done()
+		}
+	})
+	return do
+}
+
+func (do *domain) others(self string) []follower.Instance {
+	var others []follower.Instance
+	for _, name := range do.names {
+		if name != self {
+			others = append(others, follower.Instance{Name: name, Address: name})
+		}
+	}
+	return others
+}
+
+// set changes what the instances do.
+func (do *domain) set(change func()) {
+	do.mu.Lock()
+	defer do.mu.Unlock()
+	change()
+}
+
+func (do *domain) ask(ctx context.Context, address string, rq exchanger.MirrorRequest) (exchanger.Mirror, error) {
+	do.mu.Lock()
+	dead, cut, old := do.dead[address], do.cut[address], do.old[address]
+	do.mu.Unlock()
+	if dead {
+		<-time.After(rq.Wait)
+		return exchanger.Mirror{}, errors.New("no answer")
+	}
+	mi := exchanger.Mirror{Start: address, Current: !cut}
+	for index := range mi.Changes {
+		mi.Changes[index] = watcher.Changes{Mark: 7, Revision: 1}
+		if old {
+			mi.Changes[index].Revision = 0
+		}
+	}
+	if rq.Marks[0] > 0 {
+		<-time.After(rq.Wait)
+	}
+	return mi, ctx.Err()
+}
+
+// readers are the instances that read the store themselves.
+func (do *domain) readers() []string {
+	var readers []string
+	for _, name := range do.names {
+		if !do.followers[name].Leads(exchanger.CopyOperator) {
+			readers = append(readers, name)
+		}
+	}
+	return readers
+}
+
+func TestFollower(t *testing.T) {
+	const settle = 3 * time.Second
+	scenarios := map[string]func(*testing.T){
+		"a small domain has one reader": func(t *testing.T) {
+			do := newDomain(t, 3)
+			time.Sleep(settle)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("read by %v", readers)
+			}
+		},
+		"pattern of a large fleet: readers grow slowly with a domain": func(t *testing.T) {
+			do := newDomain(t, 120)
+			time.Sleep(settle)
+			if readers := do.readers(); len(readers) != 8 {
+				t.Errorf("read by %d of 120", len(readers))
+			}
+		},
+		"a lone instance reads the store": func(t *testing.T) {
+			do := newDomain(t, 1)
+			time.Sleep(settle)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("read by %v", readers)
+			}
+		},
+		"a reader that dies is noticed within a call, and followed when it is back": func(t *testing.T) {
+			do := newDomain(t, 5)
+			time.Sleep(settle)
+			reader := do.readers()[0]
+			do.set(func() { do.dead[reader] = true })
+			time.Sleep(2 * time.Second)
+			if readers := do.readers(); len(readers) != 5 {
+				t.Errorf("read by %v", readers)
+			}
+			do.set(func() { do.dead[reader] = false })
+			time.Sleep(10 * time.Second)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("after its return read by %v", readers)
+			}
+		},
+		"a reader without the store is not followed": func(t *testing.T) {
+			do := newDomain(t, 5)
+			time.Sleep(settle)
+			reader := do.readers()[0]
+			do.set(func() { do.cut[reader] = true })
+			time.Sleep(2 * time.Second)
+			if readers := do.readers(); len(readers) != 5 {
+				t.Errorf("read by %v", readers)
+			}
+		},
+		"a reader whose copy is older than the one here is not followed until it has caught up": func(t *testing.T) {
+			do := newDomain(t, 2)
+			do.set(func() { do.old[do.names[0]], do.old[do.names[1]] = true, true })
+			time.Sleep(settle)
+			if readers := do.readers(); len(readers) != 2 {
+				t.Errorf("read by %v", readers)
+			}
+			do.set(func() { clear(do.old) })
+			time.Sleep(settle)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("after it caught up read by %v", readers)
+			}
+		},
+		"a reader that misses a change that others tell of is left at once": func(t *testing.T) {
+			do := newDomain(t, 2)
+			time.Sleep(settle)
+			for _, fo := range do.followers {
+				fo.Behind()
+			}
+			if readers := do.readers(); len(readers) != 2 {
+				t.Errorf("read by %v", readers)
+			}
+			time.Sleep(10 * time.Second)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("later read by %v", readers)
+			}
+		},
+	}
+	for name, scenario := range scenarios {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, scenario) })
+	}
+}
--- a/supervisor/newer.go
+++ b/supervisor/newer.go
@@ -1,6 +1,9 @@
 package supervisor
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // revisions are those of the store up to which an instance knows the operator's keys and the targets.
 type revisions struct {
@@ -36,3 +39,28 @@
 	}
 	return found, found != ""
 }
+
+// changeTold is the newest change of the operator's keys that a peer told of.
+type changeTold struct {
+	mu       sync.Mutex
+	revision int64
+	at       time.Time
+}
+
+func (ch *changeTold) raise(revision int64) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if revision > ch.revision {
+		ch.revision, ch.at = revision, time.Now()
+	}
+}
+
+// ahead is how long a peer has known of a change beyond the given revision.
+func (ch *changeTold) ahead(known int64, now time.Time) time.Duration {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if ch.revision <= known {
+		return 0
+	}
+	return now.Sub(ch.at)
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -13,13 +13,10 @@
 	"lovagebank/pauser"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
-	"lovagebank/watcher"
 	"lovagebank/wire"
 )
 
 const (
-	// mirrorInterval is the time between two looks at whether a peer knows more of the store.
-	mirrorInterval = 400 * time.Millisecond
 	// reportInterval is the time between two settings of the gauges.
 	reportInterval = 2 * time.Second
 	// toldInterval is the time between two looks of the balancer at the targets held by this instance itself.
@@ -114,6 +111,7 @@
 	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load()}
 	known := su.revisions()
 	state.OperatorRevision, state.TargetRevision = known.operator, known.targets
+	state.OperatorChange = su.operatorChange.Load()
 	for name, ta := range su.allotter.Tallies() {
 		state.Tallies = append(state.Tallies, &wire.OrganisationTally{
 			Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked, Left: ta.Left, Settled: ta.Settled,
@@ -193,6 +191,7 @@
 	}
 	su.quarantiner.Heard(peer, crashes)
 	su.newer.note(peer, revisions{operator: state.GetOperatorRevision(), targets: state.GetTargetRevision()})
+	su.changeTold.raise(state.GetOperatorChange())
 }
 
 func holding(peer string, held *wire.HeldTarget) balancer.Holding {
@@ -238,6 +237,7 @@
 			reportAt = time.Now()
 			su.reportState()
 		}
+		su.checkReader()
 		if su.troubled(troubleMemory) && time.Since(mirrorAt) > mirrorInterval {
 			mirrorAt = time.Now()
 			su.askMirror(ctx)
@@ -254,64 +254,3 @@
 	su.reporter.Set("peers", float64(su.instances()-1))
 	su.reporter.Set("log_lines_dropped", float64(su.recorder.Dropped()))
 }
-
-// revisions are those of the store up to which the operator's keys and the targets are known.
-func (su *Supervisor) revisions() revisions {
-	return revisions{operator: su.operatorWatcher.Revision(), targets: su.targetWatcher.Revision()}
-}
-
-// mirror is this instance's copy of the store's keys.
-func (su *Supervisor) mirror() exchanger.Mirror {
-	return exchanger.Mirror{
-		Operator: copyOf(su.operatorWatcher),
-		Targets:  copyOf(su.targetWatcher),
-		Own:      copyOf(su.ownWatcher),
-	}
-}
-
-func copyOf(wa *watcher.Watcher) exchanger.Copy {
-	// The revision goes first: what comes in between is in the copy, and is told again.
-	revision := wa.Revision()
-	return exchanger.Copy{Items: wa.Items(), Revision: revision}
-}
-
-// askMirror takes in the copy of a peer that knows more of the store. An instance that has never read the store asks
-// those that the settings name.
-func (su *Supervisor) askMirror(ctx context.Context) {
-	if su.configuration.Load() == nil {
-		su.askSeeds(ctx)
-		return
-	}
-	peer, ok := su.newer.best(su.revisions())
-	if !ok {
-		return
-	}
-	for _, in := range su.keeper.Instances() {
-		if in.Name == peer {
-			su.learnFrom(ctx, peer, in.Address)
-		}
-	}
-}
-
-func (su *Supervisor) askSeeds(ctx context.Context) {
-	for _, address := range su.settings.Seeds() {
-		if address != su.settings.ControlAddress() && su.learnFrom(ctx, address, address) {
-			return
-		}
-	}
-}
-
-// learnFrom takes in a peer's copy of the store; false where there is none.
-func (su *Supervisor) learnFrom(ctx context.Context, peer, address string) bool {
-	mi, err := su.exchanger.Mirror(ctx, address)
-	if err != nil {
-		su.logger.Warn("copy of the store not had from peer", "peer", peer, "error", err)
-		return false
-	}
-	su.operatorWatcher.Learn(mi.Operator.Items, mi.Operator.Revision)
-	su.targetWatcher.Learn(mi.Targets.Items, mi.Targets.Revision)
-	su.ownWatcher.Learn(mi.Own.Items, mi.Own.Revision)
-	su.logger.Info("store followed through peer", "peer", peer,
-		"operator-revision", mi.Operator.Revision, "target-revision", mi.Targets.Revision)
-	return mi.Operator.Revision > 0
-}
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -36,7 +36,18 @@
 // noteTrouble remembers when the store last failed a call.
 func (su *Supervisor) noteTrouble(err error) {
 	if errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown) {
-		su.troubleAt.Store(int64(time.Since(su.began)))
+		su.troubleSince(time.Now())
+	}
+}
+
+// troubleSince remembers a failure of the store, unless a later one is known.
+func (su *Supervisor) troubleSince(at time.Time) {
+	offset := int64(at.Sub(su.began))
+	for {
+		known := su.troubleAt.Load()
+		if offset <= known || su.troubleAt.CompareAndSwap(known, offset) {
+			return
+		}
 	}
 }
 
@@ -99,6 +110,7 @@
 
 // takeOperator takes in a change of the operator's keys.
 func (su *Supervisor) takeOperator(it platform.Item) {
+	su.operatorChange.Store(max(su.operatorChange.Load(), it.Revision))
 	if it.Deleted {
 		return
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -24,6 +24,7 @@
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
 	"lovagebank/exchanger"
+	"lovagebank/follower"
 	"lovagebank/forwarder"
 	"lovagebank/keeper"
 	"lovagebank/pauser"
@@ -84,6 +85,7 @@
 	quarantiner *quarantiner.Quarantiner
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
+	follower    *follower.Follower
 	acceptor    *acceptor.Acceptor
 	holdings    *holdings
 
@@ -94,12 +96,15 @@
 	configuration atomic.Pointer[router.Configuration]
 	versions      versions
 	newer         newer
-	silent        silent
-	troubleAt     atomic.Int64
-	began         time.Time
-	draining      atomic.Bool
-	serving       atomic.Int64
-	tasks         sync.WaitGroup
+	changeTold    changeTold
+	// operatorChange is the store's revision of the newest change of the operator's keys that is known here.
+	operatorChange atomic.Int64
+	silent         silent
+	troubleAt      atomic.Int64
+	began          time.Time
+	draining       atomic.Bool
+	serving        atomic.Int64
+	tasks          sync.WaitGroup
 }
 
 // New builds an instance.
@@ -127,9 +132,10 @@
 	su.exchanger = su.newExchanger()
 	su.allotter = allotter.New(allotter.Options{Interval: su.exchanger.Interval})
 	su.acceptor = su.newAcceptor()
-	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, operatorPace, su.takeOperator)
-	su.targetWatcher = su.newWatcher(platform.TargetPrefix, targetPace, su.takeTarget)
-	su.ownWatcher = su.newWatcher(platform.OwnPrefix, ownPace, su.keeper.Take)
+	su.follower = su.newFollower()
+	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, exchanger.CopyOperator, operatorPace, su.takeOperator)
+	su.targetWatcher = su.newWatcher(platform.TargetPrefix, exchanger.CopyTargets, targetPace, su.takeTarget)
+	su.ownWatcher = su.newWatcher(platform.OwnPrefix, exchanger.CopyOwn, ownPace, su.keeper.Take)
 	return su
 }
 
@@ -150,7 +156,7 @@
 	})
 }
 
-func (su *Supervisor) newWatcher(prefix string, pace watcher.Pace, changed func(platform.Item)) *watcher.Watcher {
+func (su *Supervisor) newWatcher(prefix string, index int, pace watcher.Pace, changed func(platform.Item)) *watcher.Watcher {
 	return watcher.New(watcher.Options{
 		Prefix:      prefix,
 		List:        su.list,
@@ -158,6 +164,7 @@
 		Pace:        pace,
 		LastFailure: su.lastFailure,
 		Keep:        keepAfterOutage,
+		Led:         func() bool { return su.follower.Leads(index) },
 		Changed:     changed,
 		Logger:      su.logger,
 	})
@@ -216,6 +223,7 @@
 	su.tasks.Go(func() { su.keeper.Run(ctx) })
 	su.tasks.Go(func() { su.exchanger.Run(ctx) })
 	su.tasks.Go(func() { su.holdings.run(ctx) })
+	su.tasks.Go(func() { su.follower.Run(ctx) })
 	su.tasks.Go(func() { su.followPeers(ctx) })
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -22,6 +22,10 @@
 	maxBackoff   = time.Second
 	// recheck is the time between two looks at keys whose removal waits.
 	recheck = 250 * time.Millisecond
+	// ledPause is the time between two looks at whether the store has to be read again.
+	ledPause = 20 * time.Millisecond
+	// lateness is how much later than due an answer of the store may come.
+	lateness = time.Second
 )
 
 // Pace bounds the calls of the store.
@@ -47,6 +51,8 @@
 	// Keep is how long after a failure of the store a key that disappears is kept: its writer may only have lost its
 	// lease, and needs time to come back.
 	Keep time.Duration
+	// Led tells whether a peer's copy is followed in place of the store; nil means never.
+	Led func() bool
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
 	// Logger takes a line when the store is lost or regained.
@@ -58,21 +64,30 @@
 	op   Options
 	done chan struct{}
 
+	telling sync.Mutex
+
 	mu       sync.Mutex
 	items    map[string]platform.Item
 	removals map[string]platform.Item
+	history  history
 	revision int64
 	listed   bool
 	lost     bool
+	// heardAt is when the store last answered.
+	heardAt time.Time
 }
 
 // New makes a watcher; Run does its work.
 func New(op Options) *Watcher {
+	if op.Led == nil {
+		op.Led = func() bool { return false }
+	}
 	return &Watcher{
 		op:       op,
 		done:     make(chan struct{}),
 		items:    make(map[string]platform.Item),
 		removals: make(map[string]platform.Item),
+		history:  newHistory(),
 	}
 }
 
@@ -86,6 +101,13 @@
 	return wa.revision
 }
 
+// Current tells whether the store itself keeps this copy up to date: it has answered as often as it was asked to.
+func (wa *Watcher) Current() bool {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	return wa.listed && !wa.lost && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
+}
+
 // Items returns the copy.
 func (wa *Watcher) Items() []platform.Item {
 	wa.mu.Lock()
@@ -103,6 +125,10 @@
 	go wa.expire(ctx)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if wa.op.Led() {
+			pauser.For(ctx, ledPause)
+			continue
+		}
 		err := wa.once(ctx)
 		if err == nil {
 			backoff = firstBackoff
@@ -161,7 +187,7 @@
 func (wa *Watcher) regain() {
 	wa.mu.Lock()
 	was := wa.lost
-	wa.lost = false
+	wa.lost, wa.heardAt = false, time.Now()
 	wa.mu.Unlock()
 	if was {
 		wa.op.Logger.Info("store regained", "prefix", wa.op.Prefix, "revision", wa.Revision())
@@ -201,6 +227,9 @@
 
 // take takes in one change, unless a newer one is known. A removal that is not certain waits around an outage.
 func (wa *Watcher) take(it platform.Item, certain bool) {
+	// Changes come from the store and from peers; they are told in the order in which they were noted.
+	wa.telling.Lock()
+	defer wa.telling.Unlock()
 	wa.mu.Lock()
 	news := wa.note(it, certain)
 	wa.mu.Unlock()
@@ -229,17 +258,10 @@
 		wa.items[it.Key] = it
 	}
 	delete(wa.removals, it.Key)
+	wa.history.note(it)
 	return true
 }
 
-// Learn takes in a peer's copy of all keys at a revision; a peer that is behind changes nothing. What the peer's copy
-// lacks is gone: the peer has waited where that was due.
-func (wa *Watcher) Learn(items []platform.Item, revision int64) {
-	if revision > wa.Revision() {
-		wa.takeListing(platform.Page{Items: items, Revision: revision}, true)
-	}
-}
-
 // expire removes keys whose writers have not come back.
 func (wa *Watcher) expire(ctx context.Context) {
 	for pauser.For(ctx, recheck) {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -265,16 +265,64 @@
 			time.Sleep(100 * time.Millisecond)
 			wo.store.set(true, false)
 			time.Sleep(3 * time.Second)
-			wo.watcher.Learn([]platform.Item{{Key: "op/b", Value: []byte("2"), Revision: 9}}, 9)
+			wo.watcher.Follow(watcher.Changes{
+				Items: []platform.Item{{Key: "op/b", Value: []byte("2"), Revision: 9}}, Whole: true, Revision: 9,
+			})
 			wo.expect(t, "op/a", "")
 			wo.expect(t, "op/b", "2")
 		},
+		"a follower gets what changed since its mark, removals too": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			wo.store.put("op/b", "1")
+			time.Sleep(100 * time.Millisecond)
+			before := wo.watcher.Since(0)
+			if !before.Whole || len(before.Items) != 2 {
+				t.Fatalf("got %+v", before)
+			}
+			news := wo.watcher.News(before.Mark)
+			wo.store.remove()
+			<-news
+			after := wo.watcher.Since(before.Mark)
+			if after.Whole || len(after.Items) != 1 || !after.Items[0].Deleted || after.Items[0].Key != "op/a" {
+				t.Errorf("got %+v", after)
+			}
+		},
+		"a removal that waited for the end of an outage is told to followers that knew of later changes": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.note(errDown)
+			wo.store.remove()
+			wo.store.put("op/b", "1")
+			time.Sleep(time.Second)
+			waiting := wo.watcher.Since(0)
+			time.Sleep(4 * time.Second)
+			after := wo.watcher.Since(waiting.Mark)
+			if len(waiting.Items) != 2 || len(after.Items) != 1 || !after.Items[0].Deleted {
+				t.Errorf("got %+v, then %+v", waiting, after)
+			}
+		},
+		"a key removed again and again is one change": func(t *testing.T, wo *world) {
+			wo.store.put("op/b", "1")
+			time.Sleep(100 * time.Millisecond)
+			mark := wo.watcher.Since(0).Mark
+			for range 2000 {
+				wo.store.put("op/a", "1")
+				time.Sleep(30 * time.Millisecond)
+				wo.store.remove()
+				time.Sleep(30 * time.Millisecond)
+			}
+			if ch := wo.watcher.Since(mark); ch.Whole || len(ch.Items) != 1 {
+				t.Errorf("one key removed again and again: got %+v", ch)
+			}
+		},
 		"a peer that is behind changes nothing": func(t *testing.T, wo *world) {
 			for number := range 5 {
 				wo.store.put("op/a", strconv.Itoa(number))
 			}
 			time.Sleep(100 * time.Millisecond)
-			wo.watcher.Learn([]platform.Item{{Key: "op/a", Value: []byte("old"), Revision: 2}}, 2)
+			wo.watcher.Follow(watcher.Changes{
+				Items: []platform.Item{{Key: "op/a", Value: []byte("old"), Revision: 2}}, Whole: true, Revision: 2,
+			})
 			wo.expect(t, "op/a", "4")
 		},
 	}
--- a/wire/wireconnect/fleet.connect.go
+++ b/wire/wireconnect/fleet.connect.go
@@ -47,8 +47,8 @@
 	Exchange(context.Context, *connect.Request[wire.FleetState]) (*connect.Response[wire.FleetState], error)
 	// Load asks the holder of a target to have it load an adapter, and returns when it is there.
 	Load(context.Context, *connect.Request[wire.LoadRequest]) (*connect.Response[wire.LoadResponse], error)
-	// Mirror returns the operator's keys and the registered targets as the callee knows them, for an instance that the
-	// platform's store turns away.
+	// Mirror returns what the callee knows of the store's keys, for an instance that follows it in place of the store or
+	// that the store turns away.
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
 }
 
@@ -112,8 +112,8 @@
 	Exchange(context.Context, *connect.Request[wire.FleetState]) (*connect.Response[wire.FleetState], error)
 	// Load asks the holder of a target to have it load an adapter, and returns when it is there.
 	Load(context.Context, *connect.Request[wire.LoadRequest]) (*connect.Response[wire.LoadResponse], error)
-	// Mirror returns the operator's keys and the registered targets as the callee knows them, for an instance that the
-	// platform's store turns away.
+	// Mirror returns what the callee knows of the store's keys, for an instance that follows it in place of the store or
+	// that the store turns away.
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
 }
 
