--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -122,7 +122,7 @@
 	}
 	ex.cost = ex.organisation.Cost(tokens)
 	ex.outcome.cost = ex.cost
-	ok, wait := ex.ac.op.Allotter.Charge(ex.organisation, ex.cost)
+	ok, wait := ex.ac.op.Allotter.Charge(ex.organisation, ex.cost, ex.route.Priority())
 	if !ok {
 		ex.refuse(refusedOverAllowance(wait))
 	}
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -28,6 +28,8 @@
 	// of the rate for one: where small requests empty it all the time, it never holds enough for a large one.
 	largePart = 0.05
 	debtTime  = 500 * time.Millisecond
+	// refusalMemory is how long a refusal keeps less urgent large requests from being lent to.
+	refusalMemory = 2 * time.Second
 	// demandMemory is the time over which the demand of an instance is averaged.
 	demandMemory = 3 * time.Second
 	// settleTime is the time after which an instance's own account of an organisation is good enough for others.
@@ -85,6 +87,8 @@
 	asked   average
 	// unheard is what this instance has admitted that the others may not have been told of yet.
 	unheard float64
+	// refusals are the times of the last refusals here by urgency.
+	refusals map[int]time.Time
 }
 
 // peer is what another instance has told.
@@ -139,7 +143,9 @@
 func (al *Allotter) bucket(og *router.Organisation, now time.Time) *bucket {
 	bu, ok := al.buckets[og.Name()]
 	if !ok {
-		bu = &bucket{level: og.Burst() * startLevel, at: now, metAt: now, asked: average{at: now}}
+		bu = &bucket{
+			level: og.Burst() * startLevel, at: now, metAt: now, asked: average{at: now}, refusals: make(map[int]time.Time),
+		}
 		al.buckets[og.Name()] = bu
 	}
 	bu.rate, bu.burst = og.Rate(), og.Burst()
@@ -170,8 +176,9 @@
 	return to
 }
 
-// Charge admits a request of a cost, or tells when to come back.
-func (al *Allotter) Charge(og *router.Organisation, cost float64) (ok bool, wait time.Duration) {
+// Charge admits a request of a cost, or tells when to come back. The smaller its rank, the more urgent it is: nothing is
+// lent to a large request while more urgent ones of the organisation are refused.
+func (al *Allotter) Charge(og *router.Organisation, cost float64, rank int) (ok bool, wait time.Duration) {
 	if og.Rate() <= 0 {
 		return true, 0
 	}
@@ -182,25 +189,36 @@
 	bu.asked.add(cost, now)
 	bu.own.Asked += cost
 	share := al.share(og.Name(), bu, now)
-	if bu.affords(cost, share) {
+	if bu.affords(cost, share, !bu.refusesBefore(rank, now)) {
 		bu.level -= cost
 		bu.unheard += cost
 		bu.own.Admitted += cost
 		return true, 0
 	}
+	bu.refusals[rank] = now
 	missing := max(cost, (bu.unheard+cost)/share-bu.unheard) - bu.level
 	wait = time.Duration(missing / bu.rate * float64(time.Second))
 	return false, min(max(wait, minWait), maxWait)
 }
 
+// refusesBefore tells whether a request more urgent than a rank has been refused of late.
+func (bu *bucket) refusesBefore(rank int, now time.Time) bool {
+	for other, at := range bu.refusals {
+		if other < rank && now.Sub(at) < refusalMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // affords tells whether a request fits into what this instance may spend until the others have been told. A large one
-// may go beyond its part, as a part would not pay for it.
-func (bu *bucket) affords(cost, share float64) bool {
+// may be lent to beyond its part, as a part would not pay for it.
+func (bu *bucket) affords(cost, share float64, lend bool) bool {
 	part := share * (bu.level + bu.unheard)
 	if bu.unheard+cost <= part {
 		return cost <= bu.level
 	}
-	if cost < bu.rate*largePart || bu.unheard > part {
+	if !lend || cost < bu.rate*largePart || bu.unheard > part {
 		return false
 	}
 	return bu.level > 0 && cost <= bu.level+bu.rate*debtTime.Seconds()
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -88,7 +88,7 @@
 
 func (fl *fleet) charge(member *allotter.Allotter, og *router.Organisation, cost float64) {
 	fl.asked += cost
-	if ok, _ := member.Charge(og, cost); ok {
+	if ok, _ := member.Charge(og, cost, 0); ok {
 		fl.admitted = append(fl.admitted, admission{at: time.Now(), cost: cost})
 		return
 	}
@@ -159,35 +159,45 @@
 	}
 }
 
-// The pattern of quiet-1: the rate is lowered to a third of what is asked. One request in fifty is twenty times as
-// long as the others; it must not be refused much more often than they.
+// longAmongShort plays the pattern of quiet-1, in which an organisation's rate is lowered to a third of what it asks,
+// and returns the served shares of its short requests and of the long ones: one in fifty, sixteen times as long.
+func longAmongShort(longRank int) (short, long float64) {
+	og := router.NewOrganisation(router.OrganisationOptions{
+		Name: "o", TokensPerSecond: 25000, BurstTokens: 90000, CountsTokens: true,
+	})
+	fl := newFleet()
+	var served, asked [2]float64
+	told := time.Now()
+	for number := range 40 * 75 {
+		if time.Since(told) >= tell {
+			told = time.Now()
+			fl.tellAll()
+		}
+		kind, cost, rank := 0, 700.0, 0
+		if number%50 == 0 {
+			kind, cost, rank = 1, 11000, longRank
+		}
+		ok, _ := fl.members[number%instances].Charge(og, cost, rank)
+		asked[kind]++
+		if ok {
+			served[kind]++
+		}
+		time.Sleep(time.Second / 75)
+	}
+	return served[0] / asked[0], served[1] / asked[1]
+}
+
+// Long requests must not be refused much more often than short ones that are as urgent, and must not take from short ones
+// that are more urgent.
 func TestLongRequestsAmongManyShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		og := router.NewOrganisation(router.OrganisationOptions{
-			Name: "o", TokensPerSecond: 25000, BurstTokens: 90000, CountsTokens: true,
-		})
-		fl := newFleet()
-		var served, asked [2]float64
-		told := time.Now()
-		for number := range 40 * 75 {
-			if time.Since(told) >= tell {
-				told = time.Now()
-				fl.tellAll()
-			}
-			kind, cost := 0, 700.0
-			if number%50 == 0 {
-				kind, cost = 1, 11000
-			}
-			ok, _ := fl.members[number%instances].Charge(og, cost)
-			asked[kind]++
-			if ok {
-				served[kind]++
-			}
-			time.Sleep(time.Second / 75)
+		equal, long := longAmongShort(0)
+		if long < equal/2 {
+			t.Errorf("%.2f of the long requests served, %.2f of the short ones", long, equal)
 		}
-		short, long := served[0]/asked[0], served[1]/asked[1]
-		if long < short/2 {
-			t.Errorf("%.2f of the long requests served, %.2f of the short ones", long, short)
+		urgent, spared := longAmongShort(2)
+		if urgent < equal+0.08 || spared > long/2 {
+			t.Errorf("with less urgent long requests %.2f of the short ones served, before %.2f; %.2f of the long ones", urgent, equal, spared)
 		}
 	})
 }
@@ -247,12 +257,12 @@
 		})
 		al := allotter.New(allotter.Options{Interval: func() time.Duration { return tell }})
 		for {
-			ok, wait := al.Charge(og, 100)
+			ok, wait := al.Charge(og, 100, 0)
 			if ok {
 				continue
 			}
 			time.Sleep(wait)
-			if ok, _ := al.Charge(og, 100); !ok {
+			if ok, _ := al.Charge(og, 100, 0); !ok {
 				t.Errorf("refused again after waiting %v as told", wait)
 			}
 			return
@@ -276,7 +286,7 @@
 
 func TestUnlimitedOrganisation(t *testing.T) {
 	og := router.NewOrganisation(router.OrganisationOptions{Name: "o", CountsTokens: true})
-	if ok, _ := allotter.New(allotter.Options{Interval: func() time.Duration { return tell }}).Charge(og, 1e12); !ok {
+	if ok, _ := allotter.New(allotter.Options{Interval: func() time.Duration { return tell }}).Charge(og, 1e12, 0); !ok {
 		t.Error("an organisation without a rate was refused")
 	}
 }
