Don't serve a target as unheld while its holder just isn't known yet

Cause of the eviction in use in TestRollingReplacement (listed red): an instance that had just started didn't know the target's holder, took that for a target without one, and started a request on it beside the holder, which then evicted the adapter. Traced from the logs of a failing run: START on instance-2 'held false ever false' 0.5 s before EVICT on the holder, instance-5. Now a holder that isn't known counts as one that may act for as long as one that is gone.

--- a/server/holdings.go
+++ b/server/holdings.go
@@ -63,19 +63,15 @@
 	return hd.scheduler.Submit(ctx, rq, sink)
 }
 
-// unheldAfter is how long a holder has to be gone before its target is served without a lease: longer than a lease and
-// a promise last, so that a holder that was only paused or cut off has stopped to act.
-const unheldAfter = 20 * time.Second
-
 // heldElsewhere tells whether another instance may act as the holder of a target. Once the holder has been gone for
 // longer than it may act, and nobody has taken over because the store is away, the target is served for the adapters
 // that it has, without orders.
 func (sv *Server) heldElsewhere(target string) bool {
 	holder, ok := sv.leases.Holder(leaser.TargetName(target))
-	if !ok || holder == sv.identity {
+	if ok && holder == sv.identity {
 		return false
 	}
-	return sv.findMember(holder) != nil || sv.absences.since(holder, time.Now()) < unheldAfter
+	return sv.absences.mayAct(tenure{target: target, holder: holder}, ok && sv.findMember(holder) != nil, time.Now())
 }
 
 func (ho *holdings) acquire(tg *wire.Target) *holding {
