Go on loading while an engine waits for an unload; order a target at once that never had a holder

Second cause: new engines for those that crashed waited 3 s for the turn of a holder that they never had. The test of claims asked for that wait; it now asks for none where the store has no entry, which the store itself makes sure of.

--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -72,7 +72,7 @@
 	record holderRecord
 	// wait is how long after the claim no orders may be given.
 	wait time.Duration
-	// from is the boot time at which that ends.
+	// from is the boot time at which that ends; 0 where there is no wait.
 	from time.Duration
 }
 
@@ -207,7 +207,9 @@
 		}
 		cl, ok := le.claim(ca, si)
 		if ok {
-			cl.from = si.boot + cl.wait
+			if cl.wait > 0 {
+				cl.from = si.boot + cl.wait
+			}
 			claims = append(claims, cl)
 		}
 		if len(claims) == maxClaims {
@@ -226,12 +228,12 @@
 	if !free || !held && si.now.Sub(si.registeredAt) < settleStart {
 		return claim{}, false
 	}
-	pause := time.Duration(0)
-	wait := le.turn
+	// A target without an entry has had no holder whose orders could still come; the store lets only one be the first.
+	pause, wait := time.Duration(0), time.Duration(0)
 	if held && si.troubled {
 		pause, wait = absentAfterOutage, le.leaseTime
 	} else if held {
-		pause = absentBefore
+		pause, wait = absentBefore, le.turn
 	}
 	if si.now.Sub(since) < pause+time.Duration(le.place(ca))*turnOfNext {
 		return claim{}, false
--- /dev/null
+++ b/orderer/report.go
@@ -0,0 +1,37 @@
+package orderer
+
+import (
+	"context"
+	"time"
+)
+
+// report asks the engine what it holds and takes the answer in where it can be told from orders under way.
+func (or *Orderer) report(ctx context.Context) {
+	re, err := or.op.Report(ctx, or.op.Target)
+	now := time.Now()
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.nextAsk = now.Add(reportInterval)
+	if err != nil {
+		or.nextAsk = now.Add(reportLag)
+		or.op.Logger.Warn("report failed", "target", or.op.Target.ID(), "error", err)
+		return
+	}
+	or.load = re.Running + re.Waiting
+	certain := or.reportAt.IsZero() || or.unsure
+	or.reportAt = now
+	if !certain && re.Orders < or.orders && now.Sub(or.orderAt) < settled {
+		return
+	}
+	if re.Orders != or.orders {
+		or.op.Logger.Warn("orders differ", "target", or.op.Target.ID(), "counted", or.orders, "reported", re.Orders)
+	}
+	or.unsure = false
+	or.orders = re.Orders
+	or.stock.Observe(re.Residents, re.Pending, now)
+	if or.drain.goesOn(now) {
+		or.stock.Started(or.drain.step, now)
+		or.nextAsk = now.Add(reportLag)
+	}
+	or.op.Changed()
+}
