Add a soak: real processes, faults of a seed from outside, promises checked from what callers and targets see

Signals in series, loopback proxies before the store and the targets, a store that is down, loses answers, drops its history or ends all leases, targets that restart under their IDs, keys that change. The emulator gains links, restarts of targets and counts of stale orders.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,142 @@
+// Command soak plays seeds of faults against real processes, and reports each broken promise with its seed and logs.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"lovagebank/soaker"
+)
+
+type options struct {
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     int           `long:"seeds" default:"1" description:"how many seeds, counted up"`
+	Parallel  int           `long:"parallel" default:"1" description:"runs at a time"`
+	Instances int           `long:"instances" default:"4" description:"entry instances of a run"`
+	Length    time.Duration `long:"length" default:"12s" description:"time in which faults begin"`
+	Folder    string        `long:"folder" default:"." description:"where the logs of runs with findings are kept"`
+	Break     string        `long:"break" description:"build with a deliberate fault, to see that it is caught; 'list' names them"`
+	Verbose   bool          `long:"verbose" description:"print each fault as it strikes"`
+}
+
+var errBroken = errors.New("promises were broken")
+
+func main() { os.Exit(start()) }
+
+// start returns the exit code: 0 if all promises were kept, 1 if not, 2 for a wrong call.
+func start() int {
+	var op options
+	if _, err := flags.Parse(&op); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if op.Break == "list" {
+		soaker.WriteBreakages(os.Stdout)
+		return 0
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, op); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return 1
+	}
+	return 0
+}
+
+func run(ctx context.Context, op options) error {
+	folder, err := os.MkdirTemp(op.Folder, "soak-")
+	if err != nil {
+		return err
+	}
+	if folder, err = filepath.Abs(folder); err != nil {
+		return err
+	}
+	program := filepath.Join(folder, "lovagebank")
+	build := exec.CommandContext(ctx, "go", "build", "-o", program)
+	if op.Break != "" {
+		overlay, err := soaker.Breakage(op.Break, folder)
+		if err != nil {
+			return err
+		}
+		build.Args = append(build.Args, "-overlay", overlay)
+	}
+	build.Args = append(build.Args, ".")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return err
+	}
+	reports, err := playAll(ctx, op, folder, program)
+	soaker.WriteTotals(os.Stdout, reports)
+	broken := 0
+	for _, re := range reports {
+		broken += len(re.Violations)
+	}
+	switch {
+	case err != nil:
+		return err
+	case broken > 0:
+		return errBroken
+	}
+	return os.RemoveAll(folder)
+}
+
+// playAll plays the seeds, several at a time.
+func playAll(ctx context.Context, op options, folder, program string) ([]*soaker.Report, error) {
+	var (
+		mu      sync.Mutex
+		reports []*soaker.Report
+		failure error
+		runs    sync.WaitGroup
+	)
+	turns := make(chan struct{}, op.Parallel)
+	for index := range op.Seeds {
+		turns <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-turns }()
+			re, err := play(ctx, op, op.Seed+uint64(index), folder, program)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failure = errors.Join(failure, fmt.Errorf("seed %d: %w", op.Seed+uint64(index), err))
+				return
+			}
+			re.Write(os.Stdout)
+			reports = append(reports, re)
+		})
+	}
+	runs.Wait()
+	return reports, failure
+}
+
+func play(ctx context.Context, op options, seed uint64, folder, program string) (*soaker.Report, error) {
+	own := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(own, 0o700); err != nil {
+		return nil, err
+	}
+	so := soaker.New(soaker.Options{
+		Seed: seed, Length: op.Length, Instances: op.Instances, Program: program, Folder: own,
+		Progress: func(line string) {
+			if op.Verbose {
+				fmt.Printf("%s seed %d: %s\n", time.Now().Format(time.TimeOnly), seed, line)
+			}
+		},
+	})
+	re, err := so.Run(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return re, so.Clean(re)
+}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -34,12 +37,20 @@
 	server  *http.Server
 	address string
 	ledger  *Ledger
-	targets map[string]*Target
 	entries map[string]*Entry
+
+	mu      sync.Mutex
+	targets map[string]*Target
+
 	// seeds are the control addresses of the instances started so far.
 	seeds []string
+	via   Via
 }
 
+// Via gives the address to use in place of one that a link goes to, such as that of a proxy. A link's name is
+// "store/IP" for an instance's way to the store and "target/ID" for the way to a target.
+type Via func(link, address string) (string, error)
+
 // Entry is an entry instance.
 type Entry struct {
 	process *exec.Cmd
@@ -51,13 +62,18 @@
 
 // NewFleet starts a store and targets; program is the built lovagebank, and folder takes settings and logs.
 func NewFleet(program, folder string) (*Fleet, error) {
+	return NewFleetVia(program, folder, func(_, address string) (string, error) { return address, nil })
+}
+
+// NewFleetVia starts a store and targets whose links may lead over other addresses.
+func NewFleetVia(program, folder string, via Via) (*Fleet, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	fl := &Fleet{
 		program: program, folder: folder, store: NewStore(), address: listener.Addr().String(), ledger: &Ledger{},
-		targets: make(map[string]*Target), entries: make(map[string]*Entry),
+		targets: make(map[string]*Target), entries: make(map[string]*Entry), via: via,
 	}
 	fl.server = &http.Server{Handler: fl.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = fl.server.Serve(listener) }()
@@ -82,12 +98,46 @@
 	if err != nil {
 		return err
 	}
-	fl.targets[id] = ta
-	return fl.store.Put("servers/"+id, ta.entry(zone, "ready"))
+	ta.zone = zone
+	return fl.register(ta)
+}
+
+func (fl *Fleet) register(ta *Target) error {
+	address, err := fl.via("target/"+ta.id, ta.address)
+	if err != nil {
+		return err
+	}
+	fl.mu.Lock()
+	fl.targets[ta.id] = ta
+	fl.mu.Unlock()
+	return fl.store.Put("servers/"+ta.id, ta.entry(address))
+}
+
+// RestartTarget ends a target and starts it again under its ID, empty and at another address.
+func (fl *Fleet) RestartTarget(id string) error {
+	old := fl.Target(id)
+	old.Crash()
+	ta, err := newTarget(id, old.service, old.engine, fl.ledger)
+	if err != nil {
+		return err
+	}
+	ta.zone, ta.born = old.zone, old.born+1
+	return fl.register(ta)
+}
+
+// TargetIDs are the targets' IDs, sorted.
+func (fl *Fleet) TargetIDs() []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Sorted(maps.Keys(fl.targets))
 }
 
 // Target returns a target.
-func (fl *Fleet) Target(id string) *Target { return fl.targets[id] }
+func (fl *Fleet) Target(id string) *Target {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.targets[id]
+}
 
 // Store returns the store.
 func (fl *Fleet) Store() *Store { return fl.store }
@@ -113,7 +163,7 @@
 		"services": []any{
 			map[string]any{"name": "applications", "healthPath": "/health", "maxConns": 100},
 			map[string]any{"name": "engines", "healthPath": "/health", "maxConns": 100, "engine": map[string]any{
-				"slots": 8, "adapterSlots": adapterSlots, "weightsMb": 1000.0, "loadsPerS": 5.0,
+				"slots": 8, "adapterSlots": AdapterSlots, "weightsMb": 1000.0, "loadsPerS": 5.0,
 				"models": []any{map[string]any{"name": Model, "weightsMb": 500.0, "loadS": 0.5, "adapters": 100, "adapterMb": 10.0}},
 			}},
 		},
@@ -124,17 +174,21 @@
 
 // StartEntry starts an entry instance; number names it and picks its address in the loopback range.
 func (fl *Fleet) StartEntry(number int) (*Entry, error) {
-	ip := "127.0.1." + strconv.Itoa(number+1)
+	ip := fmt.Sprintf("127.0.%d.%d", 1+number/250, 1+number%250)
 	ports, err := freePorts(ip, 4)
 	if err != nil {
 		return nil, err
 	}
+	store, err := fl.via("store/"+ip, fl.address)
+	if err != nil {
+		return nil, err
+	}
 	en := &Entry{callers: net.JoinHostPort(ip, ports[0]), ready: net.JoinHostPort(ip, ports[1])}
 	path := filepath.Join(fl.folder, fmt.Sprintf("entry-%d.conf", number))
 	settings := strings.Join([]string{
 		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + zone(number),
 		"listen.front=" + en.callers, "listen.ready=" + en.ready,
-		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + fl.address, "limits.memoryMb=284",
+		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + store, "limits.memoryMb=284",
 		"listen.control=" + net.JoinHostPort(ip, ports[3]), "seeds=" + strings.Join(fl.seeds, ","), "",
 	}, "\n")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
@@ -223,8 +277,8 @@
 			_ = en.process.Process.Kill()
 		}
 	}
-	for _, ta := range fl.targets {
-		ta.Crash()
+	for _, id := range fl.TargetIDs() {
+		fl.Target(id).Crash()
 	}
 	_ = fl.server.Close()
 	fl.store.Close()
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -79,6 +79,15 @@
 	st.history, st.from = nil, st.revision
 }
 
+// EndLeases ends all leases, as a long outage does.
+func (st *Store) EndLeases() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id := range st.leases {
+		st.endLease(id)
+	}
+}
+
 // Put writes a key as the operator or a target does.
 func (st *Store) Put(key string, value any) error {
 	text, err := json.Marshal(value)
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -19,8 +19,8 @@
 	eventGap = 5 * time.Millisecond
 	// streamEvents is the number of events of each stream.
 	streamEvents = 6
-	// adapterSlots is the number of adapters that an engine holds.
-	adapterSlots = 4
+	// AdapterSlots is the number of adapters that an engine holds.
+	AdapterSlots = 4
 	// Model is the base model that all engines hold.
 	Model = "base"
 )
@@ -63,8 +63,15 @@
 	server  *http.Server
 	address string
 
-	mu       sync.Mutex
-	orders   int64
+	zone string
+	// born orders the starts under one ID.
+	born int64
+
+	mu     sync.Mutex
+	orders int64
+	// epoch is the largest epoch of an order that took effect, and stale counts orders of a smaller one that did.
+	epoch    int64
+	stale    int
 	adapters map[string]int64
 	pending  map[string]int64
 	most     int
@@ -78,7 +85,7 @@
 	}
 	ta := &Target{
 		id: id, service: service, engine: engine, ledger: ledger, address: listener.Addr().String(),
-		adapters: make(map[string]int64), pending: make(map[string]int64),
+		born: 1, adapters: make(map[string]int64), pending: make(map[string]int64),
 	}
 	ta.server = &http.Server{Handler: ta, ReadHeaderTimeout: time.Second}
 	go func() { _ = ta.server.Serve(listener) }()
@@ -103,8 +110,8 @@
 	Adapters []string `json:"adapters"`
 }
 
-func (ta *Target) entry(zone, state string) entry {
-	en := entry{Service: ta.service, Addr: ta.address, Zone: zone, Version: "v1", Slots: 8, State: state, Born: 1}
+func (ta *Target) entry(address string) entry {
+	en := entry{Service: ta.service, Addr: address, Zone: ta.zone, Version: "v1", Slots: 8, State: "ready", Born: ta.born}
 	if ta.engine {
 		en.Models = []resident{{Name: Model, Version: 1, Adapters: []string{}}}
 	}
@@ -187,7 +194,7 @@
 	case od.Op == "load" && held && ta.adapters[od.Adapter] >= od.Version:
 		w.WriteHeader(http.StatusOK)
 	case od.Op == "load":
-		ta.orders++
+		ta.takeEffect(od)
 		delete(ta.adapters, od.Adapter)
 		ta.pending[od.Adapter] = max(od.Version, 1)
 		ta.most = max(ta.most, len(ta.adapters)+len(ta.pending))
@@ -195,13 +202,29 @@
 		w.WriteHeader(http.StatusAccepted)
 	default:
 		if held {
-			ta.orders++
+			ta.takeEffect(od)
 		}
 		delete(ta.adapters, od.Adapter)
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// takeEffect counts an order that changes the target; the lock is held.
+func (ta *Target) takeEffect(od order) {
+	ta.orders++
+	if od.Fence < ta.epoch {
+		ta.stale++
+	}
+	ta.epoch = max(ta.epoch, od.Fence)
+}
+
+// Stale is the number of orders of a superseded holder that took effect after one of a later holder had.
+func (ta *Target) Stale() int {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	return ta.stale
+}
+
 func (ta *Target) loaded(name string) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
@@ -233,12 +256,25 @@
 		first = 0
 	}
 	for number := first + 1; number <= streamEvents; number++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, adapter)
+		_, _ = io.WriteString(w, event(number, adapter))
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(eventGap)
 	}
 }
 
+func event(number int, adapter string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, adapter)
+}
+
+// Answer is the whole answer of an engine.
+func Answer(adapter string) string {
+	var text strings.Builder
+	for number := range streamEvents {
+		text.WriteString(event(number+1, adapter))
+	}
+	return text.String()
+}
+
 func (ta *Target) holds(adapter, expected string) bool {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- /dev/null
+++ b/soaker/caller.go
@@ -0,0 +1,159 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lovagebank/emulator"
+)
+
+const (
+	// requestDeadline is how long a caller says that it waits, and lateSlack how much longer it really does.
+	requestDeadline = 5 * time.Second
+	lateSlack       = 3 * time.Second
+	// callers send one request each callGap, all together.
+	callGap = 12 * time.Millisecond
+	// adapterCount is the number of adapters in use, more than the engines hold.
+	adapterCount = 24
+)
+
+// answer is how a request ended.
+type answer struct {
+	id       string
+	path     string
+	instance int
+	key      string
+	// status is 0 for a connection that broke.
+	status int
+	wrong  string
+	begun  time.Time
+	ended  time.Time
+}
+
+func (an answer) late() bool { return an.ended.Sub(an.begun) >= requestDeadline+lateSlack }
+
+// refusedAsNotRun tells whether the answer promises that the request has not run.
+func (an answer) refusedAsNotRun() bool {
+	return an.status == http.StatusServiceUnavailable || an.status == http.StatusTooManyRequests
+}
+
+// callers send requests of all kinds over connections that they keep, and remember each answer.
+type callers struct {
+	addresses []string
+	client    *http.Client
+	next      atomic.Int64
+
+	mu      sync.Mutex
+	key     string
+	answers []answer
+}
+
+func newCallers(addresses []string) *callers {
+	return &callers{
+		addresses: addresses, key: emulator.Key,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}},
+	}
+}
+
+// run sends requests until the context ends, and returns when all have ended.
+func (ca *callers) run(ctx context.Context) {
+	ticker := time.NewTicker(callGap)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			calls.Go(func() { ca.ask(int(ca.next.Add(1)), ca.currentKey()) })
+		}
+	}
+}
+
+func (ca *callers) currentKey() string {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.key
+}
+
+func (ca *callers) setKey(key string) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	ca.key = key
+}
+
+// taken returns the answers so far.
+func (ca *callers) taken() []answer {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return append([]answer(nil), ca.answers...)
+}
+
+// ask sends one request; the number picks its kind, adapter and instance.
+func (ca *callers) ask(number int, key string) answer {
+	paths := []string{"/ask/1", "/order/1", "/check/1", "/ask/2"}
+	an := answer{
+		id: fmt.Sprintf("s%d", number), path: paths[number%len(paths)], instance: number % len(ca.addresses), key: key, begun: time.Now(),
+	}
+	adapter := ""
+	if strings.HasPrefix(an.path, "/ask/") {
+		// A few adapters are used most.
+		adapter = fmt.Sprintf("a%d", min(number/4%adapterCount, number/8%adapterCount))
+	}
+	text := ca.send(&an, adapter)
+	an.ended = time.Now()
+	if an.status == http.StatusOK {
+		an.wrong = wrongAnswer(an, adapter, text)
+	}
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	ca.answers = append(ca.answers, an)
+	return an
+}
+
+func (ca *callers) send(an *answer, adapter string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+lateSlack)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ca.addresses[an.instance]+an.path, strings.NewReader("body of "+an.id))
+	if err != nil {
+		an.wrong = err.Error()
+		return ""
+	}
+	rq.Host = emulator.Host
+	rq.Header.Set("Request-Id", an.id)
+	rq.Header.Set("X-Api-Key", an.key)
+	rq.Header.Set("Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
+	if adapter != "" {
+		rq.Header.Set("Model-Name", emulator.Model+"/"+adapter)
+	}
+	rs, err := ca.client.Do(rq)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = rs.Body.Close() }()
+	body, err := io.ReadAll(rs.Body)
+	if err != nil {
+		return ""
+	}
+	an.status = rs.StatusCode
+	return string(body)
+}
+
+// wrongAnswer says what is wrong with an answer that looks whole; empty if nothing is.
+func wrongAnswer(an answer, adapter, text string) string {
+	want := "answer to " + an.id
+	if adapter != "" {
+		want = emulator.Answer(adapter)
+	}
+	if text != want {
+		return fmt.Sprintf("%s %s: got %q, want %q", an.id, an.path, text, want)
+	}
+	return ""
+}
--- /dev/null
+++ b/soaker/plan.go
@@ -0,0 +1,85 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of fault.
+const (
+	KindPause       Kind = "pause"
+	KindKill        Kind = "kill"
+	KindStop        Kind = "stop"
+	KindCrash       Kind = "target-crash"
+	KindStoreDown   Kind = "store-down"
+	KindStoreLoses  Kind = "store-loses-answers"
+	KindCompact     Kind = "store-compacts"
+	KindLapse       Kind = "store-ends-leases"
+	KindDelay       Kind = "link-delay"
+	KindReset       Kind = "link-reset"
+	KindSilent      Kind = "link-silent"
+	KindCutRequests Kind = "link-cut-requests"
+	KindCutAnswers  Kind = "link-cut-answers"
+	KindKey         Kind = "key-change"
+)
+
+// kinds are those that a plan draws from.
+var kinds = []Kind{
+	KindPause, KindKill, KindStop, KindCrash, KindStoreDown, KindStoreLoses, KindCompact, KindLapse, KindDelay, KindReset,
+	KindSilent, KindCutRequests, KindCutAnswers, KindKey,
+}
+
+// Fault is one fault of a plan.
+type Fault struct {
+	// At is when it begins, counted from the begin of the faults, and For how long it lasts.
+	At  time.Duration
+	For time.Duration
+	// Kind says what happens.
+	Kind Kind
+	// Subject picks the instance, target or link that it happens to, modulo their number.
+	Subject int
+}
+
+// String is the fault as a line of a report.
+func (fa Fault) String() string {
+	return fmt.Sprintf("%s at %v for %v, subject %d", fa.Kind, fa.At, fa.For, fa.Subject)
+}
+
+const (
+	// faultGap is the mean time between the begins of two faults; they last longer, so that they overlap.
+	faultGap = 700 * time.Millisecond
+	// leastFault and mostFault bound how long a fault lasts.
+	leastFault = 300 * time.Millisecond
+	mostFault  = 4 * time.Second
+	// seriesShare is the share of faults that strike twice more, one after the other.
+	seriesShare = 0.25
+	seriesGap   = 500 * time.Millisecond
+)
+
+// Plan draws the faults of a seed, in the order of their begins.
+func Plan(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // a seed has to give the same plan again
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int64N(int64(most-least))).Round(time.Millisecond)
+	}
+	var plan []Fault
+	for at := between(0, faultGap); at < length; at += between(faultGap/4, faultGap*7/4) {
+		fa := Fault{At: at, For: between(leastFault, mostFault), Kind: kinds[random.IntN(len(kinds))], Subject: random.IntN(1 << 16)}
+		plan = append(plan, fa)
+		if random.Float64() >= seriesShare {
+			continue
+		}
+		for range 2 {
+			fa.At += seriesGap
+			fa.Subject++
+			plan = append(plan, fa)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
