--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -82,6 +82,9 @@
 	if cf == nil {
 		return refusedNotReady
 	}
+	if limit := cf.Limits().HeaderBytes; limit > 0 && headerBytes(ex.r) > limit {
+		return refusedLongHeader
+	}
 	path, _, _ := strings.Cut(ex.uri(), "?")
 	rt, ok := cf.Match(ex.r.Host, path)
 	if !ok {
@@ -136,6 +139,22 @@
 	return ex.r.URL.RequestURI()
 }
 
+// headerBytes is the size of a request's first line and header fields, as HTTP/1 writes them.
+func headerBytes(r *http.Request) int {
+	const (
+		// field and line count what stands around a field's name and value, and in a first line beside method and target.
+		field = len(": \r\n")
+		line  = len("  HTTP/1.1\r\n")
+	)
+	size := line + len(r.Method) + len(r.RequestURI) + field + len("Host") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += field + len(name) + len(value)
+		}
+	}
+	return size
+}
+
 func (ex *exchange) readBody(limit int64) *refusal {
 	if ex.r.ContentLength == 0 {
 		return nil
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -64,7 +64,7 @@
 			router.NewService(router.ServiceOptions{Name: "engines", Engine: &router.Engine{AdapterSlots: 4}}),
 		},
 		Organisations: []*router.Organisation{usual},
-		Limits:        router.Limits{BodyBytes: 1000},
+		Limits:        router.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	})
 }
 
@@ -185,6 +185,12 @@
 		"body too long": {"/safe/1", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
 		}, http.StatusRequestEntityTooLarge},
+		"header too long": {"/safe/1", func(r *http.Request) {
+			r.Header.Set("X-Long", strings.Repeat("x", 2000))
+		}, http.StatusRequestHeaderFieldsTooLarge},
+		"header within its limit": {"/safe/1", func(r *http.Request) {
+			r.Header.Set("X-Long", strings.Repeat("x", 1500))
+		}, http.StatusOK},
 		"allowance used up": {"/safe/1", func(r *http.Request) { r.Header.Set("Token-Counts", "9000,1") }, http.StatusTooManyRequests},
 	}
 	for name, tt := range tests {
--- a/acceptor/refusal.go
+++ b/acceptor/refusal.go
@@ -30,6 +30,7 @@
 	refusedUnknownKey  = &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	refusedNoService   = &refusal{status: http.StatusServiceUnavailable, reason: "the route's service is not configured", wait: usualWait}
 	refusedTooLarge    = &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	refusedLongHeader  = &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too large"}
 	refusedTornBody    = &refusal{status: http.StatusBadRequest, reason: "the body did not arrive whole"}
 	refusedNoTarget    = &refusal{status: http.StatusServiceUnavailable, reason: "no target can take the request", wait: usualWait}
 	refusedFull        = &refusal{status: http.StatusServiceUnavailable, reason: "all targets are full", wait: usualWait}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -279,10 +279,12 @@
 }
 
 const (
-	// maxHeaderBytes, headerTimeout and idleTimeout hold for callers until a configuration is known.
+	// maxHeaderBytes and headerTimeout bound what is read of a caller before its configuration is looked up.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 5 * time.Second
-	idleTimeout    = 60 * time.Second
+	// idleTimeout is longer than configurations let callers keep idle connections: one that is cut as it is used again
+	// costs its caller a request.
+	idleTimeout = 3 * time.Minute
 )
 
 func (su *Supervisor) listen() (*servers, error) {
