--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -89,7 +90,7 @@
 // New makes a keeper; Run does its work.
 func New(op Options) *Keeper {
 	if op.Boot == nil {
-		op.Boot = bootTime
+		op.Boot = bootClock(op.Logger)
 	}
 	return &Keeper{
 		op:     op,
@@ -99,15 +100,27 @@
 	}
 }
 
-func bootTime() time.Duration {
+// bootClock returns a clock that goes on while the machine is suspended. Where the system has none, it counts from the
+// start of the process and stands still meanwhile: a lease may then seem to last longer than it does.
+func bootClock(logger *log.Logger) func() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Since(processStart)
+		logger.Error("no clock counts suspended time", "error", err)
+		start := time.Now()
+		return func() time.Duration { return time.Since(start) }
+	}
+	return func() time.Duration {
+		var now unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+			logger.Error("clock not read, no lease holds", "error", err)
+			return farFuture
+		}
+		return time.Duration(now.Nano())
 	}
-	return time.Duration(ts.Nano())
 }
 
-var processStart = time.Now()
+// farFuture is later than any lease ends.
+const farFuture = time.Duration(math.MaxInt64 / 2)
 
 // Done is closed when Run has ended.
 func (ke *Keeper) Done() <-chan struct{} { return ke.done }
