Count all that a new process has admitted; spend little until the other instances are known

Ruled out: the cut of a failure domain (mended before) and the demand itself, whose pattern stays in bounds while the instances stay.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -26,6 +26,8 @@
 	shareMargin = 1.1
 	// leastShare is the least part of an instance, in even parts: where nothing was asked of late, something may be.
 	leastShare = 0.3
+	// unknownShare is an instance's part while it doesn't know yet which others there are.
+	unknownShare = 0.02
 	// largePart is the part of a second's rate from which a request counts as large. The bucket may owe up to debtTime
 	// of the rate for one: where small requests empty it all the time, it never holds enough for a large one.
 	largePart = 0.05
@@ -77,6 +79,8 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// complete tells that peers holds all instances that the store names.
+	complete bool
 }
 
 type bucket struct {
@@ -255,7 +259,10 @@
 		}
 	}
 	even := 1 / float64(len(al.peers)+1)
-	if all <= 0 || !heard {
+	switch {
+	case !al.complete:
+		return unknownShare
+	case all <= 0 || !heard:
 		return even
 	}
 	return min(max(own/all*shareMargin, even*leastShare), 1)
@@ -313,15 +320,18 @@
 	}
 }
 
-// met returns the peer that tells. What was presumed of a process before this one is given back, as it has ended.
+// met returns the peer that tells. What was presumed of a process before this one is given back, as it has ended. Of a
+// new process all that it has admitted counts; an older one was there before this instance asked.
 func (al *Allotter) met(te Telling, now time.Time) *peer {
 	pe, ok := al.peers[te.Instance]
 	if ok && pe.start == te.Start {
 		return pe
 	}
-	fresh := &peer{start: te.Start, tallies: make(map[string]*told)}
+	fresh := &peer{start: te.Start, heardAt: now, tallies: make(map[string]*told)}
 	for name, tally := range te.Tallies {
-		fresh.told(name, now).tally = tally
+		if tally.Settled {
+			fresh.told(name, now).tally = tally
+		}
 	}
 	al.peers[te.Instance] = fresh
 	if !ok {
@@ -362,6 +372,13 @@
 	}
 }
 
+// Complete says that all other instances have been named by Member.
+func (al *Allotter) Complete() {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.complete = true
+}
+
 // Gone drops an instance that has left.
 func (al *Allotter) Gone(instance string) {
 	al.mu.Lock()
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,13 +43,20 @@
 
 func newFleet() *fleet { return newFleetTelling(tell) }
 
+// newMember is an allotter that knows that it has been told of all others.
+func newMember(every time.Duration) *allotter.Allotter {
+	al := allotter.New(allotter.Options{Interval: func() time.Duration { return every }})
+	al.Complete()
+	return al
+}
+
 func newFleetTelling(every time.Duration) *fleet {
 	fl := &fleet{
 		every:  every,
 		starts: [instances]string{"0", "1", "2", "3", "4", "5", "6", "7"}, cut: make(map[int]bool), leaving: make(map[int]bool), down: make(map[int]bool),
 	}
 	for range instances {
-		fl.members = append(fl.members, allotter.New(allotter.Options{Interval: func() time.Duration { return every }}))
+		fl.members = append(fl.members, newMember(every))
 	}
 	fl.tellAll()
 	return fl
@@ -232,7 +240,7 @@
 	fl.tellAll()
 	fl.down[at] = true
 	fl.play(down, multiple, even, 700)
-	fl.members[at] = allotter.New(allotter.Options{Interval: func() time.Duration { return tell }})
+	fl.members[at] = newMember(tell)
 	for other := range instances {
 		if other != at {
 			fl.members[at].Member(fmt.Sprint(other))
@@ -279,7 +287,7 @@
 		og := router.NewOrganisation(router.OrganisationOptions{
 			Name: "o", TokensPerSecond: 1000, BurstTokens: 1000, CountsTokens: true,
 		})
-		al := allotter.New(allotter.Options{Interval: func() time.Duration { return tell }})
+		al := newMember(tell)
 		for {
 			ok, wait := al.Charge(og, 100, 0)
 			if ok {
@@ -350,3 +358,140 @@
 		t.Error("an organisation without a rate was refused")
 	}
 }
+
+// grown is 58 instances that exchange tellings in turn, each pair every 1.75 s, and one organisation.
+type grown struct {
+	fleet
+	og     *router.Organisation
+	starts [grownSize]string
+	down   [grownSize]bool
+	// mute instances don't exchange tellings.
+	mute bool
+	turn int
+	next int
+	due  float64
+	told time.Time
+}
+
+const (
+	grownSize  = 58
+	grownRate  = 216000.0
+	grownEvery = 1750 * time.Millisecond
+)
+
+func newGrown() *grown {
+	gr := &grown{told: time.Now(), og: router.NewOrganisation(router.OrganisationOptions{
+		Name: "o", TokensPerSecond: grownRate, BurstTokens: grownRate, CountsTokens: true,
+	})}
+	for range grownSize {
+		gr.members = append(gr.members, gr.member())
+	}
+	return gr
+}
+
+func (gr *grown) member() *allotter.Allotter { return newMember(grownEvery) }
+
+func (gr *grown) exchange(one int) {
+	for other := range gr.members {
+		if other == one || gr.down[other] || gr.down[one] {
+			continue
+		}
+		gr.members[other].Heard(allotter.Telling{Instance: fmt.Sprint(one), Start: gr.starts[one], Tallies: gr.members[one].Tallies()})
+		gr.members[one].Heard(allotter.Telling{Instance: fmt.Sprint(other), Start: gr.starts[other], Tallies: gr.members[other].Tallies()})
+	}
+}
+
+// play lets the organisation ask for a multiple of its rate, of all instances that are there.
+func (gr *grown) play(span time.Duration, multiple float64) {
+	const (
+		step = 10 * time.Millisecond
+		cost = 700.0
+	)
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(step) {
+		for ; time.Since(gr.told) >= grownEvery/grownSize; gr.told = gr.told.Add(grownEvery / grownSize) {
+			if gr.mute {
+				continue
+			}
+			gr.exchange(gr.turn % grownSize)
+			gr.turn++
+		}
+		if !slices.Contains(gr.down[:], false) {
+			continue
+		}
+		for gr.due += multiple * grownRate * step.Seconds(); gr.due >= cost; gr.due -= cost {
+			for gr.next += 7; gr.down[gr.next%grownSize]; gr.next += 7 {
+			}
+			gr.charge(gr.members[gr.next%grownSize], gr.og, cost)
+		}
+	}
+}
+
+// kill ends the first instances without a last word.
+func (gr *grown) kill(count int) {
+	for at := range count {
+		gr.down[at] = true
+	}
+}
+
+// revive starts the killed instances again. They serve at once, and learn a while later who the others are.
+func (gr *grown) revive(multiple float64) {
+	const unknowing = 250 * time.Millisecond
+	killed := gr.down
+	for at := range gr.members {
+		if killed[at] {
+			gr.members[at] = allotter.New(allotter.Options{Interval: func() time.Duration { return grownEvery }})
+			gr.starts[at] += "again"
+			gr.down[at] = false
+		}
+	}
+	gr.mute = true
+	gr.play(unknowing, multiple)
+	gr.mute = false
+	for at, member := range gr.members {
+		if !killed[at] {
+			continue
+		}
+		for other := range gr.members {
+			if other != at {
+				member.Member(fmt.Sprint(other))
+			}
+		}
+		member.Complete()
+	}
+}
+
+// The pattern of castaneda-stock-grown trouble-3, 8 to 16 s: an organisation asks for several times its rate of all
+// instances at once, and more than half of them lose power meanwhile and start again.
+func TestHotOrganisationOnManyInstances(t *testing.T) {
+	tests := map[string]struct {
+		killed int
+		served float64
+	}{
+		"all instances stay":                   {0, 0.85},
+		"more than half are killed and return": {32, 0.6},
+		"all are killed and return":            {grownSize, 0.5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gr := newGrown()
+				gr.play(12*time.Second, 0.6)
+				if gr.refused > 0.01*gr.asked {
+					t.Errorf("%.0f of %.0f tokens of the usual demand refused", gr.refused, gr.asked)
+				}
+				gr.admitted, gr.refused, gr.asked = nil, 0, 0
+				gr.play(time.Second, 4.5)
+				gr.kill(tt.killed)
+				gr.play(2*time.Second, 4.5)
+				gr.revive(4.5)
+				gr.play(9*time.Second, 4.5)
+				if most, bound := gr.most(), grownRate*9*1.1+slack; most > bound {
+					t.Errorf("%.0f tokens in a window, bound %.0f", most, bound)
+				}
+				if admitted := gr.asked - gr.refused; admitted < tt.served*grownRate*12 {
+					t.Errorf("%.0f tokens admitted of %.0f", admitted, grownRate*12)
+				}
+			})
+		})
+	}
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -52,6 +52,9 @@
 		peers = append(peers, exchanger.Peer{Name: in.Name, Address: in.Address})
 		su.allotter.Member(in.Name)
 	}
+	if su.ownWatcher.Listed() {
+		su.allotter.Complete()
+	}
 	return peers
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -108,6 +108,13 @@
 	return wa.listed && !wa.lost && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
 }
 
+// Listed tells whether all keys have been read at least once, and not dropped since.
+func (wa *Watcher) Listed() bool {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	return wa.listed
+}
+
 // Items returns the copy.
 func (wa *Watcher) Items() []platform.Item {
 	wa.mu.Lock()
