--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,8 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"lovagebank/launcher"
 	"lovagebank/soaker"
 )
 
@@ -26,34 +25,25 @@
 	Length    time.Duration `long:"length" default:"12s" description:"time in which faults begin"`
 	Folder    string        `long:"folder" default:"." description:"where the logs of runs with findings are kept"`
 	Break     string        `long:"break" description:"build with a deliberate fault, to see that it is caught; 'list' names them"`
+	Keep      bool          `long:"keep" description:"keep the logs of runs without findings too"`
 	Verbose   bool          `long:"verbose" description:"print each fault as it strikes"`
 }
 
 var errBroken = errors.New("promises were broken")
 
-func main() { os.Exit(start()) }
-
-// start returns the exit code: 0 if all promises were kept, 1 if not, 2 for a wrong call.
-func start() int {
+func main() {
 	var op options
-	if _, err := flags.Parse(&op); err != nil {
-		var fe *flags.Error
-		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-			return 0
-		}
-		return 2
-	}
+	os.Exit(launcher.Start("soak", &op, func() error { return start(op) }))
+}
+
+func start(op options) error {
 	if op.Break == "list" {
 		soaker.WriteBreakages(os.Stdout)
-		return 0
+		return nil
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, op); err != nil {
-		fmt.Fprintln(os.Stderr, "soak:", err)
-		return 1
-	}
-	return 0
+	return run(ctx, op)
 }
 
 func run(ctx context.Context, op options) error {
@@ -89,6 +79,9 @@
 		return err
 	case broken > 0:
 		return errBroken
+	case op.Keep:
+		fmt.Println("logs in", folder)
+		return nil
 	}
 	return os.RemoveAll(folder)
 }
@@ -135,8 +128,8 @@
 		},
 	})
 	re, err := so.Run(ctx)
-	if err != nil {
-		return nil, err
+	if err != nil || op.Keep {
+		return re, err
 	}
 	return re, so.Clean(re)
 }
