--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -35,7 +35,7 @@
 	if err := build.Run(); err != nil {
 		return err
 	}
-	fl, err := emulator.NewFleet(program, folder)
+	fl, err := emulator.NewFleet(emulator.Options{Program: program, Folder: folder})
 	if err != nil {
 		return err
 	}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -20,10 +20,10 @@
 	Host = "sample.example"
 	// Key is the key of the sample organisation.
 	Key = "sample-key"
-	// engines, applications and zones are the sizes of the sample deployment.
-	engines      = 4
-	applications = 2
-	zones        = 2
+	// defaultEngines, defaultApplications and defaultZones are the sizes of the sample deployment.
+	defaultEngines      = 4
+	defaultApplications = 2
+	defaultZones        = 2
 	// readyPatience bounds the wait for an instance to become ready.
 	readyPatience = 30 * time.Second
 	readyStep     = 50 * time.Millisecond
@@ -31,8 +31,7 @@
 
 // Fleet is a store, targets and entry instances as processes of their own.
 type Fleet struct {
-	program string
-	folder  string
+	op      Options
 	store   *Store
 	server  *http.Server
 	address string
@@ -44,7 +43,6 @@
 
 	// seeds are the control addresses of the instances started so far.
 	seeds []string
-	via   Via
 }
 
 // Via gives the address to use in place of one that a link goes to, such as that of a proxy. A link's name is
@@ -60,37 +58,62 @@
 	run     func() error
 }
 
-// NewFleet starts a store and targets; program is the built lovagebank, and folder takes settings and logs.
-func NewFleet(program, folder string) (*Fleet, error) {
-	return NewFleetVia(program, folder, func(_, address string) (string, error) { return address, nil })
+// Options set a Fleet up.
+type Options struct {
+	// Program is the built lovagebank, and Folder takes settings and logs.
+	Program string
+	Folder  string
+	// Via leads links over other addresses; nil for none.
+	Via Via
+	// Engines, Applications and Zones are the deployment's sizes; 0 for the defaults.
+	Engines      int
+	Applications int
+	Zones        int
+	// Plain is a deployment without organisations and keys, whose targets tell neither load nor health.
+	Plain bool
 }
 
-// NewFleetVia starts a store and targets whose links may lead over other addresses.
-func NewFleetVia(program, folder string, via Via) (*Fleet, error) {
+func (op Options) withDefaults() Options {
+	if op.Via == nil {
+		op.Via = func(_, address string) (string, error) { return address, nil }
+	}
+	for _, size := range []struct {
+		value    *int
+		fallback int
+	}{{&op.Engines, defaultEngines}, {&op.Applications, defaultApplications}, {&op.Zones, defaultZones}} {
+		if *size.value == 0 {
+			*size.value = size.fallback
+		}
+	}
+	return op
+}
+
+// NewFleet starts a store and targets.
+func NewFleet(op Options) (*Fleet, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	fl := &Fleet{
-		program: program, folder: folder, store: NewStore(), address: listener.Addr().String(), ledger: &Ledger{},
-		targets: make(map[string]*Target), entries: make(map[string]*Entry), via: via,
+		op: op.withDefaults(), store: NewStore(), address: listener.Addr().String(), ledger: &Ledger{},
+		targets: make(map[string]*Target), entries: make(map[string]*Entry),
 	}
 	fl.server = &http.Server{Handler: fl.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = fl.server.Serve(listener) }()
-	for number := range engines {
-		if err := fl.AddTarget("engine-"+strconv.Itoa(number), "engines", true, zone(number)); err != nil {
+	for number := range fl.op.Engines {
+		if err := fl.AddTarget("engine-"+strconv.Itoa(number), "engines", true, fl.zone(number)); err != nil {
 			return nil, err
 		}
 	}
-	for number := range applications {
-		if err := fl.AddTarget("application-"+strconv.Itoa(number), "applications", false, zone(number)); err != nil {
+	for number := range fl.op.Applications {
+		if err := fl.AddTarget("application-"+strconv.Itoa(number), "applications", false, fl.zone(number)); err != nil {
 			return nil, err
 		}
 	}
 	return fl, fl.Configure(1, Key)
 }
 
-func zone(number int) string { return "zone-" + strconv.Itoa(number%zones) }
+func (fl *Fleet) zone(number int) string { return "zone-" + strconv.Itoa(number%fl.op.Zones) }
 
 // AddTarget starts a target and registers it.
 func (fl *Fleet) AddTarget(id, service string, engine bool, zone string) error {
@@ -98,12 +121,12 @@
 	if err != nil {
 		return err
 	}
-	ta.zone = zone
+	ta.zone, ta.silent = zone, fl.op.Plain
 	return fl.register(ta)
 }
 
 func (fl *Fleet) register(ta *Target) error {
-	address, err := fl.via("target/"+ta.id, ta.address)
+	address, err := fl.op.Via("target/"+ta.id, ta.address)
 	if err != nil {
 		return err
 	}
@@ -121,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	ta.zone, ta.born = old.zone, old.born+1
+	ta.zone, ta.silent, ta.born = old.zone, old.silent, old.born+1
 	return fl.register(ta)
 }
 
@@ -153,6 +176,13 @@
 			"priority": 0, "service": service, "attempts": 2, "resumable": resumable, "sticky": service == "engines",
 		}
 	}
+	tenants := []any{map[string]any{
+		"name": "sample", "apiKeys": []string{key}, "billingUnit": "tokens", "uncachedTokens": 10, "ratePerS": 1e6, "burst": 1e6,
+	}}
+	health := "/health"
+	if fl.op.Plain {
+		tenants, health = []any{}, ""
+	}
 	return fl.store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": []any{
@@ -161,14 +191,14 @@
 			route("check", "/check/", "safe", "applications", false),
 		},
 		"services": []any{
-			map[string]any{"name": "applications", "healthPath": "/health", "maxConns": 100},
-			map[string]any{"name": "engines", "healthPath": "/health", "maxConns": 100, "engine": map[string]any{
+			map[string]any{"name": "applications", "healthPath": health, "maxConns": 100},
+			map[string]any{"name": "engines", "healthPath": health, "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "adapterSlots": AdapterSlots, "weightsMb": 1000.0, "loadsPerS": 5.0,
 				"models": []any{map[string]any{"name": Model, "weightsMb": 500.0, "loadS": 0.5, "adapters": 100, "adapterMb": 10.0}},
 			}},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "sample", "apiKeys": []string{key}, "billingUnit": "tokens", "uncachedTokens": 10, "ratePerS": 1e6, "burst": 1e6}},
+		"tenants": tenants,
 	})
 }
 
@@ -179,14 +209,14 @@
 	if err != nil {
 		return nil, err
 	}
-	store, err := fl.via("store/"+ip, fl.address)
+	store, err := fl.op.Via("store/"+ip, fl.address)
 	if err != nil {
 		return nil, err
 	}
 	en := &Entry{callers: net.JoinHostPort(ip, ports[0]), ready: net.JoinHostPort(ip, ports[1])}
-	path := filepath.Join(fl.folder, fmt.Sprintf("entry-%d.conf", number))
+	path := filepath.Join(fl.op.Folder, fmt.Sprintf("entry-%d.conf", number))
 	settings := strings.Join([]string{
-		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + zone(number),
+		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + fl.zone(number),
 		"listen.front=" + en.callers, "listen.ready=" + en.ready,
 		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + store, "limits.memoryMb=284",
 		"listen.control=" + net.JoinHostPort(ip, ports[3]), "seeds=" + strings.Join(fl.seeds, ","), "",
@@ -194,7 +224,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	en.run = func() error { return en.start(fl.program, path) }
+	en.run = func() error { return en.start(fl.op.Program, path) }
 	fl.entries[ip] = en
 	fl.seeds = append(fl.seeds, net.JoinHostPort(ip, ports[3]))
 	return en, en.run()
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -19,6 +19,8 @@
 type user struct {
 	t       *testing.T
 	entries []*emulator.Entry
+	// organisation is whose requests the user's are; empty in a deployment without organisations.
+	organisation string
 
 	mu      sync.Mutex
 	next    int
@@ -64,13 +66,21 @@
 
 // many sends requests of all kinds for a while, and returns how many were served of how many.
 func (us *user) many(count int) (served, asked int) {
+	const adapters = 10
+	return us.send(count, adapters)
+}
+
+// few uses no more adapters than one engine holds.
+func (us *user) few(count int) (served, asked int) { return us.send(count, emulator.AdapterSlots) }
+
+func (us *user) send(count, adapters int) (served, asked int) {
 	var tasks sync.WaitGroup
 	var mu sync.Mutex
 	for number := range count {
 		paths := []string{"/ask/1", "/order/1", "/check/1"}
 		adapter := ""
 		if number%3 == 0 {
-			adapter = fmt.Sprintf("a%d", number%10)
+			adapter = fmt.Sprintf("a%d", number%adapters)
 		}
 		tasks.Go(func() {
 			status := us.ask(paths[number%3], adapter, emulator.Key)
@@ -88,19 +98,28 @@
 }
 
 func newFleet(t *testing.T) (*emulator.Fleet, *user) {
+	t.Helper()
+	return newFleetOf(t, emulator.Options{}, 3)
+}
+
+func newFleetOf(t *testing.T, op emulator.Options, instances int) (*emulator.Fleet, *user) {
 	t.Helper()
 	folder := t.TempDir()
 	program := filepath.Join(folder, "lovagebank")
 	if text, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
 	}
-	fl, err := emulator.NewFleet(program, folder)
+	op.Program, op.Folder = program, folder
+	fl, err := emulator.NewFleet(op)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(fl.Close)
-	us := &user{t: t, answers: make(map[string]int)}
-	for number := range 3 {
+	us := &user{t: t, organisation: "sample", answers: make(map[string]int)}
+	if op.Plain {
+		us.organisation = ""
+	}
+	for number := range instances {
 		en, err := fl.StartEntry(number)
 		if err != nil {
 			t.Fatal(err)
@@ -131,7 +150,7 @@
 		if strings.HasPrefix(ru.Path, "/order/") {
 			runs[ru.ID]++
 		}
-		if ru.Organisation != "sample" || ru.SawKey {
+		if ru.Organisation != us.organisation || ru.SawKey {
 			us.t.Errorf("request %s ran for %q, key seen %v", ru.ID, ru.Organisation, ru.SawKey)
 		}
 	}
@@ -148,13 +167,49 @@
 	for _, text := range us.broken {
 		us.t.Errorf("stream looks complete and is not: %s", text)
 	}
-	for number := range 4 {
+	for number := range engines(fl) {
 		if most := fl.Target(fmt.Sprintf("engine-%d", number)).Most(); most > 4 {
 			us.t.Errorf("engine %d was ordered to hold %d adapters", number, most)
 		}
 	}
 }
 
+// engines counts a fleet's engines.
+func engines(fl *emulator.Fleet) int {
+	count := 0
+	for _, id := range fl.TargetIDs() {
+		if strings.HasPrefix(id, "engine-") {
+			count++
+		}
+	}
+	return count
+}
+
+// Deployments that are smaller or plainer than the users' own start and serve.
+func TestOrdinaryDeployments(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	tests := map[string]struct {
+		options   emulator.Options
+		instances int
+	}{
+		"one machine, one zone, one target of each kind": {emulator.Options{Engines: 1, Applications: 1, Zones: 1}, 1},
+		"no organisations, no keys, no load, no health":  {emulator.Options{Plain: true}, 2},
+		"more instances than targets":                    {emulator.Options{Engines: 2, Applications: 1}, 5},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fl, us := newFleetOf(t, tt.options, tt.instances)
+			if served, asked := us.few(90); float64(served) < 0.95*float64(asked) {
+				t.Errorf("%d of %d served", served, asked)
+			}
+			us.check(fl)
+		})
+	}
+}
+
 // Each scenario reads like an operator's steps: what is done to the fleet while callers go on, and how many of them
 // must be served at least.
 func TestFleet(t *testing.T) {
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -64,6 +64,8 @@
 	address string
 
 	zone string
+	// silent targets don't tell their load.
+	silent bool
 	// born orders the starts under one ID.
 	born int64
 
@@ -245,7 +247,9 @@
 		Organisation: r.Header.Get("Tenant-Id"), SawKey: r.Header.Get("X-Api-Key") != "",
 	})
 	w.Header().Set("Response-Seal", "seal-"+r.Header.Get("Request-Id"))
-	w.Header().Set("Instance-Load", "1,0,8")
+	if !ta.silent {
+		w.Header().Set("Instance-Load", "1,0,8")
+	}
 	if !ta.engine {
 		_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get("Request-Id"))
 		return
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -84,7 +84,7 @@
 
 // Run plays the seed and returns what was found.
 func (so *Soaker) Run(ctx context.Context) (*Report, error) {
-	fl, err := emulator.NewFleetVia(so.op.Program, so.op.Folder, so.via)
+	fl, err := emulator.NewFleet(emulator.Options{Program: so.op.Program, Folder: so.op.Folder, Via: so.via})
 	if err != nil {
 		return nil, err
 	}
