Count with forgetting in one place

The same decaying sum stood in balancer, stocker and allotter, and in limiter as a rate: decayer.Count serves all four. Figures stay as they were, exactly: the limiter's window is a second, by which it divided each part and now the sum.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -5,10 +5,10 @@
 package allotter
 
 import (
-	"math"
 	"sync"
 	"time"
 
+	"lovagebank/decayer"
 	"lovagebank/router"
 )
 
@@ -91,7 +91,7 @@
 	metAt   time.Time
 	at      time.Time
 	own     Tally
-	asked   average
+	asked   decayer.Count
 	// unheard is what this instance has admitted that the others may not have been told of yet.
 	unheard float64
 	// refusals are the times of the last refusals here by urgency.
@@ -111,7 +111,7 @@
 	// presumed is what was taken from the bucket for it while it was silent.
 	presumed   float64
 	presumedTo time.Time
-	asked      average
+	asked      decayer.Count
 	// pace is what it asked for a second when it was last heard.
 	pace float64
 }
@@ -133,20 +133,6 @@
 	return true
 }
 
-// average is an amount with exponential forgetting.
-type average struct {
-	value float64
-	at    time.Time
-}
-
-func (av *average) now(at time.Time) float64 {
-	av.value *= math.Exp(-at.Sub(av.at).Seconds() / demandMemory.Seconds())
-	av.at = at
-	return av.value
-}
-
-func (av *average) add(amount float64, at time.Time) { av.value = av.now(at) + amount }
-
 // New makes an allotter.
 func New(op Options) *Allotter {
 	return &Allotter{op: op, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
@@ -157,7 +143,7 @@
 	bu, ok := al.buckets[og.Name()]
 	if !ok {
 		bu = &bucket{
-			at: now, metAt: now, asked: average{at: now}, refusals: make(map[int]time.Time), ledger: ledger{burst: og.Burst()},
+			at: now, metAt: now, asked: decayer.New(demandMemory, now), refusals: make(map[int]time.Time), ledger: ledger{burst: og.Burst()},
 		}
 		bu.ledger.reset(og.Burst()*startLevel, now)
 		al.buckets[og.Name()] = bu
@@ -193,7 +179,7 @@
 func (pe *peer) told(name string, now time.Time) *told {
 	to, ok := pe.tallies[name]
 	if !ok {
-		to = &told{asked: average{at: now}}
+		to = &told{asked: decayer.New(demandMemory, now)}
 		pe.tallies[name] = to
 	}
 	return to
@@ -209,7 +195,7 @@
 	defer al.mu.Unlock()
 	now := time.Now()
 	bu := al.bucket(og, now)
-	bu.asked.add(cost, now)
+	bu.asked.Add(cost, now)
 	bu.own.Asked += cost
 	share := al.share(og.Name(), bu, now)
 	if bu.affords(cost, share, !bu.refusesBefore(rank, now)) {
@@ -249,13 +235,13 @@
 
 // share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
 func (al *Allotter) share(name string, bu *bucket, now time.Time) float64 {
-	own := bu.asked.now(now)
+	own := bu.asked.Now(now)
 	all := own
 	heard := len(al.peers) == 0
 	for _, pe := range al.peers {
 		heard = heard || pe.start != ""
 		if to, ok := pe.tallies[name]; ok {
-			all += to.asked.now(now)
+			all += to.asked.Now(now)
 		}
 	}
 	even := 1 / float64(len(al.peers)+1)
@@ -311,12 +297,12 @@
 	for name, tally := range te.Tallies {
 		to := pe.told(name, now)
 		admitted := max(tally.Admitted-to.tally.Admitted, 0)
-		to.asked.add(max(tally.Asked-to.tally.Asked, 0), now)
+		to.asked.Add(max(tally.Asked-to.tally.Asked, 0), now)
 		to.tally = tally
 		if bu, ok := al.buckets[name]; ok {
 			bu.hear(to, admitted, before, now)
 		}
-		to.presumed, to.pace = 0, to.asked.now(now)/demandMemory.Seconds()
+		to.presumed, to.pace = 0, to.asked.Now(now)/demandMemory.Seconds()
 	}
 }
 
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lovagebank/decayer"
 )
 
 const (
@@ -20,32 +22,24 @@
 
 // demand counts requests by adapter with exponential forgetting.
 type demand struct {
-	counts  map[Adapter]*decayed
-	total   decayed
+	counts  map[Adapter]*decayer.Count
+	total   decayer.Count
 	sweptAt time.Time
 }
 
-type decayed struct {
-	value float64
-	at    time.Time
-}
-
-func newDemand() *demand { return &demand{counts: make(map[Adapter]*decayed)} }
-
-func (de *decayed) now(at time.Time) float64 {
-	de.value *= math.Exp(-at.Sub(de.at).Seconds() / demandMemory.Seconds())
-	de.at = at
-	return de.value
+func newDemand() *demand {
+	return &demand{counts: make(map[Adapter]*decayer.Count), total: decayer.New(demandMemory, time.Time{})}
 }
 
 func (de *demand) add(ad Adapter, at time.Time) {
 	co, ok := de.counts[ad]
 	if !ok {
-		co = &decayed{at: at}
+		fresh := decayer.New(demandMemory, at)
+		co = &fresh
 		de.counts[ad] = co
 	}
-	co.value = co.now(at) + 1
-	de.total.value = de.total.now(at) + 1
+	co.Add(1, at)
+	de.total.Add(1, at)
 	if at.Sub(de.sweptAt) > sweepInterval {
 		de.sweep(at)
 	}
@@ -54,7 +48,7 @@
 func (de *demand) sweep(at time.Time) {
 	de.sweptAt = at
 	for ad, co := range de.counts {
-		if co.now(at) < forgetBelow {
+		if co.Now(at) < forgetBelow {
 			delete(de.counts, ad)
 		}
 	}
@@ -63,11 +57,10 @@
 // replicas returns on how many of a number of targets an adapter should be.
 func (de *demand) replicas(ad Adapter, targets int, at time.Time) int {
 	co, ok := de.counts[ad]
-	total := de.total.now(at)
-	if !ok || co.now(at) < leastDemand {
+	if !ok || co.Now(at) < leastDemand {
 		return 1
 	}
-	share := co.value / total
+	share := co.Now(at) / de.total.Now(at)
 	count := int(math.Ceil(share * float64(targets) / replicaShare))
 	return max(1, min(count, targets))
 }
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"lovagebank/decayer"
 	"lovagebank/wire"
 )
 
@@ -47,8 +48,9 @@
 	waiters      []*waiter
 	pendings     []*pending
 	upstreams    map[string]*upstream
-	meter        meter
-	answered     map[string]*answer
+	// demand counts the tokens wanted of late.
+	demand   decayer.Count
+	answered map[string]*answer
 	// lapsed holds buckets that this instance may not use at present: it hands them over, or resumes them if it holds
 	// them again under the same fencing number, since then nobody else held them between.
 	lapsed map[string]*bucket
@@ -64,9 +66,9 @@
 	share float64
 }
 
-func newAccount(organisation string, reserve float64) *account {
+func newAccount(organisation string, reserve float64, now time.Time) *account {
 	return &account{
-		organisation: organisation, pool: pool{reserve: reserve},
+		organisation: organisation, pool: pool{reserve: reserve}, demand: decayer.New(demandWindow, now),
 		upstreams: make(map[string]*upstream), answered: make(map[string]*answer),
 		lapsed: make(map[string]*bucket), handedOver: make(map[string]uint64),
 	}
@@ -243,24 +245,7 @@
 	return ac.upstreams[upstreamHome]
 }
 
-// meter estimates tokens a second.
-type meter struct {
-	rate    float64
-	updated time.Time
-}
-
-func (me *meter) add(tokens int64, now time.Time) {
-	me.decay(now)
-	me.rate += float64(tokens) / demandWindow.Seconds()
-}
-
-func (me *meter) decay(now time.Time) {
-	me.rate *= math.Exp(-now.Sub(me.updated).Seconds() / demandWindow.Seconds())
-	me.updated = now
-}
-
-// ahead returns the tokens wanted within a time.
-func (me *meter) ahead(horizon time.Duration, now time.Time) int64 {
-	me.decay(now)
-	return int64(me.rate * horizon.Seconds())
+// wanted returns the tokens wanted within a time ahead.
+func (ac *account) wanted(horizon time.Duration, now time.Time) int64 {
+	return int64(ac.demand.Now(now) / demandWindow.Seconds() * horizon.Seconds())
 }
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	ac.meter.add(tokens, now)
+	ac.demand.Add(float64(tokens), now)
 	pe.waiting = max(0, pe.waiting-tokens)
 	rs := ac.loan(pe.request, ac.held(pe.request.GetBucket()), tokens, ac.forecast(0, now).rate, pe.scope, now)
 	rs.BacklogMs = retryMillis(ac.backlog(now))
--- a/limiter/state.go
+++ b/limiter/state.go
@@ -56,8 +56,7 @@
 func (st *state) setPlan(organisation string, rate, burst float64, now time.Time) {
 	ac := st.accounts[organisation]
 	if ac == nil {
-		ac = newAccount(organisation, st.options.Reserve)
-		ac.meter.updated = now
+		ac = newAccount(organisation, st.options.Reserve, now)
 		ac.share = st.floorShare()
 		st.accounts[organisation] = ac
 	}
@@ -200,7 +199,7 @@
 		return
 	}
 	st.hold(ac, now)
-	ac.meter.add(wa.cost, now)
+	ac.demand.Add(float64(wa.cost), now)
 	if len(ac.waiters) >= maxWaiters {
 		fc := ac.forecast(ac.waiting()+wa.cost, now)
 		wa.refuse(requester.CodeQueueFull, "too many requests wait for tokens", fc.wait)
--- a/limiter/upstream.go
+++ b/limiter/upstream.go
@@ -154,7 +154,7 @@
 	up.flight = &flight{id: strconv.FormatUint(st.sequence, 36), sentAt: now, least: least, waiting: short}
 	rq := &wire.BorrowRequest{
 		Bucket: bucket, Borrower: st.options.Instance, RequestId: up.flight.id,
-		Tokens: short + ac.meter.ahead(st.options.BatchHorizon, now), Least: least, Waiting: short,
+		Tokens: short + ac.wanted(st.options.BatchHorizon, now), Least: least, Waiting: short,
 		Surplus: kind == upstreamSurplus, LeftMs: ac.due().Sub(now).Milliseconds(),
 		Steps: ac.steps(ac.pool.available(scopeLocal, now)),
 	}
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagebank/balancer"
+	"lovagebank/decayer"
 	"lovagebank/router"
 )
 
@@ -70,8 +71,7 @@
 
 // use is how much an adapter is used, by any instance.
 type use struct {
-	value  float64
-	at     time.Time
+	count  decayer.Count
 	lastAt time.Time
 }
 
@@ -157,21 +157,15 @@
 func (sk *Stock) count(ad balancer.Adapter, by float64, now time.Time) {
 	us, ok := sk.uses[ad]
 	if !ok {
-		us = &use{at: now}
+		us = &use{count: decayer.New(useMemory, now)}
 		sk.uses[ad] = us
 	}
-	us.value = us.now(now) + by
+	us.count.Add(by, now)
 	if by > 0 {
 		us.lastAt = now
 	}
 }
 
-func (us *use) now(at time.Time) float64 {
-	us.value *= math.Exp(-at.Sub(us.at).Seconds() / useMemory.Seconds())
-	us.at = at
-	return us.value
-}
-
 // Judge tells what has to be done for a want, with the order where one is due.
 func (sk *Stock) Judge(wa Want, now time.Time) (Verdict, Step) {
 	if wa.Adapter.Name == "" {
@@ -260,7 +254,7 @@
 		}
 		value := 0.0
 		if us, ok := sk.uses[ad]; ok {
-			value = us.now(now)
+			value = us.count.Now(now)
 		}
 		if value < least || value == least && ad.Name < best.Name {
 			best, least, found = ad, value, true
