--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -150,30 +150,35 @@
 	}
 	bu.rate = og.Rate()
 	bu.ledger.resize(og.Burst())
-	al.flow(og.Name(), bu, now)
+	al.flow(og.Name(), bu, al.silent(now), now)
 	return bu
 }
 
-func (al *Allotter) flow(name string, bu *bucket, now time.Time) {
+// flow enters what has flowed into a bucket until now, and what silent peers are presumed to have admitted.
+func (al *Allotter) flow(name string, bu *bucket, silent []*peer, now time.Time) {
 	seconds := now.Sub(bu.at).Seconds()
 	bu.at = now
 	bu.ledger.enter(bu.rate*seconds, now)
 	even := bu.rate / float64(len(al.peers)+1)
-	silence := al.silence()
 	presumed := false
-	for _, pe := range al.peers {
-		if !pe.leaving && now.Sub(pe.heardAt) > silence {
-			presumed = bu.presume(pe.told(name, now), even, pe.heardAt, now) || presumed
-		}
+	for _, pe := range silent {
+		presumed = bu.presume(pe.told(name, now), even, pe.heardAt, now) || presumed
 	}
 	if presumed {
 		bu.ledger.settle()
 	}
 }
 
-// silence is the time after which a peer counts as silent.
-func (al *Allotter) silence() time.Duration {
-	return max(time.Duration(missedTellings*float64(al.op.Interval())), leastSilence)
+// silent are the peers that were not heard from for so long that admissions are presumed of them.
+func (al *Allotter) silent(now time.Time) []*peer {
+	silence := max(time.Duration(missedTellings*float64(al.op.Interval())), leastSilence)
+	var silent []*peer
+	for _, pe := range al.peers {
+		if !pe.leaving && now.Sub(pe.heardAt) > silence {
+			silent = append(silent, pe)
+		}
+	}
+	return silent
 }
 
 func (pe *peer) told(name string, now time.Time) *told {
@@ -284,8 +289,9 @@
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	now := time.Now()
+	silent := al.silent(now)
 	for name, bu := range al.buckets {
-		al.flow(name, bu, now)
+		al.flow(name, bu, silent, now)
 	}
 	pe := al.met(te, now)
 	before := pe.heardAt
