--- a/follower/follower.go
+++ b/follower/follower.go
@@ -72,11 +72,15 @@
 	marks      exchanger.Marks
 	heardAt    time.Time
 	distrusted map[string]time.Time
+	// lapsed is closed when a copy isn't led any more before the patience ends.
+	lapsed chan struct{}
 }
 
 // New makes a follower; Run does its work.
 func New(op Options) *Follower {
-	return &Follower{op: op, done: make(chan struct{}), distrusted: make(map[string]time.Time)}
+	return &Follower{
+		op: op, done: make(chan struct{}), distrusted: make(map[string]time.Time), lapsed: make(chan struct{}),
+	}
 }
 
 // Done is closed when Run has ended.
@@ -84,9 +88,37 @@
 
 // Leads tells whether a copy is kept up to date by a reader, so that the store need not be read for it.
 func (fo *Follower) Leads(index int) bool {
+	left, _ := fo.left(index)
+	return left > 0
+}
+
+// Wait returns once a copy is not led, or the context has ended.
+func (fo *Follower) Wait(ctx context.Context, index int) {
+	for {
+		left, lapsed := fo.left(index)
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-lapsed:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+// left is how long a copy stays led without another answer, and what is closed if that ends sooner.
+func (fo *Follower) left(index int) (time.Duration, <-chan struct{}) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.marks[index] > 0 && time.Since(fo.heardAt) < patience
+	if fo.marks[index] == 0 {
+		return 0, fo.lapsed
+	}
+	return patience - time.Since(fo.heardAt), fo.lapsed
 }
 
 // Behind says that an instance knows of a change that the reader has not told: the store is read here for a while.
@@ -165,6 +197,9 @@
 		}
 		pause = behindPause
 	}
+	if pause == behindPause {
+		fo.lapse()
+	}
 	return pause, nil
 }
 
@@ -204,4 +239,11 @@
 // forget drops the reader; the lock is held.
 func (fo *Follower) forget() {
 	fo.reader, fo.start, fo.marks, fo.heardAt = Instance{}, "", exchanger.Marks{}, time.Time{}
+	fo.lapse()
+}
+
+// lapse wakes those who wait for a copy; the lock is held.
+func (fo *Follower) lapse() {
+	close(fo.lapsed)
+	fo.lapsed = make(chan struct{})
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -174,6 +174,29 @@
 				t.Errorf("after it caught up read by %v", readers)
 			}
 		},
+		"whoever waits for a reader to fail is told at once": func(t *testing.T) {
+			do := newDomain(t, 2)
+			time.Sleep(settle)
+			reader := do.readers()[0]
+			other := do.others(reader)[0].Name
+			begin := time.Now()
+			time.AfterFunc(time.Minute, do.followers[other].Behind)
+			do.followers[other].Wait(t.Context(), exchanger.CopyOwn)
+			if took := time.Since(begin); took != time.Minute {
+				t.Errorf("told after %v", took)
+			}
+		},
+		"whoever waits for a reader that falls silent is told within a call": func(t *testing.T) {
+			do := newDomain(t, 2)
+			time.Sleep(settle)
+			reader := do.readers()[0]
+			do.set(func() { do.dead[reader] = true })
+			begin := time.Now()
+			do.followers[do.others(reader)[0].Name].Wait(t.Context(), exchanger.CopyOwn)
+			if took := time.Since(begin); took > 2*time.Second {
+				t.Errorf("told after %v", took)
+			}
+		},
 		"a reader that misses a change that others tell of is left at once": func(t *testing.T) {
 			do := newDomain(t, 2)
 			time.Sleep(settle)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -164,7 +164,7 @@
 		Pace:        pace,
 		LastFailure: su.lastFailure,
 		Keep:        keepAfterOutage,
-		Led:         func() bool { return su.follower.Leads(index) },
+		Await:       func(ctx context.Context) { su.follower.Wait(ctx, index) },
 		Changed:     changed,
 		Logger:      su.logger,
 	})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -22,8 +22,6 @@
 	maxBackoff   = time.Second
 	// recheck is the time between two looks at keys whose removal waits.
 	recheck = 250 * time.Millisecond
-	// ledPause is the time between two looks at whether the store has to be read again.
-	ledPause = 20 * time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
 	lateness = time.Second
 )
@@ -51,8 +49,8 @@
 	// Keep is how long after a failure of the store a key that disappears is kept: its writer may only have lost its
 	// lease, and needs time to come back.
 	Keep time.Duration
-	// Led tells whether a peer's copy is followed in place of the store; nil means never.
-	Led func() bool
+	// Await returns once no peer's copy is followed in place of the store, or the context has ended; nil means at once.
+	Await func(ctx context.Context)
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
 	// Logger takes a line when the store is lost or regained.
@@ -79,8 +77,8 @@
 
 // New makes a watcher; Run does its work.
 func New(op Options) *Watcher {
-	if op.Led == nil {
-		op.Led = func() bool { return false }
+	if op.Await == nil {
+		op.Await = func(context.Context) {}
 	}
 	return &Watcher{
 		op:       op,
@@ -132,10 +130,7 @@
 	go wa.expire(ctx)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		if wa.op.Led() {
-			pauser.For(ctx, ledPause)
-			continue
-		}
+		wa.op.Await(ctx)
 		err := wa.once(ctx)
 		if err == nil {
 			backoff = firstBackoff
