--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -36,24 +35,10 @@
 	us.mu.Unlock()
 	id := fmt.Sprintf("r%d", number)
 	address := us.entries[number%len(us.entries)].Address()
-	rq, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+	call := emulator.Call{Path: path, ID: id, Key: key, Adapter: adapter, Deadline: 5 * time.Second}
+	status, text, err := call.Send(us.t.Context(), http.DefaultClient, address)
 	if err != nil {
-		us.t.Fatal(err)
-	}
-	rq.Host = emulator.Host
-	rq.Header.Set("Request-Id", id)
-	rq.Header.Set("X-Api-Key", key)
-	rq.Header.Set("Deadline-Ms", "5000")
-	if adapter != "" {
-		rq.Header.Set("Model-Name", emulator.Model+"/"+adapter)
-	}
-	status, text := 0, ""
-	if rs, err := http.DefaultClient.Do(rq); err == nil {
-		body, err := io.ReadAll(rs.Body)
-		_ = rs.Body.Close()
-		if err == nil {
-			status, text = rs.StatusCode, string(body)
-		}
+		us.t.Logf("request %s: %v", id, err)
 	}
 	us.mu.Lock()
 	defer us.mu.Unlock()
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +31,8 @@
 	key      string
 	// status is 0 for a connection that broke.
 	status int
+	// broken is why it broke.
+	broken error
 	wrong  string
 	begun  time.Time
 	ended  time.Time
@@ -89,11 +91,11 @@
 	ca.key = key
 }
 
-// taken returns the answers so far.
-func (ca *callers) taken() []answer {
+// since returns the answers after a number of them.
+func (ca *callers) since(count int) []answer {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return append([]answer(nil), ca.answers...)
+	return slices.Clone(ca.answers[count:])
 }
 
 // ask sends one request; the number picks its kind, adapter and instance.
@@ -118,32 +120,14 @@
 	return an
 }
 
+// send returns the text of the answer. A broken connection is an end like others: status 0.
 func (ca *callers) send(an *answer, adapter string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+lateSlack)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ca.addresses[an.instance]+an.path, strings.NewReader("body of "+an.id))
-	if err != nil {
-		an.wrong = err.Error()
-		return ""
-	}
-	rq.Host = emulator.Host
-	rq.Header.Set("Request-Id", an.id)
-	rq.Header.Set("X-Api-Key", an.key)
-	rq.Header.Set("Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
-	if adapter != "" {
-		rq.Header.Set("Model-Name", emulator.Model+"/"+adapter)
-	}
-	rs, err := ca.client.Do(rq)
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = rs.Body.Close() }()
-	body, err := io.ReadAll(rs.Body)
-	if err != nil {
-		return ""
-	}
-	an.status = rs.StatusCode
-	return string(body)
+	call := emulator.Call{Path: an.path, ID: an.id, Key: an.key, Adapter: adapter, Deadline: requestDeadline}
+	status, text, err := call.Send(ctx, ca.client, ca.addresses[an.instance])
+	an.status, an.broken = status, err
+	return text
 }
 
 // wrongAnswer says what is wrong with an answer that looks whole; empty if nothing is.
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -60,15 +60,16 @@
 func (ch *checker) check() {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	answers := ch.callers.taken()
+	answers := ch.callers.since(ch.checkedAnswers)
 	runs := ch.fleet.Runs()
-	for _, an := range answers[ch.checkedAnswers:] {
+	for _, an := range answers {
 		ch.checkAnswer(an)
 	}
 	for _, ru := range runs[ch.checkedRuns:] {
 		ch.checkRun(ru)
 	}
-	ch.checkedAnswers, ch.checkedRuns = len(answers), len(runs)
+	ch.checkedAnswers += len(answers)
+	ch.checkedRuns = len(runs)
 	for _, id := range ch.fleet.TargetIDs() {
 		ta := ch.fleet.Target(id)
 		ch.expect("no target is ordered beyond its slots", ta.Most() <= emulator.AdapterSlots, fmt.Sprintf("%s held %d", id, ta.Most()))
@@ -79,7 +80,7 @@
 func (ch *checker) checkAnswer(an answer) {
 	ch.expect("an answer that looks whole is right", an.wrong == "", an.wrong)
 	spared := ch.faults.touched(an.instance, an.begun, an.ended)
-	ch.expect("a request ends by its deadline", !an.late() || spared, fmt.Sprintf("%s at instance %d took %v", an.id, an.instance, an.ended.Sub(an.begun)))
+	ch.expect("a request ends by its deadline", !an.late() || spared, fmt.Sprintf("%s at instance %d took %v: status %d, %v", an.id, an.instance, an.ended.Sub(an.begun), an.status, an.broken))
 	if strings.HasPrefix(an.path, "/order/") && an.refusedAsNotRun() {
 		ch.refused[an.id] = an.status
 		ch.expect("what is refused as not run has not run", ch.orderRuns[an.id] == 0, fmt.Sprintf("%s was refused with %d", an.id, an.status))
--- a/soaker/report.go
+++ b/soaker/report.go
@@ -32,7 +32,7 @@
 	for _, fa := range so.plan {
 		re.Faults[fa.Kind]++
 	}
-	for _, an := range so.callers.taken() {
+	for _, an := range so.callers.since(0) {
 		re.Asked++
 		if an.status == http.StatusOK {
 			re.Served++
