--- a/faker/link.go
+++ b/faker/link.go
@@ -13,18 +13,32 @@
 	linkRing  = 64
 )
 
-// Link forwards TCP connections to an address. It can be cut, delayed, and its open connections can go silent for good
-// while new ones work.
+// healStep is the time between two looks at whether a link that loses what it carries does so still.
+const healStep = 10 * time.Millisecond
+
+// direction is one of the two ways through a link.
+type direction int
+
+const (
+	requests direction = iota
+	answers
+	directions
+)
+
+// Link forwards TCP connections to an address. It can be cut, delayed, reset and made to lose what it carries one way or
+// both, and its open connections can go silent for good while new ones work.
 type Link struct {
 	socket net.Listener
-	target string
 	done   chan struct{}
 	wait   sync.WaitGroup
 
-	mu    sync.Mutex
-	cut   bool
-	delay time.Duration
-	open  map[*linkConnection]bool
+	mu     sync.Mutex
+	target string
+	cut    bool
+	reset  bool
+	lost   [directions]bool
+	delay  time.Duration
+	open   map[*linkConnection]bool
 }
 
 // linkConnection is one forwarded connection.
@@ -63,6 +77,35 @@
 	}
 }
 
+// SetReset resets all connections and every new one, or lets them through again.
+func (lk *Link) SetReset(reset bool) {
+	lk.mu.Lock()
+	lk.reset = reset
+	open := lk.connections()
+	lk.mu.Unlock()
+	if !reset {
+		return
+	}
+	for _, lc := range open {
+		lc.reset()
+	}
+}
+
+// SetLost makes the link lose requests, answers or both, or ends that. A connection that has lost something stays silent
+// that way for good, as what follows a gap would be taken for something else; its end is told once nothing is lost.
+func (lk *Link) SetLost(lostRequests, lostAnswers bool) {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	lk.lost = [directions]bool{requests: lostRequests, answers: lostAnswers}
+}
+
+// SetTarget has new connections go to another address.
+func (lk *Link) SetTarget(target string) {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	lk.target = target
+}
+
 // Freeze makes the open connections silent: nothing passes and neither end is told. New connections work.
 func (lk *Link) Freeze() {
 	lk.mu.Lock()
@@ -115,13 +158,16 @@
 // forward joins an accepted connection with the target until either end closes.
 func (lk *Link) forward(near net.Conn) {
 	lk.mu.Lock()
-	cut := lk.cut
+	cut, reset, target := lk.cut, lk.reset, lk.target
 	lk.mu.Unlock()
-	if cut {
+	if reset {
+		resetConnection(near)
+	}
+	if cut || reset {
 		_ = near.Close()
 		return
 	}
-	far, err := net.Dial("tcp", lk.target)
+	far, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = near.Close()
 		return
@@ -129,14 +175,17 @@
 	lc := &linkConnection{near: near, far: far, frozen: make(chan struct{}), ended: make(chan struct{})}
 	lk.mu.Lock()
 	lk.open[lc] = true
-	cut = lk.cut
+	cut, reset = lk.cut, lk.reset
 	lk.mu.Unlock()
-	if cut {
+	switch {
+	case reset:
+		lc.reset()
+	case cut:
 		lc.close()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { lk.pump(lc, near, far) })
-	both.Go(func() { lk.pump(lc, far, near) })
+	both.Go(func() { lk.pump(lc, near, far, requests) })
+	both.Go(func() { lk.pump(lc, far, near, answers) })
 	both.Wait()
 	lk.mu.Lock()
 	delete(lk.open, lc)
@@ -151,6 +200,20 @@
 	})
 }
 
+// reset ends a connection without a last word.
+func (lc *linkConnection) reset() {
+	resetConnection(lc.near)
+	resetConnection(lc.far)
+	lc.close()
+}
+
+// resetConnection makes the close of a connection a reset.
+func resetConnection(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // delayed is a chunk with the time at which it arrives.
 type delayed struct {
 	bytes []byte
@@ -158,17 +221,19 @@
 }
 
 // pump forwards one direction. The end of the stream is forwarded too, unless the connection is frozen.
-func (lk *Link) pump(lc *linkConnection, from, to net.Conn) {
+func (lk *Link) pump(lc *linkConnection, from, to net.Conn, way direction) {
 	ring := make(chan delayed, linkRing)
 	var writer sync.WaitGroup
 	writer.Go(func() { lc.write(ring, to) })
+	silent := false
 	for {
 		buffer := make([]byte, linkChunk)
 		count, err := from.Read(buffer)
 		lk.mu.Lock()
 		due := time.Now().Add(lk.delay)
+		silent = silent || lk.lost[way]
 		lk.mu.Unlock()
-		if count > 0 {
+		if count > 0 && !silent {
 			select {
 			case ring <- delayed{buffer[:count], due}:
 			case <-lc.ended:
@@ -180,6 +245,13 @@
 	}
 	close(ring)
 	writer.Wait()
+	for silent && lk.loses(way) {
+		select {
+		case <-time.After(healStep):
+		case <-lc.ended:
+			return
+		}
+	}
 	select {
 	case <-lc.frozen:
 		// The other end of a silent connection is never told.
@@ -189,6 +261,12 @@
 	lc.close()
 }
 
+func (lk *Link) loses(way direction) bool {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	return lk.lost[way]
+}
+
 // write sends the chunks of one direction when they are due, and none once the connection is frozen.
 func (lc *linkConnection) write(ring <-chan delayed, to net.Conn) {
 	for chunk := range ring {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -114,8 +114,8 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	if li, ok := so.links[name]; ok {
-		li.lead(address)
-		return li.address(), nil
+		li.SetTarget(address)
+		return li.Address(), nil
 	}
 	li, err := newLink(address)
 	if err != nil {
@@ -123,7 +123,7 @@
 	}
 	so.links[name] = li
 	so.names = append(so.names, name)
-	return li.address(), nil
+	return li.Address(), nil
 }
 
 func (so *Soaker) start() error {
@@ -151,7 +151,9 @@
 	so.mu.Lock()
 	defer so.mu.Unlock()
 	for _, li := range so.links {
-		li.close()
+		if err := li.Close(); err != nil {
+			so.op.Progress(fmt.Sprintf("link not closed: %v", err))
+		}
 	}
 }
 
