Give the test's instances what the store holds before changes; an instance that has left registers no more

Found on the way, in the program: a renewal under way while the instance leaves finds its lease ended, and the instance then registered anew, so that its targets waited for the lease of a process that had exited. TestLeaveDuringARenewal failed before; nothing is renewed, claimed or registered after Leave now.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -216,8 +216,11 @@
 func (ke *Keeper) work(ctx context.Context) {
 	ke.forget()
 	ke.mu.Lock()
-	due, lease, registered := !time.Now().Before(ke.renewAt), ke.lease, ke.registered
+	due, lease, registered, leaving := !time.Now().Before(ke.renewAt), ke.lease, ke.registered, ke.leaving
 	ke.mu.Unlock()
+	if leaving {
+		return
+	}
 	switch {
 	case lease == 0 && due:
 		ke.grant(ctx)
@@ -246,7 +249,7 @@
 	ke.leaving = true
 	lease := ke.lease
 	clear(ke.held)
-	ke.registered, ke.renewAt = false, time.Now().Add(time.Hour)
+	ke.registered = false
 	ke.mu.Unlock()
 	ke.op.Changed()
 	if lease == 0 {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -137,6 +137,8 @@
 	store  *store
 	frozen map[string]time.Duration
 	stops  map[string]context.CancelFunc
+	// renewing holds renewals up until it is closed; nil for none.
+	renewing chan struct{}
 }
 
 func (fl *fleet) add(t *testing.T, name string) {
@@ -154,6 +156,9 @@
 			return st.next, ttl, nil
 		},
 		Renew: func(_ context.Context, lease int64) (time.Duration, error) {
+			if fl.renewing != nil {
+				<-fl.renewing
+			}
 			if st.isCut(name) {
 				return 0, errCut
 			}
@@ -188,6 +193,8 @@
 	st.mu.Lock()
 	st.keepers[name] = ke
 	st.mu.Unlock()
+	// An instance learns what the store holds before it hears of changes.
+	st.setCut(name, false)
 	ctx, stop := context.WithCancel(t.Context())
 	fl.stops[name] = stop
 	go ke.Run(ctx)
@@ -284,7 +291,6 @@
 			}
 			for _, name := range []string{"a", "b", "c"} {
 				fl.add(t, name)
-				fl.store.setCut(name, false)
 			}
 			began := time.Now()
 			for until := began.Add(2 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
@@ -305,7 +311,6 @@
 			<-fl.store.keepers[holder].Done()
 			fl.watchFor(t, last, 600*time.Millisecond)
 			fl.add(t, holder)
-			fl.store.setCut(holder, false)
 			fl.watchFor(t, last, time.Second)
 			if _, ok := fl.store.keepers[holder].Authority("t"); !ok {
 				t.Error("the holder waits after its restart")
@@ -330,6 +335,8 @@
 				fl := &fleet{store: newStore(), frozen: make(map[string]time.Duration), stops: make(map[string]context.CancelFunc)}
 				for _, instance := range []string{"a", "b", "c"} {
 					fl.add(t, instance)
+					// Each has registered before the next one starts.
+					synctest.Wait()
 				}
 				last := &orders{}
 				fl.watchFor(t, last, 10*time.Second)
@@ -390,3 +397,26 @@
 		<-ke.Done()
 	})
 }
+
+// A renewal that is under way while the instance leaves finds its lease ended. The instance must not register again: its
+// entry would keep others from its targets until the lease of a process that has exited runs out.
+func TestLeaveDuringARenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{store: newStore(), frozen: make(map[string]time.Duration), stops: make(map[string]context.CancelFunc)}
+		fl.renewing = make(chan struct{})
+		fl.add(t, "a")
+		time.Sleep(4 * time.Second)
+		ke := fl.store.keepers["a"]
+		ke.Leave(t.Context())
+		close(fl.renewing)
+		time.Sleep(4 * time.Second)
+		fl.store.mu.Lock()
+		it, ok := fl.store.items["lovagebank/instances/a"]
+		fl.store.mu.Unlock()
+		if ok {
+			t.Errorf("the instance registered again at revision %d after it left", it.Revision)
+		}
+		fl.stops["a"]()
+		<-ke.Done()
+	})
+}
