--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -282,6 +282,63 @@
 	}
 }
 
+// startAll has all instances start again one after the other, as processes do that were all killed at once. Each learns
+// who the others are a moment after its start. Meanwhile the organisation asks those that are there.
+func (fl *fleet) startAll(apart time.Duration, multiple float64, weights [instances]float64) {
+	const unknowing = 50 * time.Millisecond
+	for at := range fl.members {
+		fl.members[at] = allotter.New(allotter.Options{Interval: func() time.Duration { return fl.every }})
+		fl.starts[at] += "again"
+		fl.down[at] = true
+	}
+	for at, member := range fl.members {
+		fl.down[at] = false
+		fl.play(unknowing, multiple, weights, 700)
+		for other := range fl.members {
+			if other != at {
+				member.Member(fmt.Sprint(other))
+			}
+		}
+		member.Complete()
+		fl.play(apart-unknowing, multiple, weights, 700)
+	}
+}
+
+// The pattern of ipva-hq inc-9cfd, 42.5 to 44.5 s: all instances lose power and start again within half a second, each
+// some time after the one before. Usual demand must not be refused then, and whoever asks for eight times its rate must
+// not get more than before.
+func TestAllInstancesStartAgain(t *testing.T) {
+	tests := map[string]struct {
+		multiple float64
+		weights  [instances]float64
+		served   float64
+	}{
+		"usual demand":                  {multiple: 0.6, weights: even, served: 0.95},
+		"usual demand on few instances": {multiple: 0.6, weights: uneven, served: 0.95},
+		"eight times the rate":          {multiple: 8, weights: uneven, served: 0.6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet()
+				fl.inTurn = true
+				fl.play(10*time.Second, tt.multiple, tt.weights, 700)
+				time.Sleep(900 * time.Millisecond)
+				fl.refused, fl.asked = 0, 0
+				fl.startAll(65*time.Millisecond, tt.multiple, tt.weights)
+				fl.play(2*time.Second, tt.multiple, tt.weights, 700)
+				if most := fl.most(); most > (rate*8+burst)*1.1+slack {
+					t.Errorf("%.0f tokens in a window, bound %.0f", most, (rate*8+burst)*1.1+slack)
+				}
+				admitted := fl.asked - fl.refused
+				if owed := min(fl.asked, rate*2.5); admitted < tt.served*owed {
+					t.Errorf("%.0f tokens admitted of %.0f owed", admitted, owed)
+				}
+			})
+		})
+	}
+}
+
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		og := router.NewOrganisation(router.OrganisationOptions{
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 
 	"lovagebank/orderer"
 	"lovagebank/pauser"
@@ -20,8 +21,16 @@
 const (
 	// baseInterval is the time between two exchanges with one peer in a small fleet; each further instance adds
 	// perInstance, so that the work of telling stays bounded.
-	baseInterval = 300 * time.Millisecond
-	perInstance  = 25 * time.Millisecond
+	baseInterval = 200 * time.Millisecond
+	perInstance  = 17 * time.Millisecond
+	// lateAfter is the number of intervals without a word after which the side of a pair that usually waits begins an
+	// exchange itself.
+	lateAfter = 1.25
+	// refreshInterval is the time between two looks for new peers and such as are gone.
+	refreshInterval = 300 * time.Millisecond
+	// compressFrom is the size from which answers are compressed, in bytes: whole copies of the store's keys. Compressing
+	// the small ones takes more processor time than all else that an exchange needs.
+	compressFrom = 16 << 10
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 600 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to a peer.
@@ -38,6 +47,8 @@
 
 // Options set an Exchanger up.
 type Options struct {
+	// Self is this instance's name.
+	Self string
 	// Peers returns the other instances.
 	Peers func() []Peer
 	// Compose returns what this instance tells a peer; Take takes in what a peer tells.
@@ -55,13 +66,17 @@
 type Exchanger struct {
 	op     Options
 	client *http.Client
+	wake   chan struct{}
 	done   chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// heardAt is when each peer was last heard, by name.
+	heardAt map[string]time.Time
 }
 
 type peer struct {
+	name   string
 	client wireconnect.FleetServiceClient
 	stop   context.CancelFunc
 }
@@ -80,8 +95,18 @@
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     idleTimeout,
 		}},
-		done:  make(chan struct{}),
-		peers: make(map[string]*peer),
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		peers:   make(map[string]*peer),
+		heardAt: make(map[string]time.Time),
+	}
+}
+
+// Refresh looks for new peers at once.
+func (ex *Exchanger) Refresh() {
+	select {
+	case ex.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -93,10 +118,15 @@
 	defer close(ex.done)
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
 	for {
 		ex.refresh(ctx, &tasks)
-		if !pauser.For(ctx, baseInterval) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ticker.C:
+		case <-ex.wake:
 		}
 	}
 }
@@ -110,9 +140,9 @@
 		_, known := ex.peers[pe.Address]
 		if !known {
 			peerCtx, stop := context.WithCancel(ctx)
-			entry := &peer{client: ex.newClient(pe.Address), stop: stop}
+			entry := &peer{name: pe.Name, client: ex.newClient(pe.Address), stop: stop}
 			ex.peers[pe.Address] = entry
-			tasks.Go(func() { ex.talk(peerCtx, pe, entry) })
+			tasks.Go(func() { ex.talk(peerCtx, entry) })
 		}
 		ex.mu.Unlock()
 	}
@@ -122,6 +152,7 @@
 		if !there[address] {
 			entry.stop()
 			delete(ex.peers, address)
+			delete(ex.heardAt, entry.name)
 		}
 	}
 }
@@ -130,17 +161,22 @@
 	return wireconnect.NewFleetServiceClient(ex.client, "http://"+address)
 }
 
-// Interval is the time between two exchanges with one peer. Either side begins one, so each hears twice in that time.
+// Interval is the time between two exchanges with one peer. One side of each pair begins them; both tell and hear.
 func (ex *Exchanger) Interval() time.Duration {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	return baseInterval + time.Duration(len(ex.peers))*perInstance
 }
 
-func (ex *Exchanger) talk(ctx context.Context, pe Peer, entry *peer) {
-	for {
-		if err := ex.exchange(ctx, pe, entry); err != nil && ctx.Err() == nil {
-			ex.op.Failed(pe.Name, err)
+// talk exchanges with one peer until the context ends: once at first, so that both know each other soon, and then
+// whenever it is this instance's turn.
+func (ex *Exchanger) talk(ctx context.Context, pe *peer) {
+	begins := ex.begins(pe.name)
+	for first := true; ; first = false {
+		if first || begins || ex.isLate(pe.name) {
+			if err := ex.exchange(ctx, pe); err != nil && ctx.Err() == nil {
+				ex.op.Failed(pe.name, err)
+			}
 		}
 		if !pauser.For(ctx, ex.Interval()) {
 			return
@@ -148,17 +184,38 @@
 	}
 }
 
-func (ex *Exchanger) exchange(ctx context.Context, pe Peer, entry *peer) error {
+// begins tells whether this instance is the one of a pair that begins the exchanges.
+func (ex *Exchanger) begins(peer string) bool {
+	return xxhash.Sum64String(ex.op.Self+" "+peer) < xxhash.Sum64String(peer+" "+ex.op.Self)
+}
+
+// isLate tells whether a peer that should have begun an exchange has not.
+func (ex *Exchanger) isLate(peer string) bool {
+	interval := ex.Interval()
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return time.Since(ex.heardAt[peer]) > time.Duration(lateAfter*float64(interval))
+}
+
+func (ex *Exchanger) exchange(ctx context.Context, pe *peer) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := entry.client.Exchange(ctx, connect.NewRequest(ex.op.Compose(pe.Name)))
+	answer, err := pe.client.Exchange(ctx, connect.NewRequest(ex.op.Compose(pe.name)))
 	if err != nil {
 		return err
 	}
-	ex.op.Take(answer.Msg)
+	ex.take(answer.Msg)
 	return nil
 }
 
+// take takes in what a peer tells.
+func (ex *Exchanger) take(state *wire.FleetState) {
+	ex.mu.Lock()
+	ex.heardAt[state.GetInstance()] = time.Now()
+	ex.mu.Unlock()
+	ex.op.Take(state)
+}
+
 // Load asks an instance to have a target load an adapter; the refusal is empty when the target holds it.
 func (ex *Exchanger) Load(ctx context.Context, address, target string, rq orderer.Request) (string, error) {
 	answer, err := ex.clientOf(address).Load(ctx, connect.NewRequest(&wire.LoadRequest{
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -15,18 +15,23 @@
 )
 
 // service answers peers.
-type service struct{ op Options }
+type service struct {
+	op   Options
+	take func(*wire.FleetState)
+}
 
 // Handler answers peers' calls.
 func (ex *Exchanger) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewFleetServiceHandler(&service{op: ex.op}))
+	mux.Handle(wireconnect.NewFleetServiceHandler(
+		&service{op: ex.op, take: ex.take}, connect.WithCompressMinBytes(compressFrom),
+	))
 	return mux
 }
 
 // Exchange takes in what a peer tells and tells what this instance knows.
 func (se *service) Exchange(_ context.Context, rq *connect.Request[wire.FleetState]) (*connect.Response[wire.FleetState], error) {
-	se.op.Take(rq.Msg)
+	se.take(rq.Msg)
 	return connect.NewResponse(se.op.Compose(rq.Msg.GetInstance())), nil
 }
 
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -31,6 +31,7 @@
 
 func (su *Supervisor) newExchanger() *exchanger.Exchanger {
 	return exchanger.New(exchanger.Options{
+		Self:    su.settings.IP(),
 		Peers:   su.peers,
 		Compose: su.compose,
 		Take:    su.takeState,
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -166,7 +166,9 @@
 		Keep:        keepAfterOutage,
 		Await:       func(ctx context.Context) { su.follower.Wait(ctx, index) },
 		Changed:     changed,
-		Logger:      su.logger,
+		// Until it knows the other instances, this one admits next to nothing.
+		Listed: su.exchanger.Refresh,
+		Logger: su.logger,
 	})
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -53,6 +53,8 @@
 	Await func(ctx context.Context)
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
+	// Listed is told after each reading of all keys, once Changed has been told of them; nil tells nobody.
+	Listed func()
 	// Logger takes a line when the store is lost or regained.
 	Logger *log.Logger
 }
@@ -80,6 +82,9 @@
 	if op.Await == nil {
 		op.Await = func(context.Context) {}
 	}
+	if op.Listed == nil {
+		op.Listed = func() {}
+	}
 	return &Watcher{
 		op:       op,
 		done:     make(chan struct{}),
@@ -210,6 +215,7 @@
 	wa.mu.Lock()
 	wa.listed, wa.revision = true, max(wa.revision, pa.Revision)
 	wa.mu.Unlock()
+	wa.op.Listed()
 }
 
 func (wa *Watcher) takeEvents(pa platform.Page) {
