--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -65,17 +65,16 @@
 	if before := begin.Sub(from); before > 0 {
 		le.base += amount * min(before.Seconds()/span.Seconds(), 1)
 	}
-	for at := range le.changes {
-		low, high := begin.Add(time.Duration(at)*slotTime), begin.Add(time.Duration(at+1)*slotTime)
+	first := max(from.Sub(begin)/slotTime, 0)
+	for at := first; at < slots && begin.Add(at*slotTime).Before(to); at++ {
+		low, high := begin.Add(at*slotTime), begin.Add((at+1)*slotTime)
 		if low.Before(from) {
 			low = from
 		}
 		if high.After(to) {
 			high = to
 		}
-		if part := high.Sub(low); part > 0 {
-			le.changes[at] += amount * part.Seconds() / span.Seconds()
-		}
+		le.changes[at] += amount * high.Sub(low).Seconds() / span.Seconds()
 	}
 }
 
