--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -37,6 +37,8 @@
 	// of the rate for one: where small requests empty it all the time, it never holds enough for a large one.
 	largePart = 0.05
 	debtTime  = 500 * time.Millisecond
+	// amplePart is the part of the burst from which a bucket counts as well filled.
+	amplePart = 0.5
 	// refusalMemory is how long a refusal keeps less urgent large requests from being lent to.
 	refusalMemory = 2 * time.Second
 	// usualPart is how much of a peer's last pace is taken to have come evenly while it was not heard.
@@ -248,12 +250,16 @@
 	return bu.unheard-bu.lent+cost <= part && cost <= bu.ledger.level
 }
 
-// lends tells whether a large request may be lent to beyond the part, which would not pay for it.
+// lends tells whether a request for which the part would not pay may be lent to beyond it: a large one, or any while the
+// bucket is well filled, so that the organisation as a whole stays below its rate.
 func (bu *bucket) lends(cost, part float64) bool {
-	if cost < bu.rate*largePart || bu.unheard > part {
+	if bu.unheard > part {
 		return false
 	}
-	return bu.ledger.level > 0 && cost <= bu.ledger.level+bu.rate*debtTime.Seconds()
+	if bu.ledger.level-cost > bu.ledger.burst*amplePart {
+		return true
+	}
+	return cost >= bu.rate*largePart && bu.ledger.level > 0 && cost <= bu.ledger.level+bu.rate*debtTime.Seconds()
 }
 
 // spend enters a request that is admitted.
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -466,14 +466,26 @@
 	}
 }
 
+// drawnCost is the size of a request: a fixed one without a prompt, a usual one, a long one, or one with a long prompt.
+func drawnCost(random *rand.Rand) float64 {
+	switch chance := random.Float64(); {
+	case chance < 0.25:
+		return 200
+	case chance < 0.93:
+		return 500 + 900*random.Float64()
+	case chance < 0.975:
+		return 1400 + 1800*random.Float64()
+	default:
+		return 6000 + 8000*random.Float64()
+	}
+}
+
 // playSparse lets the organisation ask for a multiple of its rate in requests that come by chance, at instances and in
-// sizes drawn by chance too: most are short, one in forty is as long as ten.
+// sizes drawn by chance too.
 func (gr *grown) playSparse(span time.Duration, multiple float64, random *rand.Rand) {
 	const (
-		step  = 10 * time.Millisecond
-		short = 700.0
-		long  = 10000.0
-		mean  = short + (long-short)/40
+		step = 10 * time.Millisecond
+		mean = 0.25*200 + 0.68*950 + 0.045*2300 + 0.025*10000
 	)
 	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(step) {
 		for ; time.Since(gr.told) >= grownEvery/grownSize; gr.told = gr.told.Add(grownEvery / grownSize) {
@@ -481,11 +493,7 @@
 			gr.turn++
 		}
 		for gr.due += multiple * gr.og.Rate() * step.Seconds() / mean; gr.due > 0; gr.due -= random.ExpFloat64() {
-			cost := short * (0.5 + random.Float64())
-			if random.Float64() < 1.0/40 {
-				cost = long
-			}
-			gr.charge(gr.members[random.IntN(grownSize)], gr.og, cost)
+			gr.charge(gr.members[random.IntN(grownSize)], gr.og, drawnCost(random))
 		}
 	}
 }
@@ -500,9 +508,11 @@
 	}{
 		"two thirds of a small rate":  {rate: 64000, burst: 69000, multiple: 0.65, refused: 0.03},
 		"two thirds of a middle rate": {rate: 111000, burst: 111000, multiple: 0.65, refused: 0.03},
+		"half of a large rate":        {rate: 338000, burst: 338000, multiple: 0.5, refused: 0.03},
 		"half of the smallest rate":   {rate: 37000, burst: 69000, multiple: 0.5, refused: 0.03},
 		"eight times a small rate":    {rate: 64000, burst: 69000, multiple: 8, refused: 0.95},
 		"eight times a middle rate":   {rate: 111000, burst: 111000, multiple: 8, refused: 0.95},
+		"eight times a large rate":    {rate: 338000, burst: 338000, multiple: 8, refused: 0.95},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -517,7 +527,7 @@
 				gr.refused, gr.asked = 0, 0
 				gr.playSparse(11*time.Second, tt.multiple, random)
 				most, bound := gr.most(), (tt.rate*8+tt.burst)*1.1+slack
-				t.Logf("%.3f refused, %.0f in a window, bound %.0f", gr.refused/gr.asked, most, bound)
+				t.Logf("%s: %.3f refused, %.0f in a window, bound %.0f", name, gr.refused/gr.asked, most, bound)
 				if most > bound {
 					t.Errorf("%.0f tokens in a window, bound %.0f", most, bound)
 				}
