Bring a new version of an adapter into force on one half of its targets after the other

Change: targets in even places of the adapter's rank replace it at once, the others 1.1 s later; requests may begin on the version before for 1.5 s. What is read at the start or around an outage of the store is in force at once.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -25,8 +25,10 @@
 type Options struct {
 	// Configuration returns the configuration in force; nil while none is known.
 	Configuration func() *router.Configuration
-	// Newest returns the newest version named for an adapter; 0 if none is.
+	// Newest returns the newest version named for an adapter, and Needed the least one on which a request may begin now;
+	// 0 if none is.
 	Newest func(balancer.Adapter) int64
+	Needed func(balancer.Adapter) int64
 	// Load has a target load an adapter, by way of its holder, and returns when it is there.
 	Load func(ctx context.Context, holder string, ta *balancer.Target, rq orderer.Request) error
 	// Instances returns the number of instances that share the targets' connections.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -35,6 +35,7 @@
 	loadErr  error
 	outcomes chan *acceptor.Outcome
 	newest   atomic.Int64
+	needed   atomic.Int64
 }
 
 // usual is the organisation of the test's callers.
@@ -76,6 +77,7 @@
 	ac := acceptor.New(acceptor.Options{
 		Configuration: func() *router.Configuration { return cf },
 		Newest:        func(balancer.Adapter) int64 { return wo.newest.Load() },
+		Needed:        func(balancer.Adapter) int64 { return wo.needed.Load() },
 		Load: func(context.Context, string, *balancer.Target, orderer.Request) error {
 			wo.loads.Add(1)
 			return wo.loadErr
@@ -464,12 +466,29 @@
 	})
 	wo.expect("/stream/1", nil, http.StatusOK)
 	wo.newest.Store(4)
+	wo.needed.Store(4)
 	wo.expect("/stream/2", nil, http.StatusOK)
 	if first, second := <-versions, <-versions; first != "" || second != "4" || wo.loads.Load() != 1 {
 		t.Errorf("expected versions %q and %q, %d loads", first, second, wo.loads.Load())
 	}
 }
 
+// While a new version comes into force, requests may begin on the one before: they need not wait, and name no version.
+func TestVersionComingIntoForce(t *testing.T) {
+	wo := newWorld(t)
+	versions := make(chan string, 1)
+	wo.target("e1", "engines", func(w http.ResponseWriter, r *http.Request) {
+		versions <- r.Header.Get("Expect-Version")
+		ok(w, r)
+	})
+	wo.newest.Store(4)
+	wo.needed.Store(1)
+	wo.expect("/stream/1", nil, http.StatusOK)
+	if version := <-versions; version != "" || wo.loads.Load() != 0 {
+		t.Errorf("expected version %q, %d loads", version, wo.loads.Load())
+	}
+}
+
 // A request that crashes each target that runs it is refused after the third, whoever sends it again.
 func TestQuarantine(t *testing.T) {
 	wo := newWorld(t)
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -226,7 +226,7 @@
 		return ne
 	}
 	ne.Adapter = ex.caller.Adapter
-	ne.Version = ex.ac.op.Newest(ne.Adapter)
+	ne.Version = ex.ac.op.Needed(ne.Adapter)
 	if last := len(ex.caller.Parts) - 1; last >= 0 {
 		ne.LastPart = ex.caller.Parts[last].ID
 	}
@@ -240,18 +240,20 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ex.ctx, loadPatience)
 	defer cancel()
-	need := ex.need()
-	err := ex.ac.op.Load(ctx, ch.Holder(), ch.Target(), orderer.Request{
-		Want:     stocker.Want{Adapter: need.Adapter, Version: need.Version},
-		Patience: ex.slotPatience(),
-	})
+	want := ex.want()
+	err := ex.ac.op.Load(ctx, ch.Holder(), ch.Target(), orderer.Request{Want: want, Patience: ex.slotPatience()})
 	ex.outcome.loadWait += time.Since(started)
 	if err != nil {
 		ex.outcome.note(err)
 		ex.excluded[ch.Target().ID()] = true
 		return
 	}
-	ex.ac.op.Balancer.Holds(ch.Target().ID(), need.Adapter, max(need.Version, 1))
+	ex.ac.op.Balancer.Holds(ch.Target().ID(), want.Adapter, max(want.Version, 1))
+}
+
+// want is the request's adapter in its newest version.
+func (ex *exchange) want() stocker.Want {
+	return stocker.Want{Adapter: ex.caller.Adapter, Version: ex.ac.op.Newest(ex.caller.Adapter)}
 }
 
 // slotPatience is how long the request may wait for a free adapter slot. The first targets refuse at once, so that
@@ -269,15 +271,13 @@
 	if ch.Spread() == nil {
 		return
 	}
-	need, load := ex.need(), ex.ac.op.Load
+	want, load := ex.want(), ex.ac.op.Load
+	want.Spare = !ch.Urgent()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), loadPatience)
 		defer cancel()
-		err := load(ctx, ch.SpreadHolder(), ch.Spread(), orderer.Request{
-			Want: stocker.Want{Adapter: need.Adapter, Version: need.Version, Spare: !ch.Urgent()},
-		})
-		if err == nil {
-			ex.ac.op.Balancer.Holds(ch.Spread().ID(), need.Adapter, max(need.Version, 1))
+		if err := load(ctx, ch.SpreadHolder(), ch.Spread(), orderer.Request{Want: want}); err == nil {
+			ex.ac.op.Balancer.Holds(ch.Spread().ID(), want.Adapter, max(want.Version, 1))
 		}
 	}()
 }
@@ -327,7 +327,8 @@
 		Engine:       ex.service.Engine() != nil,
 	}
 	di.OrganisationRank, di.RouteRank = ex.organisation.Rank(ex.route)
-	if need := ex.need(); need.Adapter.Name != "" {
+	if need := ex.need(); need.Adapter.Name != "" && need.Version == ex.ac.op.Newest(need.Adapter) {
+		// While a new version comes into force, targets hold either.
 		di.Version = need.Version
 	}
 	return &forwarder.Request{
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -177,6 +177,23 @@
 }
 
 // A target that leaves moves only the adapters that were on it.
+// All instances agree on the place of a target among those that hold an adapter.
+func TestPlacesAmongHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ba := fleet(8)
+		seen := make(map[int]bool)
+		for _, number := range []int{1, 4, 6} {
+			hear(ba, number, 0, 7)
+		}
+		for _, number := range []int{1, 4, 6} {
+			seen[ba.Place(id(number), adapter(7))] = true
+		}
+		if !seen[0] || !seen[1] || !seen[2] {
+			t.Errorf("places %v, want 0 to 2", seen)
+		}
+	})
+}
+
 func TestFewAdaptersMove(t *testing.T) {
 	whole, smaller := fleet(10), fleet(10)
 	smaller.RemoveTarget(id(3))
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -197,6 +197,24 @@
 	return best
 }
 
+// Place is a target's place, from 0, in the order in which targets are preferred for an adapter, among those believed to
+// hold it.
+func (ba *Balancer) Place(target string, ad Adapter) int {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	st, ok := ba.states[target]
+	if !ok {
+		return 0
+	}
+	by, place := hashAdapter(ad), 0
+	for _, other := range ba.service[st.target.Service()] {
+		if _, holds := other.adapters[ad]; holds && rank(by, other.hash) < rank(by, st.hash) {
+			place++
+		}
+	}
+	return place
+}
+
 func (ba *Balancer) chooseEngine(ne Need, usable []*state, now time.Time) (*Choice, bool) {
 	holding := make([]*state, 0, len(usable))
 	for _, st := range usable {
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -28,6 +28,9 @@
 		return sp, true
 	}
 	for _, wa := range or.stock.Outdated(or.op.Newest) {
+		if wa.Adapter.Name != "" && !or.op.MayReplace(wa.Adapter) {
+			continue
+		}
 		if verdict, sp := or.stock.Judge(wa, now); verdict == stocker.NeedsLoad {
 			return sp, true
 		}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -61,6 +61,8 @@
 	Authority func() (int64, bool)
 	// Newest returns the newest version named for an adapter; 0 if none is.
 	Newest func(balancer.Adapter) int64
+	// MayReplace tells whether the engine should replace an adapter by its newest version now.
+	MayReplace func(balancer.Adapter) bool
 	// Report and Order call the engine.
 	Report func(context.Context, *balancer.Target) (*platform.Report, error)
 	Order  func(context.Context, *balancer.Target, platform.Order) (platform.OrderOutcome, error)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,6 +41,9 @@
 	// inUse is how long requests on adapters run; an unload of one waits so long, and other orders are refused.
 	inUse    map[balancer.Adapter]time.Duration
 	draining bool
+	// newest is the newest version named for all adapters, and kept tells that none is to be replaced yet.
+	newest atomic.Int64
+	kept   atomic.Bool
 }
 
 type snapshot struct {
@@ -104,7 +108,7 @@
 func (en *engine) carryOut(od platform.Order) platform.OrderOutcome {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	_, held := en.held[od.Adapter]
+	version, held := en.held[od.Adapter]
 	_, pending := en.pending[od.Adapter]
 	switch {
 	case od.Orders != en.orders || en.draining:
@@ -115,7 +119,7 @@
 		en.record()
 		time.AfterFunc(en.inUse[od.Adapter], func() { en.drained(od.Adapter) })
 		return platform.OrderStarted
-	case od.Load && held:
+	case od.Load && held && version >= od.Version:
 		return platform.OrderHolds
 	case od.Load && pending:
 		return platform.OrderStarted
@@ -168,8 +172,9 @@
 				AdapterSlots: slots, WeightsMB: 1000,
 				Models: []router.Model{{Name: model, WeightsMB: 100, AdapterMB: 10, LoadTime: time.Second}},
 			},
-			Holder: "me", Authority: authority, Newest: func(balancer.Adapter) int64 { return 0 },
-			Report: en.report, Order: en.order, Changed: func() {}, Logger: log.New(io.Discard),
+			Holder: "me", Authority: authority, Newest: func(balancer.Adapter) int64 { return en.newest.Load() },
+			MayReplace: func(balancer.Adapter) bool { return !en.kept.Load() },
+			Report:     en.report, Order: en.order, Changed: func() {}, Logger: log.New(io.Discard),
 		})
 		ctx, stop := context.WithCancel(context.Background())
 		go or.Run(ctx)
@@ -284,3 +289,30 @@
 		})
 	}
 }
+
+// A target replaces an adapter by its newest version only once it may: another half of the targets does so first.
+func TestReplacesOnceItMay(t *testing.T) {
+	en := newEngine(0)
+	en.kept.Store(true)
+	drive(t, en, always, func(or *orderer.Orderer) {
+		if err := load(or, 1, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		en.newest.Store(2)
+		time.Sleep(2 * time.Second)
+		if version := version(or, 1); version >= 2 {
+			t.Errorf("version %d before it may", version)
+		}
+		en.kept.Store(false)
+		time.Sleep(2 * time.Second)
+		if version := version(or, 1); version != 2 {
+			t.Errorf("version %d once it may", version)
+		}
+	})
+}
+
+// version is the version that the orderer says the engine holds of an adapter.
+func version(or *orderer.Orderer, number int) int64 {
+	ho, _ := or.Holding()
+	return ho.Adapters[adapter(number)]
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -102,11 +102,14 @@
 		Engine:    engine,
 		Holder:    su.settings.IP(),
 		Authority: func() (int64, bool) { return su.keeper.Authority(ta.ID()) },
-		Newest:    su.versions.newest,
-		Report:    su.targets.Report,
-		Order:     su.targets.Order,
-		Changed:   func() {},
-		Logger:    su.logger,
+		Newest:    su.releaser.Newest,
+		MayReplace: func(ad balancer.Adapter) bool {
+			return su.releaser.MayReplace(ad, su.balancer.Place(ta.ID(), ad))
+		},
+		Report:  su.targets.Report,
+		Order:   su.targets.Order,
+		Changed: func() {},
+		Logger:  su.logger,
 	})
 }
 
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -3,36 +3,13 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
-	"lovagebank/balancer"
 	"lovagebank/keeper"
 	"lovagebank/platform"
 	"lovagebank/router"
 )
 
-// versions are the newest versions named for adapters.
-type versions struct {
-	mu     sync.Mutex
-	latest map[balancer.Adapter]int64
-}
-
-func (ve *versions) newest(ad balancer.Adapter) int64 {
-	ve.mu.Lock()
-	defer ve.mu.Unlock()
-	return ve.latest[ad]
-}
-
-func (ve *versions) name(av platform.AdapterVersion) {
-	ve.mu.Lock()
-	defer ve.mu.Unlock()
-	if ve.latest == nil {
-		ve.latest = make(map[balancer.Adapter]int64)
-	}
-	ve.latest[av.Adapter] = max(ve.latest[av.Adapter], av.Version)
-}
-
 // noteTrouble remembers when the store last failed a call.
 func (su *Supervisor) noteTrouble(err error) {
 	if errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown) {
@@ -126,8 +103,10 @@
 		su.logger.Warn("entry skipped", "key", it.Key, "revision", it.Revision, "error", err)
 		return
 	}
-	su.versions.name(av)
-	su.logger.Info("adapter version named", "adapter", av.Adapter, "version", av.Version, "revision", it.Revision)
+	// What is read at the start or around an outage of the store may have been named long ago.
+	fresh := su.operatorWatcher.Listed() && !su.troubled(troubleMemory)
+	su.releaser.Name(av.Adapter, av.Version, fresh)
+	su.logger.Info("adapter version named", "adapter", av.Adapter, "version", av.Version, "revision", it.Revision, "fresh", fresh)
 	su.holdings.nudge()
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -31,6 +31,7 @@
 	"lovagebank/platform"
 	"lovagebank/quarantiner"
 	"lovagebank/recorder"
+	"lovagebank/releaser"
 	"lovagebank/reporter"
 	"lovagebank/router"
 	"lovagebank/watcher"
@@ -94,7 +95,7 @@
 	ownWatcher      *watcher.Watcher
 
 	configuration atomic.Pointer[router.Configuration]
-	versions      versions
+	releaser      releaser.Releaser
 	newer         newer
 	changeTold    changeTold
 	// operatorChange is the store's revision of the newest change of the operator's keys that is known here.
@@ -142,7 +143,8 @@
 func (su *Supervisor) newAcceptor() *acceptor.Acceptor {
 	return acceptor.New(acceptor.Options{
 		Configuration: su.configuration.Load,
-		Newest:        su.versions.newest,
+		Newest:        su.releaser.Newest,
+		Needed:        su.releaser.Needed,
 		Load:          su.load,
 		Instances:     su.instances,
 		Draining:      su.draining.Load,
