--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -15,8 +15,11 @@
 	overduePenalty = 0.35
 	// otherDomainPenalty prefers targets in the instance's own failure domain among equals.
 	otherDomainPenalty = 0.02
-	// jitter keeps instances with the same beliefs from all choosing the same target.
-	jitter = 0.04
+	// jitter keeps instances with the same beliefs from all choosing the same target. The older the word on a target's
+	// load, the less it decides: jitterPerSecond is added for its age, up to mostJitter, in shares of a target's slots.
+	jitter          = 0.04
+	jitterPerSecond = 0.25
+	mostJitter      = 0.5
 	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be.
 	affinitySlack = 0.15
 	// crowded is the load at which one more replica is wanted, and overfull that at which a request rather waits for
@@ -95,7 +98,7 @@
 		return nil, false
 	}
 	if ne.Adapter.Model == "" {
-		return ba.choice(ba.idlest(usable), now), true
+		return ba.choice(ba.idlest(usable, now), now), true
 	}
 	if !ne.Again {
 		ba.demand.add(ne.Adapter, now)
@@ -148,18 +151,20 @@
 	return weight + float64(st.overdue)*overduePenalty
 }
 
-func (ba *Balancer) cost(st *state) float64 {
-	cost := st.weight() + ba.op.Random()*jitter
+// cost is what speaks against a target: its believed load, with chance where that is not certain.
+func (ba *Balancer) cost(st *state, now time.Time) float64 {
+	spread := min(jitter+jitterPerSecond*now.Sub(st.loadAt).Seconds(), mostJitter)
+	cost := st.weight() + ba.op.Random()*spread
 	if st.target.FailureDomain() != ba.op.FailureDomain {
 		cost += otherDomainPenalty
 	}
 	return cost
 }
 
-func (ba *Balancer) idlest(states []*state) *state {
-	best, least := states[0], ba.cost(states[0])
+func (ba *Balancer) idlest(states []*state, now time.Time) *state {
+	best, least := states[0], ba.cost(states[0], now)
 	for _, st := range states[1:] {
-		if cost := ba.cost(st); cost < least {
+		if cost := ba.cost(st, now); cost < least {
 			best, least = st, cost
 		}
 	}
@@ -225,7 +230,7 @@
 	if len(holding) == 0 {
 		return ba.chooseLoader(ne, usable, now)
 	}
-	st := ba.chooseHolding(ne, holding)
+	st := ba.chooseHolding(ne, holding, now)
 	if st.weight() > overfull {
 		if ch, ok := ba.chooseLoader(ne, usable, now); ok && ch.load < crowded {
 			return ch, true
@@ -240,8 +245,8 @@
 
 // chooseHolding picks among targets that hold the adapter: the idlest, or for long prompts the one where the
 // session's parts are likely kept, unless it is much busier.
-func (ba *Balancer) chooseHolding(ne Need, holding []*state) *state {
-	best := ba.idlest(holding)
+func (ba *Balancer) chooseHolding(ne Need, holding []*state, now time.Time) *state {
+	best := ba.idlest(holding, now)
 	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
 		return best
 	}
