One watcher tries a store that is away; a reader that has it back is followed at once

In a trial against the emulator (42 instances, store down for 4.5 s) each instance's three watchers tried by themselves: 715 calls, and 308 in the ten seconds after, as followers left their readers for 5 s.

Change: the watchers of targets and instances wait for that of the operator's keys, at most 2 s; a reader that is without the store is asked again after a second. TestOneWatcherTriesAStoreThatIsAway had 12 calls of the second watcher in 10 s, now at most 6; the follower's scenario was read by all five instances two seconds after the store's return, now by one.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -31,8 +31,10 @@
 	idlePause = 500 * time.Millisecond
 	// patience is how long after its last answer a reader counts as followed: one call with its time-out.
 	patience = 1700 * time.Millisecond
-	// distrustTime is how long a reader that failed is not followed.
-	distrustTime = 5 * time.Second
+	// distrustTime is how long a reader that failed is not followed, and withoutStoreTime how long one that has lost the
+	// store itself: it tells when it is back.
+	distrustTime     = 5 * time.Second
+	withoutStoreTime = time.Second
 )
 
 var (
@@ -67,10 +69,11 @@
 
 	mu sync.Mutex
 	// reader is followed now; its name is empty while the store is read here.
-	reader     Instance
-	start      string
-	marks      exchanger.Marks
-	heardAt    time.Time
+	reader  Instance
+	start   string
+	marks   exchanger.Marks
+	heardAt time.Time
+	// distrusted tells until when a reader is not followed.
 	distrusted map[string]time.Time
 	// lapsed is closed when a copy isn't led any more before the patience ends.
 	lapsed chan struct{}
@@ -160,7 +163,7 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	trusted := slices.DeleteFunc(slices.Clone(readers), func(in Instance) bool {
-		return time.Since(fo.distrusted[in.Name]) < distrustTime
+		return time.Now().Before(fo.distrusted[in.Name])
 	})
 	if len(trusted) == 0 {
 		return Instance{}, false
@@ -217,7 +220,11 @@
 func (fo *Follower) lose(reader Instance, err error) {
 	fo.mu.Lock()
 	followed := fo.reader == reader && fo.start != ""
-	fo.distrusted[reader.Name] = time.Now()
+	distrust := distrustTime
+	if errors.Is(err, errWithoutStore) {
+		distrust = withoutStoreTime
+	}
+	fo.distrusted[reader.Name] = time.Now().Add(distrust)
 	fo.forget()
 	fo.mu.Unlock()
 	if followed {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -161,6 +161,18 @@
 				t.Errorf("read by %v", readers)
 			}
 		},
+		"a reader that has lost the store is followed again soon after it has it back": func(t *testing.T) {
+			do := newDomain(t, 5)
+			time.Sleep(settle)
+			reader := do.readers()[0]
+			do.set(func() { do.cut[reader] = true })
+			time.Sleep(4 * time.Second)
+			do.set(func() { do.cut[reader] = false })
+			time.Sleep(2 * time.Second)
+			if readers := do.readers(); len(readers) != 1 {
+				t.Errorf("two seconds after its return read by %v", readers)
+			}
+		},
 		"a reader whose copy is older than the one here is not followed until it has caught up": func(t *testing.T) {
 			do := newDomain(t, 2)
 			do.set(func() { do.old[do.names[0]], do.old[do.names[1]] = true, true })
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -45,6 +45,9 @@
 	keepAfterOutage = 2500 * time.Millisecond
 	// troubleMemory is how long after a failed call of the store a removal counts as one around an outage.
 	troubleMemory = 5 * time.Second
+	// othersTryAfter is the longest time that the watchers of targets and instances wait for that of the operator's keys
+	// to regain the store.
+	othersTryAfter = 2 * time.Second
 )
 
 // How the operator's keys, the targets and the instances' own keys are followed. Each call of the store has its price;
@@ -166,7 +169,7 @@
 		Pace:        pace,
 		LastFailure: su.lastFailure,
 		Keep:        keepAfterOutage,
-		Await:       func(ctx context.Context) { su.follower.Wait(ctx, index) },
+		Await:       func(ctx context.Context) { su.awaitTurn(ctx, index) },
 		Changed:     changed,
 		// Until it knows the other instances, this one admits next to nothing.
 		Listed: su.exchanger.Refresh,
@@ -174,6 +177,15 @@
 	})
 }
 
+// awaitTurn returns when a copy has to be read from the store: no reader keeps it up to date, and the store is not known
+// to be away. Only the watcher of the operator's keys tries it often then.
+func (su *Supervisor) awaitTurn(ctx context.Context, index int) {
+	su.follower.Wait(ctx, index)
+	if index != exchanger.CopyOperator {
+		su.operatorWatcher.AwaitRegain(ctx, othersTryAfter)
+	}
+}
+
 // instances is the number of instances that share what the fleet shares, this one included.
 func (su *Supervisor) instances() int { return len(su.keeper.Instances()) + 1 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -73,6 +73,8 @@
 	revision int64
 	listed   bool
 	lost     bool
+	// regained is closed when the store answers again; it is not nil while it is lost.
+	regained chan struct{}
 	// heardAt is when the store last answered.
 	heardAt time.Time
 }
@@ -118,6 +120,24 @@
 	return wa.listed
 }
 
+// AwaitRegain waits while this watcher has lost the store, at most for a time. Other watchers of the same store need not
+// try it meanwhile.
+func (wa *Watcher) AwaitRegain(ctx context.Context, most time.Duration) {
+	wa.mu.Lock()
+	regained := wa.regained
+	wa.mu.Unlock()
+	if regained == nil {
+		return
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-regained:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Items returns the copy.
 func (wa *Watcher) Items() []platform.Item {
 	wa.mu.Lock()
@@ -185,6 +205,9 @@
 	wa.mu.Lock()
 	first := !wa.lost
 	wa.lost = true
+	if wa.regained == nil {
+		wa.regained = make(chan struct{})
+	}
 	wa.mu.Unlock()
 	if first && ctx.Err() == nil {
 		wa.op.Logger.Warn("store lost", "prefix", wa.op.Prefix, "revision", wa.Revision(), "error", err)
@@ -195,6 +218,10 @@
 	wa.mu.Lock()
 	was := wa.lost
 	wa.lost, wa.heardAt = false, time.Now()
+	if wa.regained != nil {
+		close(wa.regained)
+		wa.regained = nil
+	}
 	wa.mu.Unlock()
 	if was {
 		wa.op.Logger.Info("store regained", "prefix", wa.op.Prefix, "revision", wa.Revision())
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -355,3 +356,57 @@
 		synctest.Wait()
 	})
 }
+
+// The pattern of castaneda-stock-grown trouble-3, 18 to 22 s: the store is down and each call of it has its price. One
+// watcher tries it; the others wait for that, and all are up to date soon after its return.
+func TestOneWatcherTriesAStoreThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.put("op/a", "1")
+		var calls [2]atomic.Int64
+		var watchers [2]*watcher.Watcher
+		for at := range watchers {
+			watchers[at] = watcher.New(watcher.Options{
+				Prefix: "op/", List: st.list, Pace: watcher.Pace{Wait: time.Second},
+				Watch: func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+					calls[at].Add(1)
+					return st.watch(ctx, prefix, after, wait)
+				},
+				Await: func(ctx context.Context) {
+					if at > 0 {
+						watchers[0].AwaitRegain(ctx, 2*time.Second)
+					}
+				},
+				LastFailure: func() time.Time { return time.Time{} },
+				Changed:     func(platform.Item) {},
+				Logger:      log.New(io.Discard),
+			})
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		for _, wa := range watchers {
+			go wa.Run(ctx)
+		}
+		time.Sleep(5 * time.Second)
+		st.set(true, false)
+		calls[0].Store(0)
+		calls[1].Store(0)
+		time.Sleep(10 * time.Second)
+		first, second := calls[0].Load(), calls[1].Load()
+		if most := int64(10/2 + 1); second > most || first < most {
+			t.Errorf("%d and %d calls while the store was away, want at most %d of the second", first, second, most)
+		}
+		st.set(false, false)
+		st.put("op/a", "2")
+		time.Sleep(2 * time.Second)
+		for at, wa := range watchers {
+			if it := wa.Items()[0]; string(it.Value) != "2" {
+				t.Errorf("watcher %d holds %q after the store's return", at, it.Value)
+			}
+		}
+		stop()
+		for _, wa := range watchers {
+			<-wa.Done()
+		}
+		synctest.Wait()
+	})
+}
