Spread an adapter that has become popular over several engines at once

Each of 73 instances counts one of them a second and asks for no replica below five within six seconds; then all ask for the same next engine, so one replica comes each 0.6 s and 114 answers are late meanwhile.

Change: demand is taken lower by what chance may bring to one instance, and counts from 2.5 requests on; an instance that wants several replicas asks for one of them by chance.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -320,7 +322,18 @@
 			able = append(able, st)
 		}
 	}
-	if st := first(able, hashAdapter(ne.Adapter)); st != nil {
+	if st := ba.oneOfFirst(able, hashAdapter(ne.Adapter), wanted-len(holding)); st != nil {
 		ch.spread, ch.by = st.target, st.holder
 	}
 }
+
+// oneOfFirst returns one of the first states in rank, by chance; nil if there is none. Instances that want several
+// replicas so do not all ask for the same one.
+func (ba *Balancer) oneOfFirst(states []*state, by uint64, count int) *state {
+	if len(states) == 0 {
+		return nil
+	}
+	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(rank(by, a.hash), rank(by, b.hash)) })
+	count = min(count, len(states))
+	return states[min(int(ba.op.Random()*float64(count)), count-1)]
+}
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -15,7 +15,9 @@
 	// sweepInterval is the time between two passes that forget adapters.
 	sweepInterval = 2 * time.Second
 	// leastDemand is the demand, in requests, below which an adapter gets no further replica: chance alone may bring it.
-	leastDemand = 5
+	leastDemand = 2.5
+	// certainty is by how many standard deviations of what chance brings the demand is taken lower than it was counted.
+	certainty = 1.0
 	// replicaShare is the share of an even part of all requests that one replica of an adapter is given.
 	replicaShare = 0.35
 )
@@ -57,10 +59,14 @@
 // replicas returns on how many of a number of targets an adapter should be.
 func (de *demand) replicas(ad Adapter, targets int, at time.Time) int {
 	co, ok := de.counts[ad]
-	if !ok || co.Now(at) < leastDemand {
+	if !ok {
+		return 1
+	}
+	count := co.Now(at)
+	if count < leastDemand {
 		return 1
 	}
-	share := co.Now(at) / de.total.Now(at)
-	count := int(math.Ceil(share * float64(targets) / replicaShare))
-	return max(1, min(count, targets))
+	share := (count - certainty*math.Sqrt(count)) / de.total.Now(at)
+	wanted := int(math.Ceil(share * float64(targets) / replicaShare))
+	return max(1, min(wanted, targets))
 }
