Send callers elsewhere while an engine waits to replace an adapter

Change: once the replacement takes longer than its load, an engine counts as crowded for that adapter, so callers that don't wait go to the next engine. New rows of TestJudge, of which one failed before.

--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -48,7 +48,7 @@
 	NeedsLoad
 	// NeedsRoom wants need the order to unload that comes with the verdict first.
 	NeedsRoom
-	// Crowded wants would have to wait for others that are under way.
+	// Crowded wants would have to wait for others that are under way, or for requests on an older version to end.
 	Crowded
 	// Full wants cannot be met: all that the engine holds is in use.
 	Full
@@ -67,6 +67,10 @@
 	ready    bool
 	readyAt  time.Time
 	loadedAt time.Time
+	// replaces tells that an older version is there until the requests on it have ended, and late that this takes longer
+	// than the load itself.
+	replaces bool
+	late     bool
 }
 
 // use is how much an adapter is used, by any instance.
@@ -118,7 +122,7 @@
 	for ad, version := range pending {
 		pl := &place{version: version, readyAt: now.Add(sk.loadTime(ad)), loadedAt: now}
 		if known, ok := old[ad]; ok && !known.ready {
-			pl.readyAt = known.readyAt
+			pl.readyAt, pl.replaces, pl.late = known.readyAt, known.replaces, known.late
 		}
 		sk.places[ad] = pl
 	}
@@ -176,8 +180,11 @@
 	}
 	pl, held := sk.places[wa.Adapter]
 	if held && pl.version >= wa.Version {
-		if pl.ready {
+		switch {
+		case pl.ready:
 			return Ready, Step{}
+		case pl.late:
+			return Crowded, Step{}
 		}
 		return Pending, Step{}
 	}
@@ -283,7 +290,8 @@
 		mo, _ := sk.engine.Model(sp.Adapter.Model)
 		sk.loading, sk.loadingUntil = sp.Adapter.Model, now.Add(4*mo.LoadTime+time.Second)
 	case sp.Load:
-		sk.places[sp.Adapter] = &place{version: sp.Version, readyAt: now.Add(sk.loadTime(sp.Adapter)), loadedAt: now}
+		_, held := sk.places[sp.Adapter]
+		sk.places[sp.Adapter] = &place{version: sp.Version, readyAt: now.Add(sk.loadTime(sp.Adapter)), loadedAt: now, replaces: held}
 	default:
 		delete(sk.places, sp.Adapter)
 	}
@@ -302,6 +310,7 @@
 			sk.places[sp.Adapter] = pl
 		}
 		pl.version, pl.ready, pl.loadedAt = max(pl.version, sp.Version), true, now
+		pl.replaces, pl.late = false, false
 	default:
 		delete(sk.places, sp.Adapter)
 	}
@@ -331,7 +340,7 @@
 // Postpone notes that a load which was due is still under way.
 func (sk *Stock) Postpone(ad balancer.Adapter, until time.Time) {
 	if pl, ok := sk.places[ad]; ok {
-		pl.readyAt = until
+		pl.readyAt, pl.late = until, pl.replaces
 	}
 }
 
--- a/stocker/stocker_test.go
+++ b/stocker/stocker_test.go
@@ -32,6 +32,13 @@
 	return sk
 }
 
+// replacing builds a stock that replaces an adapter by its next version.
+func replacing(now time.Time) *stocker.Stock {
+	sk := holding(2, now, "x")
+	sk.Started(stocker.Step{Load: true, Adapter: adapter("x"), Version: 2}, now)
+	return sk
+}
+
 func TestJudge(t *testing.T) {
 	now := time.Now()
 	tests := map[string]struct {
@@ -49,6 +56,29 @@
 			want:  stocker.Want{Adapter: adapter("x"), Version: 2}, is: stocker.NeedsLoad,
 			order: stocker.Step{Load: true, Adapter: adapter("x"), Version: 2},
 		},
+		// The pattern of ipva-hq-grown quiet-1, 4 to 6 s: the only engine that holds a popular adapter replaces it by a new
+		// version once the requests on it have ended. Whoever does not wait goes to another engine.
+		"about to be replaced": {
+			stock: func() *stocker.Stock { return replacing(now) },
+			want:  stocker.Want{Adapter: adapter("x"), Version: 2}, is: stocker.Pending,
+		},
+		"replaced later than its load takes": {
+			stock: func() *stocker.Stock {
+				sk := replacing(now)
+				sk.Postpone(adapter("x"), now.Add(time.Second))
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("x"), Version: 2}, is: stocker.Crowded,
+		},
+		"replaced at last": {
+			stock: func() *stocker.Stock {
+				sk := replacing(now)
+				sk.Postpone(adapter("x"), now.Add(time.Second))
+				sk.Done(stocker.Step{Load: true, Adapter: adapter("x"), Version: 2}, now)
+				return sk
+			},
+			want: stocker.Want{Adapter: adapter("x"), Version: 2}, is: stocker.Ready,
+		},
 		"with a free slot": {
 			stock: func() *stocker.Stock { return holding(2, now, "x") },
 			want:  stocker.Want{Adapter: adapter("y")}, is: stocker.NeedsLoad,
