--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -93,60 +93,6 @@
 	complete bool
 }
 
-type bucket struct {
-	rate float64
-	// ledger holds what the fleet may still admit. It is a guess until settled.
-	ledger  ledger
-	settled bool
-	metAt   time.Time
-	at      time.Time
-	own     Tally
-	// asked counts the tokens and requests the number of requests asked for here.
-	asked    decayer.Count
-	requests decayer.Count
-	// unheard is what this instance has admitted that the others may not have been told of yet, and lent what of it was
-	// lent to large requests.
-	unheard float64
-	lent    float64
-	// refusals are the times of the last refusals here by urgency.
-	refusals map[int]time.Time
-}
-
-// peer is what another instance has told.
-type peer struct {
-	start   string
-	leaving bool
-	heardAt time.Time
-	tallies map[string]*told
-}
-
-type told struct {
-	tally Tally
-	// presumed is what was taken from the bucket for it while it was silent.
-	presumed   float64
-	presumedTo time.Time
-	asked      decayer.Count
-	// pace is what it asked for a second when it was last heard.
-	pace float64
-}
-
-// presume enters what a silent peer is presumed to have admitted at a rate since it was last heard, or since this was
-// last worked out; false where that is too short ago.
-func (bu *bucket) presume(to *told, rate float64, heardAt, now time.Time) bool {
-	from := heardAt
-	if to.presumedTo.After(from) {
-		from = to.presumedTo
-	}
-	if now.Sub(from) < presumeStep {
-		return false
-	}
-	amount := rate * now.Sub(from).Seconds()
-	bu.ledger.spread(-amount, from, now)
-	to.presumed += amount
-	to.presumedTo = now
-	return true
-}
-
 // New makes an allotter.
 func New(op Options) *Allotter {
 	return &Allotter{op: op, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
@@ -196,15 +142,6 @@
 	return silent
 }
 
-func (pe *peer) told(name string, now time.Time) *told {
-	to, ok := pe.tallies[name]
-	if !ok {
-		to = &told{asked: decayer.New(demandMemory, now)}
-		pe.tallies[name] = to
-	}
-	return to
-}
-
 // Charge admits a request of a cost, or tells when to come back. The smaller its rank, the more urgent it is: nothing is
 // lent to a large request while more urgent ones of the organisation are refused.
 func (al *Allotter) Charge(og *router.Organisation, cost float64, rank int) (ok bool, wait time.Duration) {
@@ -235,40 +172,6 @@
 	return false, min(max(wait, minWait), maxWait)
 }
 
-// refusesBefore tells whether a request more urgent than a rank has been refused of late.
-func (bu *bucket) refusesBefore(rank int, now time.Time) bool {
-	for other, at := range bu.refusals {
-		if other < rank && now.Sub(at) < refusalMemory {
-			return true
-		}
-	}
-	return false
-}
-
-// affords tells whether a request fits into the part that this instance may spend until the others have been told.
-func (bu *bucket) affords(cost, part float64) bool {
-	return bu.unheard-bu.lent+cost <= part && cost <= bu.ledger.level
-}
-
-// lends tells whether a request for which the part would not pay may be lent to beyond it: a large one, or any while the
-// bucket is well filled, so that the organisation as a whole stays below its rate.
-func (bu *bucket) lends(cost, part float64) bool {
-	if bu.unheard > part {
-		return false
-	}
-	if bu.ledger.level-cost > bu.ledger.burst*amplePart {
-		return true
-	}
-	return cost >= bu.rate*largePart && bu.ledger.level > 0 && cost <= bu.ledger.level+bu.rate*debtTime.Seconds()
-}
-
-// spend enters a request that is admitted.
-func (bu *bucket) spend(cost float64, now time.Time) {
-	bu.ledger.enter(-cost, now)
-	bu.unheard += cost
-	bu.own.Admitted += cost
-}
-
 // share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
 func (al *Allotter) share(name string, bu *bucket, now time.Time) float64 {
 	own := bu.asked.Now(now)
@@ -353,49 +256,6 @@
 	}
 }
 
-// met returns the peer that tells. What was presumed of a process before this one is given back, as it has ended. Of a
-// new process all that it has admitted counts; an older one was there before this instance asked.
-func (al *Allotter) met(te Telling, now time.Time) *peer {
-	pe, ok := al.peers[te.Instance]
-	if ok && pe.start == te.Start {
-		return pe
-	}
-	fresh := &peer{start: te.Start, heardAt: now, tallies: make(map[string]*told)}
-	for name, tally := range te.Tallies {
-		if tally.Settled {
-			fresh.told(name, now).tally = tally
-		}
-	}
-	al.peers[te.Instance] = fresh
-	if !ok {
-		return fresh
-	}
-	for name, to := range pe.tallies {
-		if bu, ok := al.buckets[name]; ok {
-			bu.ledger.enter(to.presumed, now)
-		}
-	}
-	return fresh
-}
-
-// hear takes in what a peer has admitted since it was last heard, in place of what was presumed. What it usually asks for
-// came evenly over that time; what goes beyond may have come just now. Until settled, the bucket goes by what a settled
-// peer believes is left.
-func (bu *bucket) hear(to *told, admitted float64, before, now time.Time) {
-	if !bu.settled && to.tally.Settled {
-		bu.settled = true
-		bu.ledger.reset(to.tally.Left, now)
-		return
-	}
-	usual := min(admitted, usualPart*to.pace*now.Sub(before).Seconds())
-	if to.presumed > 0 {
-		bu.ledger.spread(to.presumed, before, to.presumedTo)
-	}
-	bu.ledger.spread(-usual, before, now)
-	bu.ledger.spread(usual-admitted, now, now)
-	bu.ledger.settle()
-}
-
 // Member makes an instance count although it has not been heard from yet.
 func (al *Allotter) Member(instance string) {
 	al.mu.Lock()
--- /dev/null
+++ b/supervisor/telling.go
@@ -0,0 +1,126 @@
+package supervisor
+
+import (
+	"time"
+
+	"lovagebank/allotter"
+	"lovagebank/balancer"
+	"lovagebank/quarantiner"
+	"lovagebank/wire"
+)
+
+// compose is what this instance tells a peer.
+func (su *Supervisor) compose(peer string) *wire.FleetState {
+	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load()}
+	known := su.revisions()
+	state.OperatorRevision, state.TargetRevision = known.operator, known.targets
+	state.OperatorChange = su.operatorChange.Load()
+	for name, ta := range su.allotter.Tallies() {
+		state.Tallies = append(state.Tallies, &wire.OrganisationTally{
+			Organisation: name, Admitted: ta.Admitted, Asked: ta.Asked, Left: ta.Left, Settled: ta.Settled,
+		})
+	}
+	for _, ho := range su.holdings.held() {
+		state.Held = append(state.Held, heldTarget(ho))
+	}
+	for _, target := range su.keeper.HeldBy(peer) {
+		if uses := su.balancer.TakeUses(target); len(uses) > 0 {
+			state.Uses = append(state.Uses, targetUse(target, uses))
+		}
+	}
+	for _, cr := range su.quarantiner.Crashes() {
+		state.Crashes = append(state.Crashes, &wire.Crash{Fingerprint: cr.Fingerprint, Count: int32(cr.Count)})
+	}
+	return state
+}
+
+func heldTarget(ho balancer.Holding) *wire.HeldTarget {
+	held := &wire.HeldTarget{
+		Target: ho.Target, Active: ho.Holder != "", Load: int32(ho.Load), LoadAgeMs: int32(ho.LoadAge.Milliseconds()),
+	}
+	models := make(map[string]*wire.HeldModel)
+	for ad, version := range ho.Adapters {
+		model, ok := models[ad.Model]
+		if !ok {
+			model = &wire.HeldModel{Name: ad.Model}
+			models[ad.Model] = model
+			held.Models = append(held.Models, model)
+		}
+		if ad.Name == "" {
+			model.Version = version
+			continue
+		}
+		model.Adapters = append(model.Adapters, &wire.HeldAdapter{Name: ad.Name, Version: version})
+	}
+	return held
+}
+
+func targetUse(target string, uses map[balancer.Adapter]balancer.Use) *wire.TargetUse {
+	tu := &wire.TargetUse{Target: target}
+	for ad, us := range uses {
+		tu.Adapters = append(tu.Adapters, &wire.AdapterUse{
+			Model: ad.Model, Name: ad.Name, Sent: int32(us.Sent), Running: int32(us.Running),
+		})
+	}
+	return tu
+}
+
+// takeState takes in what a peer tells.
+func (su *Supervisor) takeState(state *wire.FleetState) {
+	peer := state.GetInstance()
+	if su.silent.regain(peer) {
+		su.logger.Info("peer regained", "peer", peer)
+	}
+	tallies := make(map[string]allotter.Tally, len(state.GetTallies()))
+	for _, ta := range state.GetTallies() {
+		tallies[ta.GetOrganisation()] = allotter.Tally{
+			Admitted: ta.GetAdmitted(), Asked: ta.GetAsked(), Left: ta.GetLeft(), Settled: ta.GetSettled(),
+		}
+	}
+	su.allotter.Heard(allotter.Telling{
+		Instance: peer, Start: state.GetStart(), Leaving: state.GetLeaving(), Tallies: tallies,
+	})
+	for _, held := range state.GetHeld() {
+		su.balancer.Heard(holding(peer, held))
+	}
+	for _, tu := range state.GetUses() {
+		if or, ok := su.holdings.orderer(tu.GetTarget()); ok {
+			or.Used(peer, adapterUses(tu))
+		}
+	}
+	crashes := make([]quarantiner.Crash, 0, len(state.GetCrashes()))
+	for _, cr := range state.GetCrashes() {
+		crashes = append(crashes, quarantiner.Crash{Fingerprint: cr.GetFingerprint(), Count: int(cr.GetCount())})
+	}
+	su.quarantiner.Heard(peer, crashes)
+	su.newer.note(peer, revisions{operator: state.GetOperatorRevision(), targets: state.GetTargetRevision()})
+	su.changeTold.raise(state.GetOperatorChange())
+}
+
+func holding(peer string, held *wire.HeldTarget) balancer.Holding {
+	ho := balancer.Holding{
+		Target:   held.GetTarget(),
+		Adapters: make(map[balancer.Adapter]int64),
+		Load:     int(held.GetLoad()),
+		LoadAge:  time.Duration(held.GetLoadAgeMs()) * time.Millisecond,
+	}
+	if held.GetActive() {
+		ho.Holder = peer
+	}
+	for _, model := range held.GetModels() {
+		ho.Adapters[balancer.Adapter{Model: model.GetName()}] = model.GetVersion()
+		for _, ad := range model.GetAdapters() {
+			ho.Adapters[balancer.Adapter{Model: model.GetName(), Name: ad.GetName()}] = ad.GetVersion()
+		}
+	}
+	return ho
+}
+
+func adapterUses(tu *wire.TargetUse) map[balancer.Adapter]balancer.Use {
+	uses := make(map[balancer.Adapter]balancer.Use, len(tu.GetAdapters()))
+	for _, au := range tu.GetAdapters() {
+		ad := balancer.Adapter{Model: au.GetModel(), Name: au.GetName()}
+		uses[ad] = balancer.Use{Sent: int(au.GetSent()), Running: int(au.GetRunning())}
+	}
+	return uses
+}
