--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -521,3 +522,16 @@
 	}
 	wo.expect("/unsafe/poison", nil, http.StatusServiceUnavailable)
 }
+
+// Who looks for the cause of a refusal finds in its line what was left and what this instance could spend of it.
+func TestRefusalOverTheAllowanceSaysWhatDecided(t *testing.T) {
+	wo := newWorld(t)
+	wo.target("p1", "plain", ok)
+	wo.expect("/safe/1", func(r *http.Request) { r.Header.Set("Token-Counts", "9000,1") }, http.StatusTooManyRequests)
+	fields := (<-wo.outcomes).Fields()
+	for _, name := range []string{"allowance-left", "own-part", "own-spent", "peers"} {
+		if !slices.Contains(fields, any(name)) {
+			t.Errorf("no %s in %v", name, fields)
+		}
+	}
+}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -122,11 +122,12 @@
 	}
 	ex.cost = ex.organisation.Cost(tokens)
 	ex.outcome.cost = ex.cost
-	ok, wait := ex.ac.op.Allotter.Charge(ex.organisation, ex.cost, ex.route.Priority())
-	if !ok {
-		ex.refuse(refusedOverAllowance(wait))
+	de := ex.ac.op.Allotter.Charge(ex.organisation, ex.cost, ex.route.Priority())
+	if !de.Admitted() {
+		ex.outcome.allowance = de
+		ex.refuse(refusedOverAllowance(de.Wait()))
 	}
-	return ok
+	return de.Admitted()
 }
 
 func (ex *exchange) refund() {
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/router"
 )
@@ -14,18 +15,20 @@
 	route        *router.Route
 	organisation string
 	cost         float64
-	version      int64
-	arrived      time.Time
-	firstAt      time.Time
-	status       int
-	reason       string
-	retryAfter   time.Duration
-	target       string
-	load         float64
-	loadAge      time.Duration
-	tries        int
-	loadWait     time.Duration
-	adapter      balancer.Adapter
+	// allowance is why the organisation's allowance did not pay for the request.
+	allowance  allotter.Decision
+	version    int64
+	arrived    time.Time
+	firstAt    time.Time
+	status     int
+	reason     string
+	retryAfter time.Duration
+	target     string
+	load       float64
+	loadAge    time.Duration
+	tries      int
+	loadWait   time.Duration
+	adapter    balancer.Adapter
 	// asked are the targets that were asked to load the adapter.
 	asked   []string
 	events  int
@@ -94,6 +97,9 @@
 	if ou.retryAfter > 0 {
 		fields = append(fields, "retry-after-ms", ou.retryAfter.Milliseconds())
 	}
+	if de := ou.allowance; de.Wait() > 0 {
+		fields = append(fields, "allowance-left", int(de.Left()), "own-part", int(de.Part()), "own-spent", int(de.Spent()), "peers", de.Peers())
+	}
 	if ou.failure != nil {
 		fields = append(fields, "error", ou.failure)
 	}
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -144,9 +144,9 @@
 
 // Charge admits a request of a cost, or tells when to come back. The smaller its rank, the more urgent it is: nothing is
 // lent to a large request while more urgent ones of the organisation are refused.
-func (al *Allotter) Charge(og *router.Organisation, cost float64, rank int) (ok bool, wait time.Duration) {
+func (al *Allotter) Charge(og *router.Organisation, cost float64, rank int) Decision {
 	if og.Rate() <= 0 {
-		return true, 0
+		return Decision{admitted: true}
 	}
 	al.mu.Lock()
 	defer al.mu.Unlock()
@@ -160,16 +160,18 @@
 	switch {
 	case bu.affords(cost, part):
 		bu.spend(cost, now)
-		return true, 0
+		return Decision{admitted: true}
 	case !bu.refusesBefore(rank, now) && bu.lends(cost, part):
 		bu.lent += cost
 		bu.spend(cost, now)
-		return true, 0
+		return Decision{admitted: true}
 	}
 	bu.refusals[rank] = now
 	missing := max(cost, (bu.unheard-bu.lent+cost-spare)/share-bu.unheard) - bu.ledger.level
-	wait = time.Duration(missing / bu.rate * float64(time.Second))
-	return false, min(max(wait, minWait), maxWait)
+	wait := time.Duration(missing / bu.rate * float64(time.Second))
+	return Decision{
+		wait: min(max(wait, minWait), maxWait), left: bu.ledger.level, part: part, spent: bu.unheard, peers: len(al.peers),
+	}
 }
 
 // share is the part of the bucket that this instance may spend: its part of the demand, with a margin.
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -122,7 +122,7 @@
 
 func (fl *fleet) charge(member *allotter.Allotter, og *router.Organisation, cost float64) {
 	fl.asked += cost
-	if ok, _ := member.Charge(og, cost, 0); ok {
+	if member.Charge(og, cost, 0).Admitted() {
 		fl.admitted = append(fl.admitted, admission{at: time.Now(), cost: cost})
 		return
 	}
@@ -211,7 +211,7 @@
 		if number%50 == 0 {
 			kind, cost, rank = 1, 11000, longRank
 		}
-		ok, _ := fl.members[number%instances].Charge(og, cost, rank)
+		ok := fl.members[number%instances].Charge(og, cost, rank).Admitted()
 		asked[kind]++
 		if ok {
 			served[kind]++
@@ -348,13 +348,16 @@
 		})
 		al := newMember(tell)
 		for {
-			ok, wait := al.Charge(og, 100, 0)
-			if ok {
+			de := al.Charge(og, 100, 0)
+			if de.Admitted() {
 				continue
 			}
-			time.Sleep(wait)
-			if ok, _ := al.Charge(og, 100, 0); !ok {
-				t.Errorf("refused again after waiting %v as told", wait)
+			if de.Left() >= 100 {
+				t.Errorf("refused 100 tokens with %.0f left", de.Left())
+			}
+			time.Sleep(de.Wait())
+			if !al.Charge(og, 100, 0).Admitted() {
+				t.Errorf("refused again after waiting %v as told", de.Wait())
 			}
 			return
 		}
@@ -413,7 +416,7 @@
 
 func TestUnlimitedOrganisation(t *testing.T) {
 	og := router.NewOrganisation(router.OrganisationOptions{Name: "o", CountsTokens: true})
-	if ok, _ := allotter.New(allotter.Options{Interval: func() time.Duration { return tell }}).Charge(og, 1e12, 0); !ok {
+	if !allotter.New(allotter.Options{Interval: func() time.Duration { return tell }}).Charge(og, 1e12, 0).Admitted() {
 		t.Error("an organisation without a rate was refused")
 	}
 }
