--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -82,8 +83,14 @@
 	}
 }
 
-// Run plays the seed and returns what was found.
+// ErrStopped means that a run was stopped before its end, so that it proves nothing.
+var ErrStopped = errors.New("stopped before its end")
+
+// Run plays the seed and returns what was found, or ErrStopped if the context ends meanwhile.
 func (so *Soaker) Run(ctx context.Context) (*Report, error) {
+	if ctx.Err() != nil {
+		return nil, ErrStopped
+	}
 	fl, err := emulator.NewFleet(emulator.Options{Program: so.op.Program, Folder: so.op.Folder, Via: so.via})
 	if err != nil {
 		return nil, err
@@ -104,6 +111,9 @@
 	so.settle(ctx)
 	stopLoad()
 	load.Wait()
+	if ctx.Err() != nil {
+		return nil, ErrStopped
+	}
 	so.checkCalm()
 	so.checker.check()
 	return so.report(), nil
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -40,6 +42,16 @@
 	}
 }
 
+// A run that is stopped is no run without findings.
+func TestStoppedRunReportsNothing(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	re, err := New(Options{Seed: 1, Length: time.Second, Instances: 1, Folder: t.TempDir()}).Run(ctx)
+	if re != nil || !errors.Is(err, ErrStopped) {
+		t.Errorf("got %v, %v", re, err)
+	}
+}
+
 // echo answers each connection with what it sends.
 func echo(t *testing.T) net.Listener {
 	t.Helper()
