--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -22,6 +22,9 @@
 	maxBackoff   = time.Second
 	// recheck is the time between two looks at keys whose removal waits.
 	recheck = 250 * time.Millisecond
+	// keepAfterRegain is how long after the store answers again a key that disappears is kept at least: writers that live
+	// have come back by then, as the call that regains it comes after its return.
+	keepAfterRegain = 1480 * time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
 	lateness = time.Second
 )
@@ -74,7 +77,8 @@
 	listed   bool
 	lost     bool
 	// regained is closed when the store answers again; it is not nil while it is lost.
-	regained chan struct{}
+	regained   chan struct{}
+	regainedAt time.Time
 	// heardAt is when the store last answered.
 	heardAt time.Time
 }
@@ -220,7 +224,7 @@
 	wa.lost, wa.heardAt = false, time.Now()
 	if wa.regained != nil {
 		close(wa.regained)
-		wa.regained = nil
+		wa.regained, wa.regainedAt = nil, time.Now()
 	}
 	wa.mu.Unlock()
 	if was {
@@ -254,9 +258,12 @@
 	wa.mu.Unlock()
 }
 
-// mayReturn tells whether a key that disappears now may only be a lapsed lease.
+// mayReturn tells whether a key that disappears now may only be a lapsed lease; the lock is held.
 func (wa *Watcher) mayReturn() bool {
 	failed := wa.op.LastFailure()
+	if !wa.regainedAt.IsZero() && time.Since(wa.regainedAt) < keepAfterRegain {
+		return true
+	}
 	return !failed.IsZero() && time.Since(failed) < wa.op.Keep
 }
 
@@ -300,10 +307,11 @@
 // expire removes keys whose writers have not come back.
 func (wa *Watcher) expire(ctx context.Context) {
 	for pauser.For(ctx, recheck) {
+		wa.mu.Lock()
 		if wa.mayReturn() {
+			wa.mu.Unlock()
 			continue
 		}
-		wa.mu.Lock()
 		gone := wa.removals
 		wa.removals = make(map[string]platform.Item)
 		wa.mu.Unlock()
