Ask a store that is lost without waiting for changes

Cause: a watcher that had lost the store asked it as always, to wait up to two seconds for changes.

Change: the call that tries a lost store does not wait. The time from the regain is 2100 ms: the two seconds within which writers are back, and a moment for their writes to arrive.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -23,8 +23,10 @@
 	// recheck is the time between two looks at keys whose removal waits.
 	recheck = 250 * time.Millisecond
 	// keepAfterRegain is how long after the store answers again a key that disappears is kept at least: writers that live
-	// have come back by then, as the call that regains it comes after its return.
-	keepAfterRegain = 1480 * time.Millisecond
+	// come back within two seconds, and their writes take a moment to arrive here.
+	keepAfterRegain = 2100 * time.Millisecond
+	// tryWait is how long a store that is lost is asked to wait for changes: it would tell of its return only with them.
+	tryWait = time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
 	lateness = time.Second
 )
@@ -175,7 +177,10 @@
 // once lists the keys, or waits for changes after the last known revision.
 func (wa *Watcher) once(ctx context.Context) error {
 	wa.mu.Lock()
-	after, listed := wa.revision, wa.listed
+	after, listed, wait := wa.revision, wa.listed, wa.op.Pace.Wait
+	if wa.lost {
+		wait = tryWait
+	}
 	wa.mu.Unlock()
 	if !listed {
 		pa, err := wa.op.List(ctx, wa.op.Prefix, false)
@@ -186,7 +191,7 @@
 		wa.takeListing(pa, false)
 		return nil
 	}
-	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wa.op.Pace.Wait)
+	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		wa.op.Logger.Warn("history dropped, listing again", "prefix", wa.op.Prefix, "after", after)
 		wa.mu.Lock()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -260,6 +260,18 @@
 			time.Sleep(200 * time.Millisecond)
 			wo.expect(t, "op/a", "")
 		},
+		// The next call after a failure does not wait for changes: it would tell of the store's return only with them.
+		"the return of a store in which nothing changes is known with the next call": func(t *testing.T, wo *world) {
+			wo.store.put("op/a", "1")
+			time.Sleep(100 * time.Millisecond)
+			wo.store.set(true, false)
+			time.Sleep(3 * time.Second)
+			wo.store.set(false, false)
+			time.Sleep(1600 * time.Millisecond)
+			if !wo.watcher.Current() {
+				t.Error("the store counts as lost 1.6 s after its return")
+			}
+		},
 		"a peer's copy is taken while the store turns this instance away, removals at once": func(t *testing.T, wo *world) {
 			wo.store.put("op/a", "1")
 			wo.store.put("op/b", "1")
