--- a/orderer/report.go
+++ b/orderer/report.go
@@ -18,17 +18,20 @@
 		return
 	}
 	or.load = re.Running + re.Waiting
-	certain := or.reportAt.IsZero() || or.unsure
+	first := or.reportAt.IsZero()
+	certain := first || or.unsure
 	or.reportAt = now
 	if !certain && re.Orders < or.orders && now.Sub(or.orderAt) < settled {
 		return
 	}
-	if re.Orders != or.orders {
-		or.op.Logger.Warn("orders differ", "target", or.op.Target.ID(), "counted", or.orders, "reported", re.Orders)
-	}
+	counted := or.orders
 	or.unsure = false
 	or.orders = re.Orders
-	or.stock.Observe(re.Residents, re.Pending, now)
+	di := or.stock.Observe(re.Residents, re.Pending, now)
+	if counted != re.Orders || !first && !di.None() && !or.drain.goesOn(now) {
+		or.op.Logger.Warn("report differs", "target", or.op.Target.ID(), "counted", counted, "reported", re.Orders,
+			"missing", di.Missing, "unknown", di.Unknown)
+	}
 	if or.drain.goesOn(now) {
 		or.stock.Started(or.drain.step, now)
 		or.nextAsk = now.Add(reportLag)
--- a/stocker/stocker.go
+++ b/stocker/stocker.go
@@ -106,36 +106,6 @@
 	}
 }
 
-// Observe takes in the engine's own word of what it holds and what is under way to it.
-func (sk *Stock) Observe(residents []balancer.Resident, pending map[balancer.Adapter]int64, now time.Time) {
-	old := sk.places
-	sk.places = make(map[balancer.Adapter]*place, len(old))
-	clear(sk.models)
-	for _, re := range residents {
-		sk.models[re.Model] = re.Version
-		for name, version := range re.Adapters {
-			ad := balancer.Adapter{Model: re.Model, Name: name}
-			sk.places[ad] = &place{version: version, ready: true, loadedAt: now}
-			sk.before[ad] = true
-		}
-	}
-	for ad, version := range pending {
-		pl := &place{version: version, readyAt: now.Add(sk.loadTime(ad)), loadedAt: now}
-		if known, ok := old[ad]; ok && !known.ready {
-			pl.readyAt, pl.replaces, pl.late = known.readyAt, known.replaces, known.late
-		}
-		sk.places[ad] = pl
-	}
-	for ad, pl := range sk.places {
-		if known, ok := old[ad]; ok {
-			pl.loadedAt = known.loadedAt
-		}
-	}
-	if _, ok := sk.models[sk.loading]; ok {
-		sk.loading = ""
-	}
-}
-
 func (sk *Stock) loadTime(ad balancer.Adapter) time.Duration {
 	if sk.before[ad] {
 		return warmLoad
