End the wait for an unload once the engine has accepted another order

Ruled out: reports whose parts lag differently (892 reports compared with the orders), replacements at a full engine (97 at twelve of twelve adapters without a broken rule).

Change: a wait for an unload remembers the count of orders, and is over when a report tells of another one; a conflict after a try without an answer asks for a report. TestLoadWithoutAnswerAfterAnUnloadThatWaited failed first (5 adapters on 4 slots).

--- a/orderer/order.go
+++ b/orderer/order.go
@@ -84,13 +84,16 @@
 	or.mu.Lock()
 	expected, underWay := or.orders, or.stock.UnderWay(sp)
 	or.mu.Unlock()
-	outcome := or.insist(ctx, sp, epoch, expected)
+	outcome, unanswered := or.insist(ctx, sp, epoch, expected)
 	now := time.Now()
 	or.mu.Lock()
 	defer or.mu.Unlock()
 	or.orderAt = now
 	if outcome == platform.OrderConflict && or.drain.goesOn(now) {
 		or.drain.postpone(now)
+		if unanswered {
+			or.doubt(now)
+		}
 		return false
 	}
 	or.drain.end()
@@ -104,26 +107,32 @@
 	case platform.OrderHolds:
 		or.held(sp, now)
 	default:
-		or.unsure = true
-		or.nextAsk = now.Add(reportLag)
+		or.doubt(now)
 		return false
 	}
 	return true
 }
 
-// insist gives an order until it gets an answer, a few times.
-func (or *Orderer) insist(ctx context.Context, sp stocker.Step, epoch, expected int64) platform.OrderOutcome {
-	for _, timeout := range orderTimeouts {
+// doubt has the engine's report settle what became of an order. The lock is held.
+func (or *Orderer) doubt(now time.Time) {
+	or.unsure = true
+	or.nextAsk = now.Add(reportLag)
+}
+
+// insist gives an order until it gets an answer, a few times. It also tells whether a try got none: that one may have
+// been accepted, and a conflict that follows be due to it.
+func (or *Orderer) insist(ctx context.Context, sp stocker.Step, epoch, expected int64) (platform.OrderOutcome, bool) {
+	for try, timeout := range orderTimeouts {
 		outcome := or.send(ctx, sp, epoch, expected, timeout)
 		if outcome != platform.OrderUnknown || ctx.Err() != nil {
-			return outcome
+			return outcome, try > 0
 		}
 		var ok bool
 		if epoch, ok = or.op.Authority(); !ok {
-			return outcome
+			return outcome, true
 		}
 	}
-	return platform.OrderUnknown
+	return platform.OrderUnknown, true
 }
 
 func (or *Orderer) send(ctx context.Context, sp stocker.Step, epoch, expected int64, timeout time.Duration) platform.OrderOutcome {
@@ -140,7 +149,7 @@
 	or.orders++
 	or.stock.Started(sp, now)
 	if !sp.Load {
-		or.drain.begin(sp, now)
+		or.drain.begin(sp, or.orders, now)
 	}
 	if !sp.Load || sp.Adapter.Name == "" {
 		or.nextAsk = now.Add(reportLag)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -41,6 +41,8 @@
 	// inUse is how long requests on adapters run; an unload of one waits so long, and other orders are refused.
 	inUse    map[balancer.Adapter]time.Duration
 	draining bool
+	// unanswered is the adapter whose next load is carried out without an answer.
+	unanswered balancer.Adapter
 	// newest is the newest version named for all adapters, and kept tells that none is to be replaced yet.
 	newest atomic.Int64
 	kept   atomic.Bool
@@ -98,13 +100,29 @@
 	delay := time.Duration(2+en.random.IntN(8)) * time.Second
 	en.mu.Unlock()
 	if !late {
-		return en.carryOut(od), nil
+		outcome := en.carryOut(od)
+		if !en.losesAnswer(od, outcome) {
+			return outcome, nil
+		}
+		<-ctx.Done()
+		return platform.OrderUnknown, ctx.Err()
 	}
 	time.AfterFunc(delay, func() { en.carryOut(od) })
 	<-ctx.Done()
 	return platform.OrderUnknown, ctx.Err()
 }
 
+// losesAnswer tells whether the answer to an order gets lost.
+func (en *engine) losesAnswer(od platform.Order, outcome platform.OrderOutcome) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if !od.Load || od.Adapter != en.unanswered || outcome != platform.OrderStarted {
+		return false
+	}
+	en.unanswered = balancer.Adapter{}
+	return true
+}
+
 func (en *engine) carryOut(od platform.Order) platform.OrderOutcome {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -257,6 +275,38 @@
 	}
 }
 
+// The pattern of ipva-hq-grown hunt-7375-7, 4.2 s: an adapter is wanted again while its unload waits for a request to
+// end. The engine loads it, but that answer gets lost and the next tries meet a conflict, as they did before the load.
+// The adapter is there, and the engine is full.
+func TestLoadWithoutAnswerAfterAnUnloadThatWaited(t *testing.T) {
+	en := newEngine(0)
+	for number := range slots {
+		en.held[adapter(number)] = 1
+	}
+	en.inUse = map[balancer.Adapter]time.Duration{adapter(0): 300 * time.Millisecond}
+	en.unanswered = adapter(0)
+	en.history = nil
+	en.record()
+	drive(t, en, always, func(or *orderer.Orderer) {
+		time.Sleep(2 * time.Second)
+		wantFor(or, 9, 100*time.Millisecond)
+		wantFor(or, 0, 400*time.Millisecond)
+		if err := load(or, 8, 3*time.Second); err != nil {
+			t.Errorf("the next adapter: %v", err)
+		}
+	})
+	if en.most > slots {
+		t.Errorf("%d adapters on an engine with %d slots", en.most, slots)
+	}
+}
+
+// wantFor asks for an adapter and gives up after a time.
+func wantFor(or *orderer.Orderer, number int, patience time.Duration) {
+	ctx, giveUp := context.WithTimeout(context.Background(), patience)
+	defer giveUp()
+	_ = or.Load(ctx, orderer.Request{Want: stocker.Want{Adapter: adapter(number)}, Patience: patience})
+}
+
 func TestRefusesAtOnce(t *testing.T) {
 	tests := map[string]struct {
 		authority func() (int64, bool)
--- a/orderer/report.go
+++ b/orderer/report.go
@@ -28,6 +28,7 @@
 	or.unsure = false
 	or.orders = re.Orders
 	di := or.stock.Observe(re.Residents, re.Pending, now)
+	or.drain.reported(re.Orders)
 	if counted != re.Orders || !first && !di.None() && !or.drain.goesOn(now) {
 		or.op.Logger.Warn("report differs", "target", or.op.Target.ID(), "counted", counted, "reported", re.Orders,
 			"missing", di.Missing, "unknown", di.Unknown)
