Forget instances that the store does not name, and bound what tellings can owe

Cause, found in reading: an instance whose key has lapsed may still tell, is counted among the peers again, and was never forgotten if it ended before its key was back: its even part of each allowance stayed taken. And what a broken or foreign peer tells could put an organisation into debt without end.

Change: an instance that the store has not named counts for ten seconds after its last word; debts end at ten times burst and slack. The harness of the other tests names all instances, as the program does; no bound of theirs changed.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -43,6 +43,9 @@
 	refusalMemory = 2 * time.Second
 	// usualPart is how much of a peer's last pace is taken to have come evenly while it was not heard.
 	usualPart = 0.8
+	// strayMemory is how long an instance that the store does not name counts after its last word: its key may have lapsed
+	// although it runs.
+	strayMemory = 10 * time.Second
 	// demandMemory is the time over which the demand of an instance is averaged.
 	demandMemory = 3 * time.Second
 	// settleTime is the time after which an instance's own account of an organisation is good enough for others.
@@ -104,13 +107,14 @@
 	if !ok {
 		bu = &bucket{
 			at: now, metAt: now, asked: decayer.New(demandMemory, now), requests: decayer.New(demandMemory, now),
-			refusals: make(map[int]time.Time), ledger: ledger{burst: og.Burst()},
+			refusals: make(map[int]time.Time),
 		}
+		bu.ledger.resize(og.Burst(), al.op.Slack)
 		bu.ledger.reset(og.Burst()*startLevel, now)
 		al.buckets[og.Name()] = bu
 	}
 	bu.rate = og.Rate()
-	bu.ledger.resize(og.Burst())
+	bu.ledger.resize(og.Burst(), al.op.Slack)
 	al.flow(og.Name(), bu, al.silent(now), now)
 	return bu
 }
@@ -130,11 +134,16 @@
 	}
 }
 
-// silent are the peers that were not heard from for so long that admissions are presumed of them.
+// silent are the peers that were not heard from for so long that admissions are presumed of them. Those that the store
+// does not name are forgotten in the end.
 func (al *Allotter) silent(now time.Time) []*peer {
 	silence := max(time.Duration(missedTellings*float64(al.op.Interval())), leastSilence)
 	var silent []*peer
-	for _, pe := range al.peers {
+	for name, pe := range al.peers {
+		if !pe.named && now.Sub(pe.heardAt) > strayMemory {
+			delete(al.peers, name)
+			continue
+		}
 		if !pe.leaving && now.Sub(pe.heardAt) > silence {
 			silent = append(silent, pe)
 		}
@@ -262,9 +271,12 @@
 func (al *Allotter) Member(instance string) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	if _, ok := al.peers[instance]; !ok {
-		al.peers[instance] = &peer{heardAt: time.Now(), tallies: make(map[string]*told)}
+	pe, ok := al.peers[instance]
+	if !ok {
+		pe = &peer{heardAt: time.Now(), tallies: make(map[string]*told)}
+		al.peers[instance] = pe
 	}
+	pe.named = true
 }
 
 // Complete says that all other instances have been named by Member.
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -61,10 +61,22 @@
 	for range instances {
 		fl.members = append(fl.members, newMember(every))
 	}
+	for at := range fl.members {
+		fl.nameOthers(at)
+	}
 	fl.tellAll()
 	return fl
 }
 
+// nameOthers names the other instances to one, as the store does.
+func (fl *fleet) nameOthers(at int) {
+	for other := range fl.members {
+		if other != at {
+			fl.members[at].Member(fmt.Sprint(other))
+		}
+	}
+}
+
 func (fl *fleet) tellAll() {
 	for from := range fl.members {
 		for to := range fl.members {
@@ -243,11 +255,7 @@
 	fl.down[at] = true
 	fl.play(down, multiple, even, 700)
 	fl.members[at] = newMember(tell)
-	for other := range instances {
-		if other != at {
-			fl.members[at].Member(fmt.Sprint(other))
-		}
-	}
+	fl.nameOthers(at)
 	fl.starts[at] += "again"
 	fl.leaving[at], fl.down[at] = false, false
 }
@@ -296,11 +304,7 @@
 	for at, member := range fl.members {
 		fl.down[at] = false
 		fl.play(unknowing, multiple, weights, 700)
-		for other := range fl.members {
-			if other != at {
-				member.Member(fmt.Sprint(other))
-			}
-		}
+		fl.nameOthers(at)
 		member.Complete()
 		fl.play(apart-unknowing, multiple, weights, 700)
 	}
--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -6,6 +6,8 @@
 	// slotTime and slots are the grain and the length of a ledger: it covers a cut between failure domains.
 	slotTime = 50 * time.Millisecond
 	slots    = 128
+	// mostDebt is the most that can be owed, in bursts and slacks: several times what cut off instances admit unheard.
+	mostDebt = 10
 )
 
 // ledger is a token bucket that can be told late: what others admitted is entered at the time when they did, and the
@@ -17,21 +19,26 @@
 	// end is when the current slot ends.
 	end   time.Time
 	burst float64
+	// debt is the most that can be owed: beyond it, what peers tell is no sane account.
+	debt  float64
 	level float64
 }
 
 // reset forgets all that was entered.
 func (le *ledger) reset(level float64, now time.Time) {
-	burst := le.burst
-	*le = ledger{base: level, level: level, burst: burst, end: now.Add(slotTime)}
+	level = le.bound(level)
+	*le = ledger{base: level, level: level, burst: le.burst, debt: le.debt, end: now.Add(slotTime)}
 }
 
-// resize changes the burst.
-func (le *ledger) resize(burst float64) {
-	le.burst = burst
-	le.level = min(le.level, burst)
+// resize changes the burst, and with it what can be owed.
+func (le *ledger) resize(burst, slack float64) {
+	le.burst, le.debt = burst, mostDebt*(burst+slack)
+	le.level = le.bound(le.level)
 }
 
+// bound keeps a level between what can be owed and the burst.
+func (le *ledger) bound(level float64) float64 { return max(min(level, le.burst), -le.debt) }
+
 // advance makes a time fall into the current slot.
 func (le *ledger) advance(now time.Time) {
 	for steps := 0; !now.Before(le.end); steps++ {
@@ -40,7 +47,7 @@
 			le.end = now.Add(slotTime)
 			return
 		}
-		le.base = min(le.base+le.changes[0], le.burst)
+		le.base = le.bound(le.base + le.changes[0])
 		copy(le.changes[:], le.changes[1:])
 		le.changes[slots-1] = 0
 		le.end = le.end.Add(slotTime)
@@ -51,7 +58,7 @@
 func (le *ledger) enter(amount float64, now time.Time) {
 	le.advance(now)
 	le.changes[slots-1] += amount
-	le.level = min(le.level+amount, le.burst)
+	le.level = le.bound(le.level + amount)
 }
 
 // spread adds an amount evenly over a time that has passed; settle has to follow.
@@ -80,9 +87,9 @@
 
 // settle works the level out from the slots.
 func (le *ledger) settle() {
-	le.base = min(le.base, le.burst)
+	le.base = le.bound(le.base)
 	le.level = le.base
 	for _, change := range le.changes {
-		le.level = min(le.level+change, le.burst)
+		le.level = le.bound(le.level + change)
 	}
 }
--- a/allotter/peer.go
+++ b/allotter/peer.go
@@ -10,6 +10,8 @@
 type peer struct {
 	start   string
 	leaving bool
+	// named tells that the store names the instance.
+	named   bool
 	heardAt time.Time
 	tallies map[string]*told
 }
@@ -52,6 +54,7 @@
 	if !ok {
 		return fresh
 	}
+	fresh.named = pe.named
 	for name, to := range pe.tallies {
 		if bu, ok := al.buckets[name]; ok {
 			bu.ledger.enter(to.presumed, now)
