--- /dev/null
+++ b/balancer/engine.go
@@ -0,0 +1,125 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be.
+	affinitySlack = 0.15
+	// crowded is the load at which one more replica is wanted, and overfull that at which a request rather waits for
+	// an idler target to load its adapter, in shares of a target's slots.
+	crowded  = 0.6
+	overfull = 1.1
+	// longPrompt is the number of tokens from which a prompt is worth sending where its parts may be kept.
+	longPrompt = 1000
+	// homeSlack is how much busier than the idlest the first target in rank may be to load an adapter.
+	homeSlack = 0.5
+)
+
+func (ba *Balancer) chooseEngine(ne Need, usable []*state, now time.Time) (*Choice, bool) {
+	holding := make([]*state, 0, len(usable))
+	for _, st := range usable {
+		if version, ok := st.adapters[ne.Adapter]; ok && version >= ne.Version {
+			holding = append(holding, st)
+		}
+	}
+	if len(holding) == 0 {
+		return ba.chooseLoader(ne, usable, now)
+	}
+	st := ba.chooseHolding(ne, holding, now)
+	if st.weight() > overfull {
+		if ch, ok := ba.chooseLoader(ne, usable, now); ok && ch.load < crowded {
+			return ch, true
+		}
+	}
+	ch := ba.choice(st, now)
+	if ne.Adapter.Name != "" {
+		ba.addSpread(ch, ne, usable, holding, now)
+	}
+	return ch, true
+}
+
+// chooseHolding picks among targets that hold the adapter: the idlest, or for long prompts the one where the
+// session's parts are likely kept, unless it is much busier.
+func (ba *Balancer) chooseHolding(ne Need, holding []*state, now time.Time) *state {
+	best := ba.idlest(holding, now)
+	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
+		return best
+	}
+	kept := first(holding, hashAdapter(ne.Adapter)^xxhash.Sum64String(ne.LastPart))
+	if kept.weight() <= best.weight()+affinitySlack {
+		return kept
+	}
+	return best
+}
+
+// chooseLoader picks the target that should load an adapter that none holds: the first in rank that is not much
+// busier than the idlest. A target that holds an older version comes last: it waits for its runs to end first.
+func (ba *Balancer) chooseLoader(ne Need, usable []*state, now time.Time) (*Choice, bool) {
+	base := Adapter{Model: ne.Adapter.Model}
+	able := make([]*state, 0, len(usable))
+	var outdated []*state
+	for _, st := range usable {
+		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" {
+			continue
+		}
+		version, held := st.adapters[ne.Adapter]
+		if held && version >= ne.Version {
+			continue
+		}
+		if held {
+			outdated = append(outdated, st)
+			continue
+		}
+		able = append(able, st)
+	}
+	if len(able) == 0 {
+		able = outdated
+	}
+	if len(able) == 0 || ne.Adapter.Name == "" || ne.HeldOnly {
+		return nil, false
+	}
+	least := able[0].weight()
+	for _, st := range able[1:] {
+		least = min(least, st.weight())
+	}
+	calm := able[:0]
+	for _, st := range able {
+		if st.weight() <= least+homeSlack {
+			calm = append(calm, st)
+		}
+	}
+	ch := ba.choice(first(calm, hashAdapter(ne.Adapter)), now)
+	ch.holds = false
+	return ch, true
+}
+
+// addSpread names a further target to load the adapter where its share of the demand or the load of those that hold
+// it asks for one.
+func (ba *Balancer) addSpread(ch *Choice, ne Need, usable, holding []*state, now time.Time) {
+	wanted := ba.demand.replicas(ne.Adapter, len(usable), now)
+	if ch.load > crowded {
+		wanted = max(wanted, len(holding)+1)
+		ch.urgent = true
+	}
+	if len(holding) >= wanted {
+		return
+	}
+	base := Adapter{Model: ne.Adapter.Model}
+	able := make([]*state, 0, len(usable))
+	for _, st := range usable {
+		version, holds := st.adapters[ne.Adapter]
+		if holds && version >= ne.Version {
+			continue
+		}
+		if _, ok := st.adapters[base]; ok && st.loadingHolder(now) != "" && st.weight() <= crowded {
+			able = append(able, st)
+		}
+	}
+	if st := ba.oneOfFirst(able, hashAdapter(ne.Adapter), wanted-len(holding)); st != nil {
+		ch.spread, ch.by = st.target, st.holder
+	}
+}
