Route long prompts by their last shared part

Change: the last part but one decides. TestLongPromptsThatShareParts failed first (9 documents read 54 times).

--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -228,9 +228,7 @@
 	}
 	ne.Adapter = ex.caller.Adapter
 	ne.Version = ex.ac.op.Needed(ne.Adapter)
-	if last := len(ex.caller.Parts) - 1; last >= 0 {
-		ne.LastPart = ex.caller.Parts[last].ID
-	}
+	ne.Parts = ex.caller.Parts
 	return ne
 }
 
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -12,8 +12,8 @@
 	Version int64
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
-	// LastPart is the prompt part that belongs to the request's session.
-	LastPart string
+	// Parts are the parts of the prompt, in order.
+	Parts []PromptPart
 	// Excluded are targets that have been tried.
 	Excluded map[string]bool
 	// HeldOnly asks for targets that hold the adapter already.
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -46,10 +46,11 @@
 // session's parts are likely kept, unless it is much busier.
 func (ba *Balancer) chooseHolding(ne Need, holding []*state, now time.Time) *state {
 	best := ba.idlest(holding, now)
-	if ne.PromptTokens < longPrompt || ne.LastPart == "" || len(holding) == 1 {
+	shared := sharedPart(ne.Parts)
+	if ne.PromptTokens < longPrompt || shared == "" || len(holding) == 1 {
 		return best
 	}
-	kept := first(holding, hashAdapter(ne.Adapter)^xxhash.Sum64String(ne.LastPart))
+	kept := first(holding, hashAdapter(ne.Adapter)^xxhash.Sum64String(shared))
 	if kept.weight() <= best.weight()+affinitySlack {
 		return kept
 	}
@@ -123,3 +124,16 @@
 		ch.spread, ch.by = st.target, st.holder
 	}
 }
+
+// sharedPart names the last part of a prompt that other requests are likely to have as well; empty if there is none. The
+// very last part belongs to the request or its session alone, and what a session has in common comes before it too.
+func sharedPart(parts []PromptPart) string {
+	switch count := len(parts); count {
+	case 0:
+		return ""
+	case 1:
+		return parts[0].ID
+	default:
+		return parts[count-2].ID
+	}
+}
