Take a key that stays away after an outage as gone without a quarter second more

Cause: keys that had disappeared were looked at every 250 ms, and kept 2.1 s from the regain: a target that leaves for good right then could be sent requests for longer than two seconds. Now 2 s and every 50 ms. TestFollowsTheStore 40 of 40 with the race detector.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -21,10 +21,10 @@
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
 	// recheck is the time between two looks at keys whose removal waits.
-	recheck = 250 * time.Millisecond
+	recheck = 50 * time.Millisecond
 	// keepAfterRegain is how long after the store answers again a key that disappears is kept at least: writers that live
-	// come back within two seconds, and their writes take a moment to arrive here.
-	keepAfterRegain = 2100 * time.Millisecond
+	// come back within two seconds of its return, which is before that answer.
+	keepAfterRegain = 2 * time.Second
 	// tryWait is how long a store that is lost is asked to wait for changes: it would tell of its return only with them.
 	tryWait = time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
