--- a/emulator/target.go
+++ b/emulator/target.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,7 +15,7 @@
 	// adapterLoad is how long an adapter takes to load.
 	adapterLoad = 120 * time.Millisecond
 	// eventGap is the time between two events of a stream.
-	eventGap = 5 * time.Millisecond
+	eventGap = 15 * time.Millisecond
 	// streamEvents is the number of events of each stream.
 	streamEvents = 6
 	// AdapterSlots is the number of adapters that an engine holds.
@@ -77,6 +76,11 @@
 	adapters map[string]int64
 	pending  map[string]int64
 	most     int
+	// running counts the requests on each adapter, and draining is the adapter whose unload waits for them; empty if none.
+	running  map[string]int
+	draining string
+	// reports are what the target was, the oldest first: its reports lag.
+	reports []dated
 }
 
 // newTarget starts a target on an address of the loopback range.
@@ -87,8 +91,9 @@
 	}
 	ta := &Target{
 		id: id, service: service, engine: engine, ledger: ledger, address: listener.Addr().String(),
-		born: 1, adapters: make(map[string]int64), pending: make(map[string]int64),
+		born: 1, adapters: make(map[string]int64), pending: make(map[string]int64), running: make(map[string]int),
 	}
+	ta.record()
 	ta.server = &http.Server{Handler: ta, ReadHeaderTimeout: time.Second}
 	go func() { _ = ta.server.Serve(listener) }()
 	return ta, nil
@@ -147,100 +152,15 @@
 	}
 }
 
-type report struct {
-	Models       []resident `json:"models"`
-	Seq          int64      `json:"seq"`
-	PendingLoads []string   `json:"pendingLoads"`
-	KVTotal      int        `json:"kvTotal"`
-}
-
-func (ta *Target) report(w http.ResponseWriter) {
-	ta.mu.Lock()
-	held := resident{Name: Model, Version: 1, Adapters: []string{}}
-	for name, version := range ta.adapters {
-		held.Adapters = append(held.Adapters, name+"@"+strconv.FormatInt(version, 10))
-	}
-	re := report{Models: []resident{held}, Seq: ta.orders, PendingLoads: []string{}, KVTotal: 1000}
-	for name, version := range ta.pending {
-		re.PendingLoads = append(re.PendingLoads, Model+"/"+name+"@"+strconv.FormatInt(version, 10))
-	}
-	ta.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(re)
-}
-
-type order struct {
-	Op       string `json:"op"`
-	Adapter  string `json:"adapter"`
-	Version  int64  `json:"version"`
-	Expected *int64 `json:"expected"`
-	Holder   string `json:"holder"`
-	Fence    int64  `json:"fence"`
-}
-
-func (ta *Target) order(w http.ResponseWriter, r *http.Request) {
-	var od order
-	if err := json.NewDecoder(r.Body).Decode(&od); err != nil || od.Holder == "" || od.Fence == 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	_, held := ta.adapters[od.Adapter]
-	_, pending := ta.pending[od.Adapter]
-	switch {
-	case od.Expected != nil && *od.Expected != ta.orders:
-		w.WriteHeader(http.StatusConflict)
-	case od.Op == "load" && pending:
-		w.WriteHeader(http.StatusAccepted)
-	case od.Op == "load" && held && ta.adapters[od.Adapter] >= od.Version:
-		w.WriteHeader(http.StatusOK)
-	case od.Op == "load":
-		ta.takeEffect(od)
-		delete(ta.adapters, od.Adapter)
-		ta.pending[od.Adapter] = max(od.Version, 1)
-		ta.most = max(ta.most, len(ta.adapters)+len(ta.pending))
-		time.AfterFunc(adapterLoad, func() { ta.loaded(od.Adapter) })
-		w.WriteHeader(http.StatusAccepted)
-	default:
-		if held {
-			ta.takeEffect(od)
-		}
-		delete(ta.adapters, od.Adapter)
-		w.WriteHeader(http.StatusOK)
-	}
-}
-
-// takeEffect counts an order that changes the target; the lock is held.
-func (ta *Target) takeEffect(od order) {
-	ta.orders++
-	if od.Fence < ta.epoch {
-		ta.stale++
-	}
-	ta.epoch = max(ta.epoch, od.Fence)
-}
-
-// Stale is the number of orders of a superseded holder that took effect after one of a later holder had.
-func (ta *Target) Stale() int {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	return ta.stale
-}
-
-func (ta *Target) loaded(name string) {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	ta.adapters[name] = ta.pending[name]
-	delete(ta.pending, name)
-}
-
 func (ta *Target) run(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	_, adapter, _ := strings.Cut(r.Header.Get("Model-Name"), "/")
-	if ta.engine && adapter != "" && !ta.holds(adapter, r.Header.Get("Expect-Version")) {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+	if ta.engine && adapter != "" {
+		if !ta.begin(w, adapter, r.Header.Get("Expect-Version")) {
+			return
+		}
+		defer ta.end(adapter)
 	}
 	ta.ledger.add(Run{
 		Target: ta.id, ID: r.Header.Get("Request-Id"), Path: r.URL.Path, Adapter: adapter,
@@ -278,10 +198,3 @@
 	}
 	return text.String()
 }
-
-func (ta *Target) holds(adapter, expected string) bool {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	version, ok := ta.adapters[adapter]
-	return ok && (expected == "" || expected == strconv.FormatInt(version, 10))
-}
