Take the engine that keeps a long prompt's parts until it is crowded

Cause: it was taken only while at most 0.15 of its slots busier than the idlest; the idlest changes with each report, so documents were read again at many engines. Requests that run beside others cost next to nothing until the slots are full.

TestLongPromptsThatShareParts with engines at up to half failed first.

--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be.
+	// affinitySlack is how much busier than the idlest a target with a kept prompt part may be once it is crowded.
 	affinitySlack = 0.15
 	// crowded is the load at which one more replica is wanted, and overfull that at which a request rather waits for
 	// an idler target to load its adapter, in shares of a target's slots.
@@ -51,7 +51,7 @@
 		return best
 	}
 	kept := first(holding, hashAdapter(ne.Adapter)^xxhash.Sum64String(shared))
-	if kept.weight() <= best.weight()+affinitySlack {
+	if kept.weight() <= max(best.weight()+affinitySlack, crowded) {
 		return kept
 	}
 	return best
