--- a/emulator/orders_test.go
+++ b/emulator/orders_test.go
@@ -12,18 +12,27 @@
 	"lovagebank/emulator"
 )
 
-// firstWrite is an answer that tells when it begins.
-type firstWrite struct {
+// heldAnswer is an answer that tells when it begins and goes on once it is released.
+type heldAnswer struct {
 	*httptest.ResponseRecorder
-	once  sync.Once
-	begun chan struct{}
+	once     sync.Once
+	begun    chan struct{}
+	released chan struct{}
 }
 
-func (fw *firstWrite) Write(text []byte) (int, error) {
-	fw.once.Do(func() { close(fw.begun) })
-	return fw.ResponseRecorder.Write(text)
+func newHeldAnswer() *heldAnswer {
+	return &heldAnswer{ResponseRecorder: httptest.NewRecorder(), begun: make(chan struct{}), released: make(chan struct{})}
 }
 
+func (ha *heldAnswer) Write(text []byte) (int, error) {
+	ha.once.Do(func() { close(ha.begun) })
+	<-ha.released
+	return ha.ResponseRecorder.Write(text)
+}
+
+// WriteString keeps the recorder's own from being used in place of Write.
+func (ha *heldAnswer) WriteString(text string) (int, error) { return ha.Write([]byte(text)) }
+
 // order gives a target an order that expects a count of orders, and returns the status of its answer.
 func order(ta *emulator.Target, operation, adapter string, expected int) int {
 	body := fmt.Sprintf(`{"op":%q,"model":%q,"adapter":%q,"holder":"me","fence":1,"expected":%d}`,
@@ -63,7 +72,7 @@
 	if status := await(ta, "load", "a1", 1, http.StatusAccepted); status != http.StatusOK {
 		t.Fatalf("the loaded adapter gives %d", status)
 	}
-	rs := &firstWrite{ResponseRecorder: httptest.NewRecorder(), begun: make(chan struct{})}
+	rs := newHeldAnswer()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -75,6 +84,10 @@
 	if status := order(ta, "unload", "a1", 1); status != http.StatusAccepted {
 		t.Errorf("the unload of an adapter in use gives %d", status)
 	}
+	if status := order(ta, "load", "a2", 2); status != http.StatusConflict {
+		t.Errorf("a load meanwhile gives %d", status)
+	}
+	close(rs.released)
 	if status := await(ta, "load", "a2", 2, http.StatusConflict); status != http.StatusAccepted {
 		t.Errorf("the load after it gives %d", status)
 	}
