--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -247,7 +247,12 @@
 		ex.excluded[ch.Target().ID()] = true
 		return
 	}
-	ex.ac.op.Balancer.Holds(ch.Target().ID(), want.Adapter, max(want.Version, 1))
+	ex.loaded(ch.Target(), want)
+}
+
+// loaded notes that a target has loaded an adapter.
+func (ex *exchange) loaded(ta *balancer.Target, want stocker.Want) {
+	ex.ac.op.Balancer.Holds(ta.ID(), want.Adapter, max(want.Version, 1))
 }
 
 // want is the request's adapter in its newest version.
@@ -276,7 +281,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), loadPatience)
 		defer cancel()
 		if err := load(ctx, ch.SpreadHolder(), ch.Spread(), orderer.Request{Want: want}); err == nil {
-			ex.ac.op.Balancer.Holds(ch.Spread().ID(), want.Adapter, max(want.Version, 1))
+			ex.loaded(ch.Spread(), want)
 		}
 	}()
 }
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -109,12 +109,13 @@
 			at: now, metAt: now, asked: decayer.New(demandMemory, now), requests: decayer.New(demandMemory, now),
 			refusals: make(map[int]time.Time),
 		}
-		bu.ledger.resize(og.Burst(), al.op.Slack)
-		bu.ledger.reset(og.Burst()*startLevel, now)
 		al.buckets[og.Name()] = bu
 	}
 	bu.rate = og.Rate()
 	bu.ledger.resize(og.Burst(), al.op.Slack)
+	if !ok {
+		bu.ledger.reset(og.Burst()*startLevel, now)
+	}
 	al.flow(og.Name(), bu, al.silent(now), now)
 	return bu
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -23,12 +23,20 @@
 
 // fleet builds a balancer with targets that hold the base model and have a holder.
 func fleet(targets int) *balancer.Balancer {
-	ba := balancer.New(balancer.Options{FailureDomain: "east", Random: func() float64 { return 0 }})
+	ba := newInstance(targets, func() float64 { return 0 })
+	for number := range targets {
+		hear(ba, number, 0)
+	}
+	return ba
+}
+
+// newInstance builds a balancer with targets of which nothing has been heard.
+func newInstance(targets int, random func() float64) *balancer.Balancer {
+	ba := balancer.New(balancer.Options{FailureDomain: "east", Random: random})
 	for number := range targets {
 		ba.SetTarget(balancer.NewTarget(balancer.TargetOptions{
 			ID: id(number), Service: service, Address: "x:1", FailureDomain: "east", Slots: slots,
 		}))
-		hear(ba, number, 0)
 	}
 	return ba
 }
--- a/balancer/crowd_test.go
+++ b/balancer/crowd_test.go
@@ -51,11 +51,8 @@
 		cr.engines[at] = &engine{}
 	}
 	for range instances {
-		ba := balancer.New(balancer.Options{FailureDomain: "east", Random: cr.random.Float64})
+		ba := newInstance(engines, cr.random.Float64)
 		for number := range engines {
-			ba.SetTarget(balancer.NewTarget(balancer.TargetOptions{
-				ID: id(number), Service: service, Address: "x:1", FailureDomain: "east", Slots: slots,
-			}))
 			hear(ba, number, 0, 7)
 		}
 		cr.instances = append(cr.instances, ba)
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -19,10 +19,22 @@
 	homeSlack = 0.5
 )
 
+// serves tells whether a target is believed to hold the adapter in a version that may serve the request.
+func (st *state) serves(ne Need) bool {
+	version, ok := st.adapters[ne.Adapter]
+	return ok && version >= ne.Version
+}
+
+// loads tells whether a target does not serve the request, but its holder can have it load the adapter.
+func (st *state) loads(ne Need, now time.Time) bool {
+	_, ok := st.adapters[Adapter{Model: ne.Adapter.Model}]
+	return ok && st.loadingHolder(now) != "" && !st.serves(ne)
+}
+
 func (ba *Balancer) chooseEngine(ne Need, usable []*state, now time.Time) (*Choice, bool) {
 	holding := make([]*state, 0, len(usable))
 	for _, st := range usable {
-		if version, ok := st.adapters[ne.Adapter]; ok && version >= ne.Version {
+		if st.serves(ne) {
 			holding = append(holding, st)
 		}
 	}
@@ -60,18 +72,13 @@
 // chooseLoader picks the target that should load an adapter that none holds: the first in rank that is not much
 // busier than the idlest. A target that holds an older version comes last: it waits for its runs to end first.
 func (ba *Balancer) chooseLoader(ne Need, usable []*state, now time.Time) (*Choice, bool) {
-	base := Adapter{Model: ne.Adapter.Model}
 	able := make([]*state, 0, len(usable))
 	var outdated []*state
 	for _, st := range usable {
-		if _, ok := st.adapters[base]; !ok || st.loadingHolder(now) == "" {
+		if !st.loads(ne, now) {
 			continue
 		}
-		version, held := st.adapters[ne.Adapter]
-		if held && version >= ne.Version {
-			continue
-		}
-		if held {
+		if _, held := st.adapters[ne.Adapter]; held {
 			outdated = append(outdated, st)
 			continue
 		}
@@ -109,14 +116,9 @@
 	if len(holding) >= wanted {
 		return
 	}
-	base := Adapter{Model: ne.Adapter.Model}
 	able := make([]*state, 0, len(usable))
 	for _, st := range usable {
-		version, holds := st.adapters[ne.Adapter]
-		if holds && version >= ne.Version {
-			continue
-		}
-		if _, ok := st.adapters[base]; ok && st.loadingHolder(now) != "" && st.weight() <= crowded {
+		if st.loads(ne, now) && st.weight() <= crowded {
 			able = append(able, st)
 		}
 	}
--- a/balancer/parts_test.go
+++ b/balancer/parts_test.go
@@ -22,13 +22,7 @@
 	const instances = 8
 	sh := &shelf{random: rand.New(rand.NewPCG(5, 6)), load: load}
 	for range instances {
-		ba := balancer.New(balancer.Options{FailureDomain: "east", Random: sh.random.Float64})
-		for number := range shelfEngines {
-			ba.SetTarget(balancer.NewTarget(balancer.TargetOptions{
-				ID: id(number), Service: service, Address: "x:1", FailureDomain: "east", Slots: slots,
-			}))
-		}
-		sh.instances = append(sh.instances, ba)
+		sh.instances = append(sh.instances, newInstance(shelfEngines, sh.random.Float64))
 	}
 	return sh
 }
--- a/faker/link.go
+++ b/faker/link.go
@@ -64,30 +64,22 @@
 func (lk *Link) Address() string { return lk.socket.Addr().String() }
 
 // SetCut closes all connections and every new one, or lets them through again.
-func (lk *Link) SetCut(cut bool) {
-	lk.mu.Lock()
-	lk.cut = cut
-	open := lk.connections()
-	lk.mu.Unlock()
-	if !cut {
-		return
-	}
-	for _, lc := range open {
-		lc.close()
-	}
-}
+func (lk *Link) SetCut(cut bool) { lk.set(&lk.cut, cut, (*linkConnection).close) }
 
 // SetReset resets all connections and every new one, or lets them through again.
-func (lk *Link) SetReset(reset bool) {
+func (lk *Link) SetReset(reset bool) { lk.set(&lk.reset, reset, (*linkConnection).reset) }
+
+// set changes a flag and, where it is set now, ends the open connections.
+func (lk *Link) set(flag *bool, on bool, end func(*linkConnection)) {
 	lk.mu.Lock()
-	lk.reset = reset
+	*flag = on
 	open := lk.connections()
 	lk.mu.Unlock()
-	if !reset {
+	if !on {
 		return
 	}
 	for _, lc := range open {
-		lc.reset()
+		end(lc)
 	}
 }
 
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -57,6 +57,7 @@
 	en := &engine{
 		held:    map[balancer.Adapter]int64{},
 		pending: map[balancer.Adapter]int64{},
+		inUse:   map[balancer.Adapter]time.Duration{},
 		lossy:   lossy,
 		random:  rand.New(rand.NewPCG(1, 2)),
 	}
@@ -64,6 +65,17 @@
 	return en
 }
 
+// newFullEngine is an engine with an adapter in each slot, and always has been.
+func newFullEngine() *engine {
+	en := newEngine(0)
+	for number := range slots {
+		en.held[adapter(number)] = 1
+	}
+	en.history = nil
+	en.record()
+	return en
+}
+
 // record keeps the state for reports, which lag. The lock is held.
 func (en *engine) record() {
 	adapters := make(map[string]int64)
@@ -247,13 +259,10 @@
 // another engine may load sooner, and the load that waits follows as soon as the engine takes orders again.
 func TestUnloadOfAnAdapterInUse(t *testing.T) {
 	const runs = 900 * time.Millisecond
-	en := newEngine(0)
-	en.inUse = make(map[balancer.Adapter]time.Duration)
+	en := newFullEngine()
 	for number := range slots {
-		en.held[adapter(number)], en.inUse[adapter(number)] = 1, runs
+		en.inUse[adapter(number)] = runs
 	}
-	en.history = nil
-	en.record()
 	drive(t, en, always, func(or *orderer.Orderer) {
 		time.Sleep(2 * time.Second)
 		begin := time.Now()
@@ -279,14 +288,9 @@
 // end. The engine loads it, but that answer gets lost and the next tries meet a conflict, as they did before the load.
 // The adapter is there, and the engine is full.
 func TestLoadWithoutAnswerAfterAnUnloadThatWaited(t *testing.T) {
-	en := newEngine(0)
-	for number := range slots {
-		en.held[adapter(number)] = 1
-	}
-	en.inUse = map[balancer.Adapter]time.Duration{adapter(0): 300 * time.Millisecond}
+	en := newFullEngine()
+	en.inUse[adapter(0)] = 300 * time.Millisecond
 	en.unanswered = adapter(0)
-	en.history = nil
-	en.record()
 	drive(t, en, always, func(or *orderer.Orderer) {
 		time.Sleep(2 * time.Second)
 		wantFor(or, 9, 100*time.Millisecond)
@@ -319,12 +323,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			en := newEngine(0)
-			for number := range slots {
-				en.held[adapter(number)] = 1
-			}
-			en.history = nil
-			en.record()
+			en := newFullEngine()
 			drive(t, en, tt.authority, func(or *orderer.Orderer) {
 				uses := make(map[balancer.Adapter]balancer.Use)
 				for number := range slots {
--- a/stocker/stocker_test.go
+++ b/stocker/stocker_test.go
@@ -32,6 +32,13 @@
 	return sk
 }
 
+// load has the engine load an adapter in its newest version.
+func load(sk *stocker.Stock, name string, begin, end time.Time) {
+	sp := stocker.Step{Load: true, Adapter: adapter(name)}
+	sk.Started(sp, begin)
+	sk.Done(sp, end)
+}
+
 // replacing builds a stock that replaces an adapter by its next version.
 func replacing(now time.Time) *stocker.Stock {
 	sk := holding(2, now, "x")
@@ -119,8 +126,7 @@
 		"what is loaded for a request stays until it is used": {
 			stock: func() *stocker.Stock {
 				sk := holding(1, now)
-				sk.Started(stocker.Step{Load: true, Adapter: adapter("x")}, now)
-				sk.Done(stocker.Step{Load: true, Adapter: adapter("x")}, now)
+				load(sk, "x", now, now)
 				return sk
 			},
 			want: stocker.Want{Adapter: adapter("z")}, is: stocker.Full,
@@ -128,8 +134,7 @@
 		"a slot is free again once the use of what it holds has ended": {
 			stock: func() *stocker.Stock {
 				sk := holding(1, now)
-				sk.Started(stocker.Step{Load: true, Adapter: adapter("x")}, now.Add(-400*time.Millisecond))
-				sk.Done(stocker.Step{Load: true, Adapter: adapter("x")}, now.Add(-150*time.Millisecond))
+				load(sk, "x", now.Add(-400*time.Millisecond), now.Add(-150*time.Millisecond))
 				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 1}}, now.Add(-100*time.Millisecond))
 				return sk
 			},
@@ -141,8 +146,7 @@
 			stock: func() *stocker.Stock {
 				sk := holding(2, now, "x")
 				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Sent: 3}}, now)
-				sk.Started(stocker.Step{Load: true, Adapter: adapter("y")}, now.Add(-1200*time.Millisecond))
-				sk.Done(stocker.Step{Load: true, Adapter: adapter("y")}, now.Add(-950*time.Millisecond))
+				load(sk, "y", now.Add(-1200*time.Millisecond), now.Add(-950*time.Millisecond))
 				return sk
 			},
 			want: stocker.Want{Adapter: adapter("z")}, is: stocker.NeedsRoom, order: stocker.Step{Adapter: adapter("x")},
@@ -151,8 +155,7 @@
 			stock: func() *stocker.Stock {
 				sk := holding(2, now, "x")
 				sk.Used("peer", map[balancer.Adapter]balancer.Use{adapter("x"): {Running: 1}}, now)
-				sk.Started(stocker.Step{Load: true, Adapter: adapter("y")}, now.Add(-1200*time.Millisecond))
-				sk.Done(stocker.Step{Load: true, Adapter: adapter("y")}, now.Add(-950*time.Millisecond))
+				load(sk, "y", now.Add(-1200*time.Millisecond), now.Add(-950*time.Millisecond))
 				return sk
 			},
 			want: stocker.Want{Adapter: adapter("z")}, is: stocker.NeedsRoom, order: stocker.Step{Adapter: adapter("y")},
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -77,8 +77,7 @@
 	history  history
 	revision int64
 	listed   bool
-	lost     bool
-	// regained is closed when the store answers again; it is not nil while it is lost.
+	// regained is closed when the store answers again; it is not nil while the store is lost.
 	regained   chan struct{}
 	regainedAt time.Time
 	// heardAt is when the store last answered.
@@ -116,7 +115,7 @@
 func (wa *Watcher) Current() bool {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	return wa.listed && !wa.lost && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
+	return wa.listed && wa.regained == nil && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
 }
 
 // Listed tells whether all keys have been read at least once, and not dropped since.
@@ -178,7 +177,7 @@
 func (wa *Watcher) once(ctx context.Context) error {
 	wa.mu.Lock()
 	after, listed, wait := wa.revision, wa.listed, wa.op.Pace.Wait
-	if wa.lost {
+	if wa.regained != nil {
 		wait = tryWait
 	}
 	wa.mu.Unlock()
@@ -212,9 +211,8 @@
 
 func (wa *Watcher) lose(ctx context.Context, err error) {
 	wa.mu.Lock()
-	first := !wa.lost
-	wa.lost = true
-	if wa.regained == nil {
+	first := wa.regained == nil
+	if first {
 		wa.regained = make(chan struct{})
 	}
 	wa.mu.Unlock()
@@ -225,11 +223,11 @@
 
 func (wa *Watcher) regain() {
 	wa.mu.Lock()
-	was := wa.lost
-	wa.lost, wa.heardAt = false, time.Now()
-	if wa.regained != nil {
+	was := wa.regained != nil
+	wa.heardAt = time.Now()
+	if was {
 		close(wa.regained)
-		wa.regained, wa.regainedAt = nil, time.Now()
+		wa.regained, wa.regainedAt = nil, wa.heardAt
 	}
 	wa.mu.Unlock()
 	if was {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -198,6 +198,14 @@
 	}
 }
 
+// loseStore has the store hold the key that all scenarios use, and be down for a while.
+func (wo *world) loseStore() {
+	wo.store.put("op/a", "1")
+	time.Sleep(100 * time.Millisecond)
+	wo.store.set(true, false)
+	time.Sleep(3 * time.Second)
+}
+
 func TestFollowsTheStore(t *testing.T) {
 	scenarios := map[string]func(*testing.T, *world){
 		"a key that was there, one that comes and one that goes": func(t *testing.T, wo *world) {
@@ -225,10 +233,7 @@
 			wo.expect(t, "op/a", "2")
 		},
 		"a key that lapses while the store is down and comes back is never gone": func(t *testing.T, wo *world) {
-			wo.store.put("op/a", "1")
-			time.Sleep(100 * time.Millisecond)
-			wo.store.set(true, false)
-			time.Sleep(3 * time.Second)
+			wo.loseStore()
 			wo.store.remove()
 			wo.store.set(false, false)
 			time.Sleep(1500 * time.Millisecond)
@@ -238,10 +243,7 @@
 			wo.expect(t, "op/a", "2")
 		},
 		"a key that lapses while the store is down and stays away is gone soon": func(t *testing.T, wo *world) {
-			wo.store.put("op/a", "1")
-			time.Sleep(100 * time.Millisecond)
-			wo.store.set(true, false)
-			time.Sleep(3 * time.Second)
+			wo.loseStore()
 			wo.store.remove()
 			wo.store.set(false, false)
 			time.Sleep(4 * time.Second)
@@ -250,10 +252,7 @@
 		// castaneda-stock trouble-1, seed 855390671469: a target left 3.5 s after the store served this instance
 		// again, and its removal waited as one around the outage.
 		"a key removed well after the store's return is gone at once": func(t *testing.T, wo *world) {
-			wo.store.put("op/a", "1")
-			time.Sleep(100 * time.Millisecond)
-			wo.store.set(true, false)
-			time.Sleep(3 * time.Second)
+			wo.loseStore()
 			wo.store.set(false, false)
 			time.Sleep(4500 * time.Millisecond)
 			wo.store.remove()
@@ -262,10 +261,7 @@
 		},
 		// The next call after a failure does not wait for changes: it would tell of the store's return only with them.
 		"the return of a store in which nothing changes is known with the next call": func(t *testing.T, wo *world) {
-			wo.store.put("op/a", "1")
-			time.Sleep(100 * time.Millisecond)
-			wo.store.set(true, false)
-			time.Sleep(3 * time.Second)
+			wo.loseStore()
 			wo.store.set(false, false)
 			time.Sleep(1600 * time.Millisecond)
 			if !wo.watcher.Current() {
