Have prompts take turns at engines by a learned reading time

Engines read for a third of their time only: eight instances that know nothing of each other's prompts send them in bunches.

Change: profiler learns a service's engines from the answers that pass (time to read a token: the slope of the time until an answer begins over the prompt's length, summed over all instances; time between events without prompts; share of streams that paused for too long). Where more than six in a hundred pause for too long, a prompt asks the engine's holder for its turn; sequencer keeps the times at which the engine reads, so that within no promised pause it reads for longer than the pause leaves. Prompts that are too late already take turns that are free now. A silent holder, or none: as before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -14,11 +14,14 @@
 	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
+	"lovagebank/exchanger"
 	"lovagebank/forwarder"
 	"lovagebank/orderer"
 	"lovagebank/platform"
+	"lovagebank/profiler"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
+	"lovagebank/sequencer"
 )
 
 // Options set an Acceptor up.
@@ -31,6 +34,8 @@
 	Needed func(balancer.Adapter) int64
 	// Load has a target load an adapter, by way of its holder, and returns when it is there.
 	Load func(ctx context.Context, holder string, ta *balancer.Target, rq orderer.Request) error
+	// Turn asks the holder of a target for a prompt's turn.
+	Turn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (exchanger.Turn, error)
 	// Leaving is told of a target that has said in an answer that it is leaving.
 	Leaving func(balancer.Leaver)
 	// Instances returns the number of instances that share the targets' connections.
@@ -47,6 +52,7 @@
 	Allotter    *allotter.Allotter
 	Budgeter    *budgeter.Budgeter
 	Quarantiner *quarantiner.Quarantiner
+	Profiler    *profiler.Profiler
 }
 
 // Acceptor serves callers.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -19,13 +19,20 @@
 	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
+	"lovagebank/exchanger"
 	"lovagebank/forwarder"
 	"lovagebank/orderer"
+	"lovagebank/profiler"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
+	"lovagebank/sequencer"
 )
 
-const host = "h.example"
+const (
+	host = "h.example"
+	// gap is the longest pause promised to streams.
+	gap = 200 * time.Millisecond
+)
 
 // world is an entry instance with some targets, over loopback.
 type world struct {
@@ -39,6 +46,9 @@
 	outcomes chan *acceptor.Outcome
 	newest   atomic.Int64
 	needed   atomic.Int64
+	profiler *profiler.Profiler
+	// turn answers prompts that want their turn.
+	turn func(sequencer.Request) (exchanger.Turn, error)
 }
 
 // usual is the organisation of the test's callers.
@@ -51,6 +61,7 @@
 		return router.NewRoute(router.RouteOptions{
 			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond,
 			Shares: []router.Share{{Service: service, Weight: 1}}, Attempts: attempts, Resumable: resumable, Public: public,
+			Gap: gap,
 		})
 	}
 	return router.New(router.Options{
@@ -76,6 +87,7 @@
 	t.Helper()
 	wo := &world{t: t, outcomes: make(chan *acceptor.Outcome, 100)}
 	wo.balancer = balancer.New(balancer.Options{Random: func() float64 { return 0 }})
+	wo.profiler = profiler.New()
 	cf := configuration()
 	ac := acceptor.New(acceptor.Options{
 		Configuration: func() *router.Configuration { return cf },
@@ -87,6 +99,9 @@
 			}
 			return wo.loadErr
 		},
+		Turn: func(_ context.Context, _ string, _ *balancer.Target, rq sequencer.Request) (exchanger.Turn, error) {
+			return wo.turn(rq)
+		},
 		Leaving:   func(le balancer.Leaver) { wo.balancer.Leaving(le) },
 		Instances: func() int { return 1 },
 		Draining:  func() bool { return false },
@@ -99,6 +114,7 @@
 			Ratio: 1, Extra: 100, Window: time.Second, Instances: func() int { return 1 },
 		}),
 		Quarantiner: quarantiner.New(),
+		Profiler:    wo.profiler,
 	})
 	wo.front = httptest.NewServer(ac)
 	t.Cleanup(wo.front.Close)
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -56,7 +56,10 @@
 	// begun tells that the head of a stream's answer has been passed on, lastEvent the last event's ID.
 	begun     bool
 	lastEvent string
-	outcome   *Outcome
+	// sentAt is when the request was last sent, and unqueued tells that its target had none waiting as it began its answer.
+	sentAt   time.Time
+	unqueued bool
+	outcome  *Outcome
 }
 
 // verdict is what became of one try.
@@ -269,8 +272,7 @@
 	if ex.loads < maxLoads {
 		return 0
 	}
-	objective := time.Duration(slotWait * float64(ex.route.Objective()))
-	return max(time.Until(ex.outcome.arrived.Add(objective)), 0)
+	return max(ex.untilShare(slotWait), 0)
 }
 
 // spread has a further target load the adapter, without waiting for it.
@@ -292,11 +294,15 @@
 // try sends the request to one target and passes its answer on.
 func (ex *exchange) try(ch *balancer.Choice) verdict {
 	ta := ch.Target()
+	sent := ex.ac.op.Balancer.Send(ta.ID(), ex.need().Adapter, ex.caller.PromptTokens)
+	defer sent.Ended()
+	if !ex.awaitTurn(ch) {
+		return notRun
+	}
 	ex.sends++
 	ex.outcome.tries, ex.outcome.target = ex.sends, ta.ID()
 	ex.outcome.load, ex.outcome.loadAge = ch.Load(), ch.Age()
-	sent := ex.ac.op.Balancer.Send(ta.ID(), ex.need().Adapter, ex.caller.PromptTokens)
-	defer sent.Ended()
+	ex.sentAt = time.Now()
 	if objective := ex.route.Objective(); objective > 0 {
 		defer time.AfterFunc(objective, sent.Overdue).Stop()
 	}
@@ -309,6 +315,7 @@
 	defer an.Close()
 	if tl, ok := platform.ParseTargetLoad(an.Header()); ok {
 		ex.ac.op.Balancer.Reported(ta.ID(), tl.Running+tl.Waiting)
+		ex.unqueued = tl.Waiting == 0
 	}
 	ex.heed(ta, an)
 	if platform.NotRun(an.Status(), an.Header()) {
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -28,6 +28,8 @@
 	loadAge    time.Duration
 	tries      int
 	loadWait   time.Duration
+	// turnWait is how long the prompt waited for its turn at its target.
+	turnWait time.Duration
 	// backOff is how long the last target that turned the request away asked to be left alone.
 	backOff time.Duration
 	adapter balancer.Adapter
@@ -72,6 +74,9 @@
 // LoadWait is how long the request waited for its adapter.
 func (ou *Outcome) LoadWait() time.Duration { return ou.loadWait }
 
+// TurnWait is how long the prompt waited for its turn.
+func (ou *Outcome) TurnWait() time.Duration { return ou.turnWait }
+
 // Pause is the longest pause between two arrivals of a stream's events; 0 where there was none.
 func (ou *Outcome) Pause() time.Duration { return ou.pace.longest }
 
@@ -101,6 +106,9 @@
 	if len(ou.asked) > 0 {
 		fields = append(fields, "load-wait-ms", ou.loadWait.Milliseconds(), "asked", strings.Join(ou.asked, ","))
 	}
+	if ou.turnWait > 0 {
+		fields = append(fields, "turn-wait-ms", ou.turnWait.Milliseconds())
+	}
 	if ou.reason != "" {
 		fields = append(fields, "reason", ou.reason)
 	}
--- a/acceptor/pace.go
+++ b/acceptor/pace.go
@@ -12,12 +12,14 @@
 	slowest time.Duration
 }
 
-// arrived notes that events have arrived.
-func (pa *pace) arrived(now time.Time) {
-	if pause := now.Sub(pa.arrivedAt); !pa.arrivedAt.IsZero() && pause > pa.longest {
+// arrived notes that events have arrived, and returns the pause before them; it is false for the first.
+func (pa *pace) arrived(now time.Time) (time.Duration, bool) {
+	pause, first := now.Sub(pa.arrivedAt), pa.arrivedAt.IsZero()
+	if !first && pause > pa.longest {
 		pa.longest, pa.longestAt = pause, now
 	}
 	pa.arrivedAt = now
+	return pause, !first
 }
 
 // passedOn notes that what arrived last has been passed on.
--- a/acceptor/pass.go
+++ b/acceptor/pass.go
@@ -135,7 +135,7 @@
 		count, err := an.Read(buffer)
 		if count > 0 {
 			sent.Begun()
-			ex.outcome.pace.arrived(time.Now())
+			ex.learnArrival(time.Now())
 			if !ex.passEvents(an, scanner.add(buffer[:count])) {
 				return finished
 			}
@@ -161,6 +161,7 @@
 // endStream ends a stream that its target has ended.
 func (ex *exchange) endStream(an *forwarder.Answer, scanner *eventScanner) verdict {
 	ex.ac.op.Quarantiner.Succeeded(ex.fingerprint)
+	ex.learnEnd()
 	ex.begin(an)
 	ex.passEvents(an, scanner.rest())
 	return finished
--- /dev/null
+++ b/acceptor/turn.go
@@ -0,0 +1,95 @@
+package acceptor
+
+import (
+	"time"
+
+	"lovagebank/balancer"
+	"lovagebank/pauser"
+	"lovagebank/profiler"
+	"lovagebank/router"
+	"lovagebank/sequencer"
+)
+
+const (
+	// turnShare is the share of the objective by which a prompt has to go to its target to be answered in time.
+	turnShare = 0.75
+	// latestTurn is the number of objectives after which a prompt waits for its turn no longer.
+	latestTurn = 2.0
+	// leastTurnPause bounds the time between two questions of a prompt that can no longer be answered in time, and
+	// latePatience is how long a turn may be away that it takes: those that can be in time go first.
+	leastTurnPause = 40 * time.Millisecond
+	latePatience   = 10 * time.Millisecond
+)
+
+// awaitTurn waits until the prompt may go to a target without making the streams there pause for too long. It is false
+// where the request should not go there any more.
+func (ex *exchange) awaitTurn(ch *balancer.Choice) bool {
+	pa, ok := ex.pace()
+	if !ok {
+		return true
+	}
+	began := time.Now()
+	for ex.askTurn(ch, pa) {
+	}
+	ex.outcome.turnWait += time.Since(began)
+	return ex.ctx.Err() == nil && ex.ac.op.Balancer.Takes(ch.Target().ID())
+}
+
+// learnArrival takes in that events have arrived: what the first tells of the reading of the prompt, and the others of the
+// pauses.
+func (ex *exchange) learnArrival(now time.Time) {
+	pause, further := ex.outcome.pace.arrived(now)
+	if ex.service.Engine() == nil {
+		return
+	}
+	if further {
+		ex.ac.op.Profiler.Paused(ex.service.Name(), pause)
+		return
+	}
+	if ex.unqueued && ex.lastEvent == "" {
+		ex.ac.op.Profiler.Began(ex.service.Name(), ex.caller.PromptTokens, now.Sub(ex.sentAt))
+	}
+}
+
+// learnEnd takes in the longest pause of a stream that has ended.
+func (ex *exchange) learnEnd() {
+	if ex.service.Engine() != nil {
+		ex.ac.op.Profiler.Ended(ex.service.Name(), ex.outcome.pace.longest, ex.route.Gap())
+	}
+}
+
+// pace is how the prompt may follow others at an engine; false where nothing has to be held off.
+func (ex *exchange) pace() (profiler.Pace, bool) {
+	if ex.route.Kind() != router.Stream || ex.service.Engine() == nil {
+		return profiler.Pace{}, false
+	}
+	return ex.ac.op.Profiler.Pace(ex.service.Name(), ex.caller.PromptTokens, ex.route.Gap())
+}
+
+// askTurn asks once for a turn and waits for it. It is true where the prompt has to ask again.
+func (ex *exchange) askTurn(ch *balancer.Choice, pa profiler.Pace) bool {
+	patience := ex.untilShare(turnShare) - pa.Reading
+	late := patience < latePatience
+	if late {
+		patience = latePatience
+	}
+	tn, err := ex.ac.op.Turn(ex.ctx, ch.Holder(), ch.Target(), sequencer.Request{Pace: pa, Patience: patience})
+	if err != nil {
+		ex.outcome.note(err)
+		return false
+	}
+	if tn.Granted {
+		pauser.For(ex.ctx, tn.Wait)
+		return false
+	}
+	left := ex.untilShare(latestTurn)
+	if left <= 0 {
+		return false
+	}
+	return pauser.For(ex.ctx, min(max(tn.Wait, leastTurnPause), left))
+}
+
+// untilShare is the time until a share of the request's objective has passed.
+func (ex *exchange) untilShare(share float64) time.Duration {
+	return time.Until(ex.outcome.arrived.Add(time.Duration(share * float64(ex.route.Objective()))))
+}
--- /dev/null
+++ b/acceptor/turn_test.go
@@ -0,0 +1,122 @@
+package acceptor_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lovagebank/balancer"
+	"lovagebank/exchanger"
+	"lovagebank/sequencer"
+)
+
+// threaten has the world's instance know that prompts make streams pause for too long.
+func (wo *world) threaten() {
+	for tokens := 100; tokens < 5000; tokens += 10 {
+		wo.profiler.Began("engines", tokens, time.Duration(tokens)*20*time.Microsecond)
+		wo.profiler.Ended("engines", gap+gap/10, gap)
+	}
+}
+
+func withPrompt(r *http.Request) { r.Header.Set("Token-Counts", "1000,10") }
+
+// A prompt goes to its target when it has its turn, and at once where the holder gives none.
+func TestPromptsTakeTurns(t *testing.T) {
+	tests := map[string]struct {
+		answers []exchanger.Turn
+		err     error
+		path    string
+		asked   int64
+	}{
+		"its turn is now":       {[]exchanger.Turn{{Granted: true}}, nil, "/stream/1", 1},
+		"its turn is soon":      {[]exchanger.Turn{{Granted: true, Wait: 20 * time.Millisecond}}, nil, "/stream/1", 1},
+		"it asks again":         {[]exchanger.Turn{{Wait: 20 * time.Millisecond}, {Granted: true}}, nil, "/stream/1", 2},
+		"the holder is silent":  {[]exchanger.Turn{{}}, errors.New("no answer"), "/stream/1", 1},
+		"a plain service":       {nil, nil, "/safe/1", 0},
+		"a stream that goes on": {[]exchanger.Turn{{Granted: true}}, nil, "/resume/1", 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			wo.threaten()
+			wo.target("t1", "plain", ok)
+			wo.target("e1", "engines", ok)
+			var asked atomic.Int64
+			wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+				if rq.Pace.Window != gap || rq.Pace.Reading <= 0 || rq.Pace.Busy <= 0 {
+					t.Errorf("asked with %+v", rq.Pace)
+				}
+				return tt.answers[asked.Add(1)-1], tt.err
+			}
+			wo.expect(tt.path, withPrompt, http.StatusOK)
+			if asked.Load() != tt.asked {
+				t.Errorf("asked %d times, want %d", asked.Load(), tt.asked)
+			}
+		})
+	}
+}
+
+// A prompt without a turn is sent in the end: its caller would leave.
+func TestPromptWithoutTurn(t *testing.T) {
+	wo := newWorld(t)
+	wo.threaten()
+	wo.target("e1", "engines", ok)
+	var lasts atomic.Int64
+	wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+		lasts.Store(int64(rq.Patience))
+		return exchanger.Turn{Wait: 100 * time.Millisecond}, nil
+	}
+	wo.expect("/stream/1", withPrompt, http.StatusOK)
+	ou := <-wo.outcomes
+	if ou.TurnWait() <= 0 || ou.Tries() != 1 {
+		t.Errorf("waited %v, %d sends", ou.TurnWait(), ou.Tries())
+	}
+	if last := time.Duration(lasts.Load()); last > 50*time.Millisecond {
+		t.Errorf("a prompt that is late wants turns up to %v away, before others that are not", last)
+	}
+}
+
+// While a prompt waits for its turn its target may leave, or its caller: then it is not sent there.
+func TestWhileWaitingForATurn(t *testing.T) {
+	wo := newWorld(t)
+	wo.threaten()
+	var sent atomic.Int64
+	wo.target("e1", "engines", counted(&sent, ok))
+	asked := make(chan struct{}, 1)
+	wo.turn = func(sequencer.Request) (exchanger.Turn, error) {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return exchanger.Turn{Granted: true, Wait: 50 * time.Millisecond}, nil
+	}
+	t.Run("the target leaves", func(t *testing.T) {
+		go func() {
+			<-asked
+			wo.balancer.Leaving(balancer.Leaver{Target: "e1"})
+		}()
+		wo.expect("/stream/1", withPrompt, http.StatusServiceUnavailable)
+	})
+	t.Run("the caller leaves", func(t *testing.T) {
+		wo.target("e2", "engines", counted(&sent, ok))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-asked
+			cancel()
+		}()
+		if _, _, err := wo.ask("/stream/1", func(r *http.Request) {
+			withPrompt(r)
+			*r = *r.WithContext(ctx)
+		}); !errors.Is(err, context.Canceled) {
+			t.Errorf("the caller got %v", err)
+		}
+		<-wo.outcomes
+		<-wo.outcomes
+	})
+	if sent.Load() != 0 {
+		t.Errorf("%d requests were sent", sent.Load())
+	}
+}
--- a/balancer/withdraw.go
+++ b/balancer/withdraw.go
@@ -63,6 +63,14 @@
 	return least
 }
 
+// Takes tells whether a target takes requests now.
+func (ba *Balancer) Takes(target string) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	st, ok := ba.states[target]
+	return ok && !st.closed(time.Now())
+}
+
 // closing tells whether the target takes no new requests any more.
 func (st *state) closing() bool { return st.leaving || st.target.Draining() }
 
--- a/exchanger/lean.go
+++ b/exchanger/lean.go
@@ -6,15 +6,21 @@
 	"lovagebank/wire/wireconnect"
 )
 
+// frequent are the procedures that are called many times a second.
+var frequent = map[string]bool{
+	wireconnect.FleetServiceExchangeProcedure: true,
+	wireconnect.FleetServiceTurnProcedure:     true,
+}
+
 // needless are headers that connect sets and that exchanges do without: they carry little else, and there are many.
 var needless = []string{"Accept-Encoding", "Connect-Protocol-Version", "Connect-Timeout-Ms"}
 
-// leanTransport sends exchanges without needless headers.
+// leanTransport sends frequent calls without needless headers.
 type leanTransport struct{ next http.RoundTripper }
 
-// RoundTrip sends a call, in the case of an exchange a copy of it.
+// RoundTrip sends a call, in the case of a frequent one a copy of it.
 func (lt leanTransport) RoundTrip(rq *http.Request) (*http.Response, error) {
-	if rq.URL.Path != wireconnect.FleetServiceExchangeProcedure {
+	if !frequent[rq.URL.Path] {
 		return lt.next.RoundTrip(rq)
 	}
 	lean := rq.Clone(rq.Context())
--- /dev/null
+++ b/exchanger/turn.go
@@ -0,0 +1,56 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/profiler"
+	"lovagebank/sequencer"
+	"lovagebank/wire"
+)
+
+// ErrNotHolder means that the instance asked for a turn does not hold the target.
+var ErrNotHolder = errors.New("the instance does not hold the target")
+
+// Turn is a holder's answer to a prompt that wants to go to its target.
+type Turn struct {
+	// Granted prompts have their turn after Wait. Others would have to wait that long, beyond their patience.
+	Granted bool
+	Wait    time.Duration
+}
+
+// Turn asks the holder of a target for a prompt's turn.
+func (ex *Exchanger) Turn(ctx context.Context, address, target string, rq sequencer.Request) (Turn, error) {
+	answer, err := ex.clientOf(address).Turn(ctx, connect.NewRequest(&wire.TurnRequest{
+		Target:     target,
+		ReadingUs:  int32(rq.Pace.Reading.Microseconds()),
+		WindowMs:   int32(rq.Pace.Window.Milliseconds()),
+		BusyMs:     int32(rq.Pace.Busy.Milliseconds()),
+		PatienceMs: int32(rq.Patience.Milliseconds()),
+	}))
+	if err != nil {
+		return Turn{}, err
+	}
+	if !answer.Msg.GetHolder() {
+		return Turn{}, ErrNotHolder
+	}
+	return Turn{Granted: answer.Msg.GetGranted(), Wait: time.Duration(answer.Msg.GetWaitUs()) * time.Microsecond}, nil
+}
+
+// Turn gives a prompt its turn.
+func (se *service) Turn(_ context.Context, rq *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error) {
+	tn, holder := se.op.Turn(rq.Msg.GetTarget(), sequencer.Request{
+		Pace: profiler.Pace{
+			Reading: time.Duration(rq.Msg.GetReadingUs()) * time.Microsecond,
+			Window:  time.Duration(rq.Msg.GetWindowMs()) * time.Millisecond,
+			Busy:    time.Duration(rq.Msg.GetBusyMs()) * time.Millisecond,
+		},
+		Patience: time.Duration(rq.Msg.GetPatienceMs()) * time.Millisecond,
+	})
+	return connect.NewResponse(&wire.TurnResponse{
+		Holder: holder, Granted: tn.Granted, WaitUs: int32(tn.Wait.Microseconds()),
+	}), nil
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -86,6 +86,8 @@
 	First    time.Duration
 	Took     time.Duration
 	LoadWait time.Duration
+	// TurnWait is the wait of a prompt for its turn at its target.
+	TurnWait time.Duration
 	// Pause is the longest pause between two events of a stream; 0 where there was none.
 	Pause time.Duration
 	// Tries is the number of sends to targets.
@@ -101,6 +103,9 @@
 	if sv.LoadWait > 0 {
 		scope.Histogram("adapter_wait_seconds", latencyBuckets).RecordValue(sv.LoadWait.Seconds())
 	}
+	if sv.TurnWait > 0 {
+		scope.Histogram("turn_wait_seconds", latencyBuckets).RecordValue(sv.TurnWait.Seconds())
+	}
 	if sv.Pause > 0 {
 		scope.Histogram("longest_pause_seconds", latencyBuckets).RecordValue(sv.Pause.Seconds())
 	}
--- a/router/route.go
+++ b/router/route.go
@@ -46,6 +46,8 @@
 	Timeout time.Duration
 	// Objective is the time within which the answer, or a stream's first event, counts as on time.
 	Objective time.Duration
+	// Gap is the longest pause between two events of a stream that counts as on time; 0 where none is promised.
+	Gap time.Duration
 	// Priority is the route's rank; 0 is the most urgent.
 	Priority int
 	// Shares are the services that the requests go to; at least one.
@@ -88,6 +90,9 @@
 // Objective is the time within which an answer counts as on time.
 func (rt *Route) Objective() time.Duration { return rt.op.Objective }
 
+// Gap is the longest pause between two events of a stream that counts as on time; 0 where none is promised.
+func (rt *Route) Gap() time.Duration { return rt.op.Gap }
+
 // Priority is the route's rank; 0 is the most urgent.
 func (rt *Route) Priority() int { return rt.op.Priority }
 
--- a/supervisor/holdings.go
+++ b/supervisor/holdings.go
@@ -7,6 +7,7 @@
 	"lovagebank/balancer"
 	"lovagebank/keeper"
 	"lovagebank/orderer"
+	"lovagebank/sequencer"
 )
 
 // holdings runs an orderer for each target that this instance holds.
@@ -19,8 +20,9 @@
 }
 
 type running struct {
-	orderer *orderer.Orderer
-	stop    context.CancelFunc
+	orderer   *orderer.Orderer
+	sequencer *sequencer.Sequencer
+	stop      context.CancelFunc
 }
 
 func newHoldings(su *Supervisor) *holdings {
@@ -91,7 +93,7 @@
 		ho.stop(id)
 		or := ho.newOrderer(ta, sv.Engine())
 		orderCtx, stop := context.WithCancel(ctx)
-		ho.orderers[id] = &running{orderer: or, stop: stop}
+		ho.orderers[id] = &running{orderer: or, sequencer: sequencer.New(), stop: stop}
 		tasks.Go(func() { or.Run(orderCtx) })
 	}
 	for id := range ho.orderers {
@@ -131,6 +133,17 @@
 	return ru.orderer, true
 }
 
+// sequencer keeps the turns at a target; false where this instance does not hold it.
+func (ho *holdings) sequencer(id string) (*sequencer.Sequencer, bool) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ru, ok := ho.orderers[id]
+	if !ok {
+		return nil, false
+	}
+	return ru.sequencer, true
+}
+
 // gone drops what an instance that has left had running.
 func (ho *holdings) gone(instance string) {
 	ho.mu.Lock()
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -36,6 +36,7 @@
 		Compose: su.compose,
 		Take:    su.takeState,
 		Load:    su.loadHere,
+		Turn:    su.turnHere,
 		Mirror:  su.mirror,
 		Failed: func(peer string, err error) {
 			su.reporter.Count("exchange_failures", 1)
@@ -63,6 +64,7 @@
 	su.allotter.Gone(name)
 	su.holdings.gone(name)
 	su.silent.regain(name)
+	su.profiler.Gone(name)
 	su.logger.Info("instance gone", "peer", name)
 }
 
@@ -71,23 +73,31 @@
 	if holder == su.settings.IP() {
 		return su.loadHere(ctx, ta.ID(), rq)
 	}
-	for _, in := range su.keeper.Instances() {
-		if in.Name != holder {
-			continue
-		}
-		refusal, err := su.exchanger.Load(ctx, in.Address, ta.ID(), rq)
-		if err != nil {
-			if ctx.Err() == nil {
-				su.balancer.HolderFailed(ta.ID())
-			}
-			return err
+	address, ok := su.peerNamed(holder)
+	if !ok {
+		return errHolderUnknown
+	}
+	refusal, err := su.exchanger.Load(ctx, address, ta.ID(), rq)
+	if err != nil {
+		if ctx.Err() == nil {
+			su.balancer.HolderFailed(ta.ID())
 		}
-		if refusal != "" {
-			return errors.New(refusal)
+		return err
+	}
+	if refusal != "" {
+		return errors.New(refusal)
+	}
+	return nil
+}
+
+// peerNamed returns the address of a peer.
+func (su *Supervisor) peerNamed(name string) (string, bool) {
+	for _, in := range su.keeper.Instances() {
+		if in.Name == name {
+			return in.Address, true
 		}
-		return nil
 	}
-	return errHolderUnknown
+	return "", false
 }
 
 func (su *Supervisor) loadHere(ctx context.Context, target string, rq orderer.Request) error {
@@ -164,4 +174,5 @@
 	su.reporter.Set("targets_held", float64(len(su.keeper.Held())))
 	su.reporter.Set("peers", float64(su.instances()-1))
 	su.reporter.Set("log_lines_dropped", float64(su.recorder.Dropped()))
+	su.reportEngines()
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -29,6 +29,7 @@
 	"lovagebank/keeper"
 	"lovagebank/pauser"
 	"lovagebank/platform"
+	"lovagebank/profiler"
 	"lovagebank/quarantiner"
 	"lovagebank/recorder"
 	"lovagebank/releaser"
@@ -91,6 +92,7 @@
 	allotter    *allotter.Allotter
 	budgeter    *budgeter.Budgeter
 	quarantiner *quarantiner.Quarantiner
+	profiler    *profiler.Profiler
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
 	follower    *follower.Follower
@@ -108,6 +110,8 @@
 	// operatorChange is the store's revision of the newest change of the operator's keys that is known here.
 	operatorChange atomic.Int64
 	silent         silent
+	turnless       turnless
+	engines        engineReporter
 	troubleAt      atomic.Int64
 	began          time.Time
 	draining       atomic.Bool
@@ -128,6 +132,8 @@
 		targets:     platform.NewTargetClient(),
 		forwarder:   forwarder.New(),
 		quarantiner: quarantiner.New(),
+		profiler:    profiler.New(),
+		engines:     engineReporter{held: make(map[string]bool)},
 		began:       time.Now(),
 	}
 	su.logger = su.recorder.Logger().With("instance", st.Name())
@@ -155,6 +161,7 @@
 		Newest:        su.releaser.Newest,
 		Needed:        su.releaser.Needed,
 		Load:          su.load,
+		Turn:          su.turn,
 		Leaving:       su.targetLeaving,
 		Instances:     su.instances,
 		Draining:      su.draining.Load,
@@ -165,6 +172,7 @@
 		Allotter:      su.allotter,
 		Budgeter:      su.budgeter,
 		Quarantiner:   su.quarantiner,
+		Profiler:      su.profiler,
 	})
 }
 
@@ -212,7 +220,7 @@
 func (su *Supervisor) ended(ou *acceptor.Outcome) {
 	su.reporter.Served(reporter.Service{
 		Kind: ou.Kind(), Status: ou.Status(), Reason: ou.Reason(), First: ou.First(), Took: ou.Took(),
-		LoadWait: ou.LoadWait(), Pause: ou.Pause(), Tries: ou.Tries(),
+		LoadWait: ou.LoadWait(), TurnWait: ou.TurnWait(), Pause: ou.Pause(), Tries: ou.Tries(),
 	})
 	su.logger.Info("request", ou.Fields()...)
 }
--- a/supervisor/telling.go
+++ b/supervisor/telling.go
@@ -35,6 +35,7 @@
 	for _, le := range su.balancer.Leavers() {
 		state.Leavers = append(state.Leavers, &wire.Leaver{Target: le.Target, StartedMs: le.Started.UnixMilli()})
 	}
+	state.Profiles = su.profiles()
 	for _, cr := range su.quarantiner.Crashes() {
 		state.Crashes = append(state.Crashes, &wire.Crash{Fingerprint: cr.Fingerprint, Count: int32(cr.Count)})
 	}
@@ -106,6 +107,7 @@
 		crashes = append(crashes, quarantiner.Crash{Fingerprint: cr.GetFingerprint(), Count: int(cr.GetCount())})
 	}
 	su.quarantiner.Heard(peer, crashes)
+	su.takeProfiles(peer, state.GetProfiles())
 	su.newer.note(peer, revisions{operator: state.GetOperatorRevision(), targets: state.GetTargetRevision()})
 	su.changeTold.raise(state.GetOperatorChange())
 }
--- a/wire/wireconnect/fleet.connect.go
+++ b/wire/wireconnect/fleet.connect.go
@@ -39,6 +39,8 @@
 	FleetServiceLoadProcedure = "/lovagebank.fleet.FleetService/Load"
 	// FleetServiceMirrorProcedure is the fully-qualified name of the FleetService's Mirror RPC.
 	FleetServiceMirrorProcedure = "/lovagebank.fleet.FleetService/Mirror"
+	// FleetServiceTurnProcedure is the fully-qualified name of the FleetService's Turn RPC.
+	FleetServiceTurnProcedure = "/lovagebank.fleet.FleetService/Turn"
 )
 
 // FleetServiceClient is a client for the lovagebank.fleet.FleetService service.
@@ -50,6 +52,8 @@
 	// Mirror returns what the callee knows of the store's keys, for an instance that follows it in place of the store or
 	// that the store turns away.
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
+	// Turn gives a prompt its turn at a target that the callee holds.
+	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the lovagebank.fleet.FleetService service. By
@@ -81,6 +85,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Mirror")),
 			connect.WithClientOptions(opts...),
 		),
+		turn: connect.NewClient[wire.TurnRequest, wire.TurnResponse](
+			httpClient,
+			baseURL+FleetServiceTurnProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Turn")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +99,7 @@
 	exchange *connect.Client[wire.FleetState, wire.FleetState]
 	load     *connect.Client[wire.LoadRequest, wire.LoadResponse]
 	mirror   *connect.Client[wire.MirrorRequest, wire.MirrorResponse]
+	turn     *connect.Client[wire.TurnRequest, wire.TurnResponse]
 }
 
 // Exchange calls lovagebank.fleet.FleetService.Exchange.
@@ -106,6 +117,11 @@
 	return c.mirror.CallUnary(ctx, req)
 }
 
+// Turn calls lovagebank.fleet.FleetService.Turn.
+func (c *fleetServiceClient) Turn(ctx context.Context, req *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error) {
+	return c.turn.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the lovagebank.fleet.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange tells what the caller knows and returns what the callee knows.
@@ -115,6 +131,8 @@
 	// Mirror returns what the callee knows of the store's keys, for an instance that follows it in place of the store or
 	// that the store turns away.
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
+	// Turn gives a prompt its turn at a target that the callee holds.
+	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -142,6 +160,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Mirror")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceTurnHandler := connect.NewUnaryHandler(
+		FleetServiceTurnProcedure,
+		svc.Turn,
+		connect.WithSchema(fleetServiceMethods.ByName("Turn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovagebank.fleet.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -150,6 +174,8 @@
 			fleetServiceLoadHandler.ServeHTTP(w, r)
 		case FleetServiceMirrorProcedure:
 			fleetServiceMirrorHandler.ServeHTTP(w, r)
+		case FleetServiceTurnProcedure:
+			fleetServiceTurnHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -170,3 +196,7 @@
 func (UnimplementedFleetServiceHandler) Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Mirror is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Turn is not implemented"))
+}
