Know all new peers before the first exchange with one

The interval goes by the number of peers, and exchanges began while they were still being taken in: some pairs had a far shorter first interval, and so exchanged at any time. No check changed.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -144,23 +144,23 @@
 	}
 }
 
-// refresh starts an exchange with each new peer and stops that with peers that are gone.
+// refresh starts an exchange with each new peer and stops that with peers that are gone. All new peers are known before the
+// first exchange, as the interval goes by their number.
 func (ex *Exchanger) refresh(ctx context.Context, tasks *sync.WaitGroup) {
-	there := make(map[string]bool)
-	for _, pe := range ex.op.Peers() {
+	peers := ex.op.Peers()
+	there := make(map[string]bool, len(peers))
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for _, pe := range peers {
 		there[pe.Address] = true
-		ex.mu.Lock()
-		_, known := ex.peers[pe.Address]
-		if !known {
-			peerCtx, stop := context.WithCancel(ctx)
-			entry := &peer{name: pe.Name, wake: make(chan struct{}, 1), client: ex.newClient(pe.Address), stop: stop}
-			ex.peers[pe.Address] = entry
-			tasks.Go(func() { ex.talk(peerCtx, entry) })
+		if _, known := ex.peers[pe.Address]; known {
+			continue
 		}
-		ex.mu.Unlock()
+		peerCtx, stop := context.WithCancel(ctx)
+		entry := &peer{name: pe.Name, wake: make(chan struct{}, 1), client: ex.newClient(pe.Address), stop: stop}
+		ex.peers[pe.Address] = entry
+		tasks.Go(func() { ex.talk(peerCtx, entry) })
 	}
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
 	for address, entry := range ex.peers {
 		if !there[address] {
 			entry.stop()
