Tell calls that hang beyond an outage of the store from a store that fails

Change: a failed call counts from when it began if the store has answered a later one since, and such a watch is only asked again; a copy that a reader leads is no longer lost; when one watcher regains the store the others begin their calls anew, in place of waiting on connections that have gone silent.

--- a/supervisor/mirror.go
+++ b/supervisor/mirror.go
@@ -36,7 +36,7 @@
 		Domain: su.domainPeers,
 		Known:  su.ownWatcher.Listed,
 		Ask:    su.exchanger.Mirror,
-		Take:   su.takeMirror,
+		Take:   su.takeReader,
 		Logger: su.logger,
 	})
 }
@@ -59,7 +59,7 @@
 	}
 	su.awaitChange(ctx, marks, rq.Wait)
 	mi := exchanger.Mirror{Start: su.start, Current: true, FailureAge: neverFailed}
-	if failed := su.lastFailure(); !failed.IsZero() {
+	if failed := su.trouble.LastFailure(); !failed.IsZero() {
 		mi.FailureAge = time.Since(failed)
 	}
 	for index, wa := range su.watchers() {
@@ -82,11 +82,22 @@
 	}
 }
 
+// takeReader takes in the changes of a reader, which the store serves.
+func (su *Supervisor) takeReader(mi exchanger.Mirror) [exchanger.Copies]bool {
+	taken := su.takeMirror(mi)
+	for index, wa := range su.watchers() {
+		if taken[index] {
+			wa.Led()
+		}
+	}
+	return taken
+}
+
 // takeMirror takes in a peer's changes. A failure of the store that the peer saw counts as seen here: keys that
 // disappear around it may come back.
 func (su *Supervisor) takeMirror(mi exchanger.Mirror) [exchanger.Copies]bool {
 	if mi.FailureAge >= 0 {
-		su.troubleSince(time.Now().Add(-mi.FailureAge))
+		su.trouble.FailedAt(time.Now().Add(-mi.FailureAge))
 	}
 	var taken [exchanger.Copies]bool
 	for index, wa := range su.watchers() {
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -146,7 +146,7 @@
 			su.reportState()
 		}
 		su.checkReader()
-		if su.troubled(troubleMemory) && time.Since(mirrorAt) > mirrorInterval {
+		if su.trouble.Within(troubleMemory) && time.Since(mirrorAt) > mirrorInterval {
 			mirrorAt = time.Now()
 			su.askMirror(ctx)
 		}
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -11,47 +11,28 @@
 	"lovagebank/router"
 )
 
-// noteTrouble remembers when the store last failed a call.
-func (su *Supervisor) noteTrouble(err error) {
+// noteCall remembers whether the store answered a call.
+func (su *Supervisor) noteCall(began time.Time, err error) {
 	if errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown) {
-		su.troubleSince(time.Now())
-	}
-}
-
-// troubleSince remembers a failure of the store, unless a later one is known.
-func (su *Supervisor) troubleSince(at time.Time) {
-	offset := int64(at.Sub(su.began))
-	for {
-		known := su.troubleAt.Load()
-		if offset <= known || su.troubleAt.CompareAndSwap(known, offset) {
-			return
-		}
-	}
-}
-
-// lastFailure is when the store last failed a call; zero if it never has.
-func (su *Supervisor) lastFailure() time.Time {
-	at := su.troubleAt.Load()
-	if at == 0 {
-		return time.Time{}
+		su.trouble.Failed(began)
+		return
 	}
-	return su.began.Add(time.Duration(at))
-}
-
-func (su *Supervisor) troubled(within time.Duration) bool {
-	failed := su.lastFailure()
-	return !failed.IsZero() && time.Since(failed) < within
+	su.trouble.Answered(began)
 }
 
 func (su *Supervisor) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
+	began := time.Now()
 	pa, err := su.store.List(ctx, prefix, stale)
-	su.noteTrouble(err)
+	su.noteCall(began, err)
 	return pa, err
 }
 
 func (su *Supervisor) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+	began := time.Now()
 	pa, err := su.store.Watch(ctx, prefix, after, wait)
-	su.noteTrouble(err)
+	if ctx.Err() == nil {
+		su.noteCall(began, err)
+	}
 	return pa, err
 }
 
@@ -63,23 +44,26 @@
 		Start:         su.start,
 		Turn:          su.settings.HolderTurn(),
 		Grant: func(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+			began := time.Now()
 			lease, granted, err := su.store.Grant(ctx, ttl)
-			su.noteTrouble(err)
+			su.noteCall(began, err)
 			return lease, granted, err
 		},
 		Renew: func(ctx context.Context, lease int64) (time.Duration, error) {
+			began := time.Now()
 			ttl, err := su.store.Renew(ctx, lease)
-			su.noteTrouble(err)
+			su.noteCall(began, err)
 			return ttl, err
 		},
 		End: su.store.End,
 		Transact: func(ctx context.Context, tx platform.Transaction) (int64, error) {
+			began := time.Now()
 			revision, err := su.store.Transact(ctx, tx)
-			su.noteTrouble(err)
+			su.noteCall(began, err)
 			return revision, err
 		},
 		Candidates: func() []keeper.Candidate { return su.holdings.candidates() },
-		Troubled:   su.troubled,
+		Troubled:   su.trouble.Within,
 		Changed:    func() { su.holdings.nudge() },
 		Gone:       su.instanceGone,
 		Logger:     su.logger,
@@ -105,7 +89,7 @@
 		return
 	}
 	// What is read at the start or around an outage of the store may have been named long ago.
-	fresh := su.operatorWatcher.Listed() && !su.troubled(troubleMemory)
+	fresh := su.operatorWatcher.Listed() && !su.trouble.Within(troubleMemory)
 	su.releaser.Name(av.Adapter, av.Version, fresh)
 	su.logger.Info("adapter version named", "adapter", av.Adapter, "version", av.Version, "revision", it.Revision, "fresh", fresh)
 	su.holdings.nudge()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -112,7 +112,7 @@
 	silent         silent
 	turnless       turnless
 	engines        engineReporter
-	troubleAt      atomic.Int64
+	trouble        watcher.Trouble
 	began          time.Time
 	draining       atomic.Bool
 	serving        atomic.Int64
@@ -178,14 +178,21 @@
 
 func (su *Supervisor) newWatcher(prefix string, index int, pace watcher.Pace, changed func(platform.Item)) *watcher.Watcher {
 	return watcher.New(watcher.Options{
-		Prefix:      prefix,
-		List:        su.list,
-		Watch:       su.watch,
-		Pace:        pace,
-		LastFailure: su.lastFailure,
-		Keep:        keepAfterOutage,
-		Await:       func(ctx context.Context) { su.awaitTurn(ctx, index) },
-		Changed:     changed,
+		Prefix:  prefix,
+		List:    su.list,
+		Watch:   su.watch,
+		Pace:    pace,
+		Trouble: &su.trouble,
+		Keep:    keepAfterOutage,
+		Await:   func(ctx context.Context) { su.awaitTurn(ctx, index) },
+		Changed: changed,
+		Regained: func() {
+			for other, wa := range su.watchers() {
+				if other != index {
+					wa.Renew()
+				}
+			}
+		},
 		// Until it knows the other instances, this one admits next to nothing.
 		Listed: su.exchanger.Refresh,
 		Logger: su.logger,
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -31,6 +31,9 @@
 	lateness = time.Second
 )
 
+// errRenewed tells that a call was ended so that another begins.
+var errRenewed = errors.New("the call is begun anew")
+
 // Pace bounds the calls of the store.
 type Pace struct {
 	// Wait is how long the store is asked to wait for changes.
@@ -49,8 +52,8 @@
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
 	// Pace bounds the calls.
 	Pace Pace
-	// LastFailure is when the store last failed a call; zero if it never has.
-	LastFailure func() time.Time
+	// Trouble keeps when the store last failed a call; List and Watch are noted there by whoever makes the calls.
+	Trouble *Trouble
 	// Keep is how long after a failure of the store a key that disappears is kept: its writer may only have lost its
 	// lease, and needs time to come back.
 	Keep time.Duration
@@ -58,6 +61,8 @@
 	Await func(ctx context.Context)
 	// Changed is told of each change, in order; an item that is Deleted is gone.
 	Changed func(platform.Item)
+	// Regained is told when the store answers again; nil tells nobody.
+	Regained func()
 	// Listed is told after each reading of all keys, once Changed has been told of them; nil tells nobody.
 	Listed func()
 	// Logger takes a line when the store is lost or regained.
@@ -82,6 +87,8 @@
 	regainedAt time.Time
 	// heardAt is when the store last answered.
 	heardAt time.Time
+	// renew ends the call that waits for changes; it is not nil while one does.
+	renew context.CancelFunc
 }
 
 // New makes a watcher; Run does its work.
@@ -92,6 +99,9 @@
 	if op.Listed == nil {
 		op.Listed = func() {}
 	}
+	if op.Regained == nil {
+		op.Regained = func() {}
+	}
 	return &Watcher{
 		op:       op,
 		done:     make(chan struct{}),
@@ -161,11 +171,21 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		wa.op.Await(ctx)
+		began := time.Now()
 		err := wa.once(ctx)
 		if err == nil {
 			backoff = firstBackoff
 			continue
 		}
+		if errors.Is(err, errRenewed) {
+			continue
+		}
+		if wa.op.Trouble.AnsweredSince(began) {
+			// The store is there, only this call was lost.
+			wa.op.Logger.Info("call of the store lost, asking again", "prefix", wa.op.Prefix, "error", err)
+			pauser.For(ctx, firstBackoff)
+			continue
+		}
 		wa.lose(ctx, err)
 		pause := time.Duration((0.5 + rand.Float64()) * float64(backoff))
 		pauser.For(ctx, pause)
@@ -190,7 +210,7 @@
 		wa.takeListing(pa, false)
 		return nil
 	}
-	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wait)
+	pa, err := wa.wait(ctx, after, wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		wa.op.Logger.Warn("history dropped, listing again", "prefix", wa.op.Prefix, "after", after)
 		wa.mu.Lock()
@@ -209,6 +229,34 @@
 	return nil
 }
 
+// wait waits for changes. Renew ends it.
+func (wa *Watcher) wait(ctx context.Context, after int64, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wa.mu.Lock()
+	wa.renew = cancel
+	wa.mu.Unlock()
+	pa, err := wa.op.Watch(ctx, wa.op.Prefix, after, wait)
+	wa.mu.Lock()
+	wa.renew = nil
+	wa.mu.Unlock()
+	if ctx.Err() != nil {
+		return platform.Page{}, errRenewed
+	}
+	return pa, err
+}
+
+// Renew ends a call that waits for changes and begins another. A call that was begun before the store was away may wait on
+// a connection that has gone silent.
+func (wa *Watcher) Renew() {
+	wa.mu.Lock()
+	renew := wa.renew
+	wa.mu.Unlock()
+	if renew != nil {
+		renew()
+	}
+}
+
 func (wa *Watcher) lose(ctx context.Context, err error) {
 	wa.mu.Lock()
 	first := wa.regained == nil
@@ -226,15 +274,31 @@
 	was := wa.regained != nil
 	wa.heardAt = time.Now()
 	if was {
-		close(wa.regained)
-		wa.regained, wa.regainedAt = nil, wa.heardAt
+		wa.endLoss()
 	}
 	wa.mu.Unlock()
 	if was {
 		wa.op.Logger.Info("store regained", "prefix", wa.op.Prefix, "revision", wa.Revision())
+		wa.op.Regained()
+	}
+}
+
+// Led notes that a reader keeps this copy up to date, so that the store is there. What is read of it later does not tell of
+// its return.
+func (wa *Watcher) Led() {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	if wa.regained != nil {
+		wa.endLoss()
 	}
 }
 
+// endLoss notes that the store is there again; the lock is held.
+func (wa *Watcher) endLoss() {
+	close(wa.regained)
+	wa.regained, wa.regainedAt = nil, time.Now()
+}
+
 func (wa *Watcher) takeListing(pa platform.Page, certain bool) {
 	there := make(map[string]bool, len(pa.Items))
 	for _, it := range pa.Items {
@@ -263,11 +327,10 @@
 
 // mayReturn tells whether a key that disappears now may only be a lapsed lease; the lock is held.
 func (wa *Watcher) mayReturn() bool {
-	failed := wa.op.LastFailure()
 	if !wa.regainedAt.IsZero() && time.Since(wa.regainedAt) < keepAfterRegain {
 		return true
 	}
-	return !failed.IsZero() && time.Since(failed) < wa.op.Keep
+	return wa.op.Trouble.Within(wa.op.Keep)
 }
 
 // take takes in one change, unless a newer one is known. A removal that is not certain waits around an outage.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -127,9 +127,11 @@
 	store   *store
 	watcher *watcher.Watcher
 
-	mu       sync.Mutex
-	known    map[string]string
-	failedAt time.Time
+	mu      sync.Mutex
+	known   map[string]string
+	trouble watcher.Trouble
+	// hang has calls that wait for changes get no answer.
+	hang atomic.Bool
 }
 
 func run(t *testing.T, scenario func(*testing.T, *world)) {
@@ -138,11 +140,11 @@
 		wo := &world{store: newStore(), known: make(map[string]string)}
 		wo.watcher = watcher.New(watcher.Options{
 			Prefix: "op/", List: wo.list, Watch: wo.watch,
-			Pace:        watcher.Pace{Wait: 2 * time.Second, Pause: 20 * time.Millisecond},
-			LastFailure: wo.lastFailure,
-			Keep:        2500 * time.Millisecond,
-			Changed:     wo.changed,
-			Logger:      log.New(io.Discard),
+			Pace:    watcher.Pace{Wait: 2 * time.Second, Pause: 20 * time.Millisecond},
+			Trouble: &wo.trouble,
+			Keep:    2500 * time.Millisecond,
+			Changed: wo.changed,
+			Logger:  log.New(io.Discard),
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		go wo.watcher.Run(ctx)
@@ -153,32 +155,33 @@
 	})
 }
 
-func (wo *world) note(err error) {
-	wo.mu.Lock()
-	defer wo.mu.Unlock()
+func (wo *world) note(began time.Time, err error) {
 	if errors.Is(err, errDown) {
-		wo.failedAt = time.Now()
+		wo.trouble.Failed(began)
+		return
 	}
+	wo.trouble.Answered(began)
 }
 
 func (wo *world) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
+	began := time.Now()
 	pa, err := wo.store.list(ctx, prefix, stale)
-	wo.note(err)
+	wo.note(began, err)
 	return pa, err
 }
 
 func (wo *world) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
+	if wo.hang.Load() {
+		return hung(ctx)
+	}
+	began := time.Now()
 	pa, err := wo.store.watch(ctx, prefix, after, wait)
-	wo.note(err)
+	if ctx.Err() == nil {
+		wo.note(began, err)
+	}
 	return pa, err
 }
 
-func (wo *world) lastFailure() time.Time {
-	wo.mu.Lock()
-	defer wo.mu.Unlock()
-	return wo.failedAt
-}
-
 func (wo *world) changed(it platform.Item) {
 	wo.mu.Lock()
 	defer wo.mu.Unlock()
@@ -299,7 +302,7 @@
 		"a removal that waited for the end of an outage is told to followers that knew of later changes": func(t *testing.T, wo *world) {
 			wo.store.put("op/a", "1")
 			time.Sleep(100 * time.Millisecond)
-			wo.note(errDown)
+			wo.trouble.Failed(time.Now())
 			wo.store.remove()
 			wo.store.put("op/b", "1")
 			time.Sleep(time.Second)
@@ -349,10 +352,10 @@
 		told, known := make(chan int, 1), 0
 		wa := watcher.New(watcher.Options{
 			Prefix: "op/", List: st.list, Watch: st.watch, Pace: watcher.Pace{Wait: time.Second},
-			LastFailure: func() time.Time { return time.Time{} },
-			Changed:     func(platform.Item) { known++ },
-			Listed:      func() { told <- known },
-			Logger:      log.New(io.Discard),
+			Trouble: &watcher.Trouble{},
+			Changed: func(platform.Item) { known++ },
+			Listed:  func() { told <- known },
+			Logger:  log.New(io.Discard),
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		go wa.Run(ctx)
@@ -385,9 +388,9 @@
 						watchers[0].AwaitRegain(ctx, 2*time.Second)
 					}
 				},
-				LastFailure: func() time.Time { return time.Time{} },
-				Changed:     func(platform.Item) {},
-				Logger:      log.New(io.Discard),
+				Trouble: &watcher.Trouble{},
+				Changed: func(platform.Item) {},
+				Logger:  log.New(io.Discard),
 			})
 		}
 		ctx, stop := context.WithCancel(t.Context())
