Outlive a store that comes back from an older copy

Revisions go back and are given out again, leases and claims are gone, and nothing here knew of it: a copy's older configuration could not be told from a newer one, watches would wait for numbers that come much later, a lease's number could be another instance's, and a claim that the copy lacks could be made anew while its holder still orders.

Change: platform puts the era (Store-Era) in front of all revisions and leases, so that later ones are always greater; what rests on numbers of an earlier era is refused without a call, and answers of an earlier era are not believed. Copies are read anew and keep what is missing for 5 s; a configuration goes by its version, a target that is leaving or gone stays so. A holder goes on for as long as its lease would have lasted; who claims in the new era waits a lease and a turn, unless the claim was made in it. Peers tell that the store has stepped back to instances that started since. The emulator's store does all of it.

Tests: keeper's scenarios fail without the wait, without its memory and without dropping claims whose lease had run out (the first found that a whole lease without a turn is too short); the emulator's fail without the guards of versions and of departed targets.

--- a/emulator/store.go
+++ b/emulator/store.go
@@ -32,15 +32,17 @@
 type Store struct {
 	mu       sync.Mutex
 	revision int64
-	items    map[string]item
-	history  []item
-	from     int64
-	leases   map[int64]lease
-	next     int64
-	down     bool
-	loses    int
-	calls    int
-	done     chan struct{}
+	// era counts how often the store has come back from a copy.
+	era     int64
+	items   map[string]item
+	history []item
+	from    int64
+	leases  map[int64]lease
+	next    int64
+	down    bool
+	loses   int
+	calls   int
+	done    chan struct{}
 }
 
 type lease struct {
@@ -160,6 +162,7 @@
 	st.mu.Lock()
 	down := st.down
 	st.calls++
+	w.Header().Set("Store-Era", strconv.FormatInt(st.era+1, 10))
 	silent := st.loses > 0 && r.Method == http.MethodPost && st.calls%st.loses == 0
 	st.mu.Unlock()
 	if down {
@@ -239,7 +242,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	pa := page{AtRev: st.revision}
-	if after < st.from {
+	if after < st.from || after > st.revision {
 		return pa, true
 	}
 	for _, it := range st.history {
--- a/keeper/claims.go
+++ b/keeper/claims.go
@@ -20,8 +20,10 @@
 		ke.mu.Unlock()
 		return
 	}
+	_, steppedBack := ke.sinceStepBack()
 	claims := ke.ledger.claims(candidates, ke.held, situation{
 		now: now, boot: ke.op.Boot(), registeredAt: ke.registeredAt, troubled: ke.troubled(),
+		era: ke.era, steppedBack: steppedBack,
 	})
 	departed := ke.ledger.departed(candidates, now)
 	tx := ke.claimTransaction(claims, departed)
@@ -43,7 +45,7 @@
 	absent := make(map[string]bool)
 	for _, cl := range claims {
 		key := holderPrefix + cl.target
-		value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name, OrdersFromMs: cl.from.Milliseconds()})
+		value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name, OrdersFromMs: cl.from.Milliseconds(), Era: ke.era})
 		if err != nil {
 			ke.op.Logger.Error("encode holder entry", "error", err)
 			return platform.Transaction{}
@@ -66,8 +68,9 @@
 func (ke *Keeper) claimed(claims []claim, departed []string, revision int64) {
 	ke.mu.Lock()
 	for _, cl := range claims {
-		ke.held[cl.target] = tenure{epoch: revision, from: cl.from}
-		ke.ledger.holders[cl.target] = holderRecord{instance: ke.op.Name, revision: revision, ordersFrom: cl.from}
+		era := platform.Era(revision)
+		ke.held[cl.target] = tenure{epoch: revision, from: cl.from, era: era}
+		ke.ledger.holders[cl.target] = holderRecord{instance: ke.op.Name, revision: revision, ordersFrom: cl.from, era: era}
 	}
 	for _, target := range departed {
 		delete(ke.held, target)
@@ -81,24 +84,26 @@
 }
 
 // settle notes in the store, just before the first order, that the wait of a claim is over. A later process on this
-// machine need not wait then, even if the machine has lost power and counts its time anew.
+// machine need not wait then, even if the machine has lost power and counts its time anew. Entries of an earlier era of the
+// store are written again.
 func (ke *Keeper) settle(ctx context.Context) {
-	value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name})
+	tx := platform.Transaction{}
+	var targets []string
+	ke.mu.Lock()
+	value, err := proto.Marshal(&wire.TargetHolder{Instance: ke.op.Name, Era: ke.era})
 	if err != nil {
+		ke.mu.Unlock()
 		ke.op.Logger.Error("encode holder entry", "error", err)
 		return
 	}
-	tx := platform.Transaction{}
-	var targets []string
-	ke.mu.Lock()
 	for target, te := range ke.held {
 		left := te.from - ke.op.Boot()
-		if te.settled || left > settleBefore || !ke.registered || len(targets) == maxClaims {
+		if te.settled || left > settleBefore || !ke.registered || len(targets) == maxClaims || platform.Era(te.epoch) < ke.era {
 			continue
 		}
 		te.settled = true
 		ke.held[target] = te
-		if left <= 0 {
+		if left <= 0 && te.era == ke.era {
 			continue
 		}
 		targets = append(targets, target)
@@ -125,9 +130,9 @@
 		if !ok {
 			continue
 		}
-		te.epoch = revision
+		te.epoch, te.era = revision, platform.Era(revision)
 		ke.held[target] = te
-		ke.ledger.holders[target] = holderRecord{instance: ke.op.Name, revision: revision}
+		ke.ledger.holders[target] = holderRecord{instance: ke.op.Name, revision: revision, era: te.era}
 	}
 	ke.op.Logger.Info("holders settled", "targets", len(targets), "epoch", revision)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -67,6 +67,8 @@
 	from time.Duration
 	// settled tells that the store says that no wait is left, or that this was tried.
 	settled bool
+	// era is the store's era in which the entry was written.
+	era int64
 }
 
 // Keeper keeps the lease and the held targets. It is safe for concurrent use.
@@ -84,7 +86,11 @@
 	renewAt      time.Time
 	held         map[string]tenure
 	lapsedAt     time.Time
-	leaving      bool
+	// era is the store's newest era that is known, and steppedBackAt when it is known to have begun; zero if it was there from
+	// the start.
+	era           int64
+	steppedBackAt time.Time
+	leaving       bool
 }
 
 // New makes a keeper; Run does its work.
@@ -146,7 +152,7 @@
 			continue
 		}
 		if rc.instance == ke.op.Name {
-			te.epoch = rc.revision
+			te.epoch, te.era, te.settled = rc.revision, rc.era, te.settled && rc.era == ke.era
 			ke.held[target] = te
 			continue
 		}
@@ -228,6 +234,7 @@
 	if leaving {
 		return
 	}
+	ke.dropUnconfirmed()
 	switch {
 	case lease == 0 && due:
 		ke.grant(ctx)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -23,18 +23,21 @@
 type store struct {
 	mu       sync.Mutex
 	revision int64
-	leases   map[int64]time.Time
-	next     int64
-	items    map[string]platform.Item
-	lease    map[string]int64
-	cut      map[string]bool
-	keepers  map[string]*keeper.Keeper
+	// era is in front of all revisions and leases, as the platform's client puts it; known is the era that instances know.
+	era     int64
+	known   map[string]int64
+	leases  map[int64]time.Time
+	next    int64
+	items   map[string]platform.Item
+	lease   map[string]int64
+	cut     map[string]bool
+	keepers map[string]*keeper.Keeper
 }
 
 func newStore() *store {
 	return &store{
 		leases: make(map[int64]time.Time), items: make(map[string]platform.Item), lease: make(map[string]int64),
-		cut: make(map[string]bool), keepers: make(map[string]*keeper.Keeper),
+		cut: make(map[string]bool), keepers: make(map[string]*keeper.Keeper), known: make(map[string]int64),
 	}
 }
 
@@ -69,7 +72,7 @@
 		for key, lease := range st.lease {
 			if lease == id {
 				st.revision++
-				gone = append(gone, platform.Item{Key: key, Revision: st.revision, Deleted: true})
+				gone = append(gone, platform.Item{Key: key, Revision: st.era | st.revision, Deleted: true})
 				delete(st.items, key)
 				delete(st.lease, key)
 			}
@@ -115,7 +118,7 @@
 		}
 	}
 	st.revision++
-	revision := st.revision
+	revision := st.era | st.revision
 	var changed []platform.Item
 	for _, wr := range tx.Writes {
 		it := platform.Item{Key: wr.Key, Value: wr.Value, Revision: revision}
@@ -149,11 +152,13 @@
 			if st.isCut(name) {
 				return 0, 0, errCut
 			}
+			st.tellEra(name)
 			st.mu.Lock()
 			defer st.mu.Unlock()
 			st.next++
-			st.leases[st.next] = time.Now().Add(ttl)
-			return st.next, ttl, nil
+			lease := st.era | st.next
+			st.leases[lease] = time.Now().Add(ttl)
+			return lease, ttl, nil
 		},
 		Renew: func(_ context.Context, lease int64) (time.Duration, error) {
 			if fl.renewing != nil {
@@ -162,9 +167,10 @@
 			if st.isCut(name) {
 				return 0, errCut
 			}
+			st.tellEra(name)
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			if _, ok := st.leases[lease]; !ok {
+			if _, ok := st.leases[lease]; !ok || platform.Era(lease) != platform.Era(st.era) {
 				return 0, platform.ErrLeaseEnded
 			}
 			st.leases[lease] = time.Now().Add(leaseTime)
@@ -181,6 +187,7 @@
 			if st.isCut(name) {
 				return 0, errCut
 			}
+			st.tellEra(name)
 			return st.transact(tx)
 		},
 		Candidates: func() []keeper.Candidate { return []keeper.Candidate{{ID: "t", FailureDomain: "east"}} },
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -58,7 +58,7 @@
 	if ke.registeredAt.IsZero() {
 		ke.registeredAt = time.Now()
 	}
-	ke.registered, ke.revision = true, revision
+	ke.registered, ke.revision, ke.era = true, revision, max(ke.era, platform.Era(revision))
 	ke.renewAt = time.Now().Add(renewEvery)
 	held := len(ke.held)
 	ke.mu.Unlock()
@@ -84,6 +84,10 @@
 	defer ke.mu.Unlock()
 	expected := make([]platform.Expectation, 0, len(ke.held))
 	for target, te := range ke.held {
+		if platform.Era(te.epoch) < ke.era {
+			// The store is to confirm it first.
+			continue
+		}
 		if len(expected) == 2*maxClaims {
 			delete(ke.held, target)
 			continue
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -57,6 +57,8 @@
 	revision int64
 	// ordersFrom is the holder's own boot time from which it may give orders.
 	ordersFrom time.Duration
+	// era is the store's era in which the entry was written.
+	era int64
 }
 
 // Candidate is a target that needs a holder.
@@ -84,6 +86,9 @@
 	registeredAt time.Time
 	// troubled tells that the store has failed of late, so that leases may have ended early.
 	troubled bool
+	// era is the store's era, and steppedBack tells that it has begun of late.
+	era         int64
+	steppedBack bool
 }
 
 // ledger is what the store says of instances and holders. It decides which targets this instance should claim.
@@ -133,6 +138,7 @@
 		instance:   entry.GetInstance(),
 		revision:   it.Revision,
 		ordersFrom: time.Duration(entry.GetOrdersFromMs()) * time.Millisecond,
+		era:        entry.GetEra(),
 	}
 	delete(le.unheldSince, target)
 	return nil
@@ -207,6 +213,10 @@
 		}
 		cl, ok := le.claim(ca, si)
 		if ok {
+			if cl.record.era < si.era && (si.steppedBack || cl.record.instance != "") {
+				// The store may have forgotten who held it last.
+				cl.wait = le.leaseTime + le.turn
+			}
 			if cl.wait > 0 {
 				cl.from = si.boot + cl.wait
 			}
@@ -249,7 +259,7 @@
 	switch {
 	case left <= 0:
 		return 0
-	case left <= le.leaseTime:
+	case left <= le.leaseTime+le.turn:
 		return left
 	default:
 		return le.turn
--- a/supervisor/mirror.go
+++ b/supervisor/mirror.go
@@ -6,6 +6,7 @@
 
 	"lovagebank/exchanger"
 	"lovagebank/follower"
+	"lovagebank/platform"
 	"lovagebank/watcher"
 )
 
@@ -99,6 +100,9 @@
 	if mi.FailureAge >= 0 {
 		su.trouble.FailedAt(time.Now().Add(-mi.FailureAge))
 	}
+	for _, ch := range mi.Changes {
+		su.hearEra(platform.Era(ch.Revision))
+	}
 	var taken [exchanger.Copies]bool
 	for index, wa := range su.watchers() {
 		taken[index] = wa.Follow(mi.Changes[index])
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -106,6 +106,11 @@
 	if current != nil && current.Revision() >= cf.Revision() {
 		return
 	}
+	if current != nil && current.Version() > cf.Version() {
+		su.logger.Warn("configuration skipped, a newer one is in force", "version", cf.Version(), "in-force", current.Version(),
+			"revision", it.Revision)
+		return
+	}
 	su.configuration.Store(cf)
 	su.logAllowances(current, cf)
 	su.logger.Info("configuration in force", "version", cf.Version(), "revision", cf.Revision())
@@ -141,7 +146,15 @@
 		su.targetGone(id, it.Revision)
 		return
 	}
+	if su.departed.names(ta, it.Revision) {
+		su.logger.Warn("target skipped, it is gone", "target", id, "revision", it.Revision)
+		return
+	}
 	known, ok := su.balancer.Target(id)
+	if ok && known.SameStart(ta) && known.Draining() && !ta.Draining() {
+		su.logger.Warn("target skipped, it is leaving", "target", id, "revision", it.Revision)
+		return
+	}
 	if ok && ta.Started().Before(known.Started()) {
 		su.logger.Warn("target skipped, its entry is of an earlier start", "target", id, "revision", it.Revision)
 		return
@@ -165,9 +178,11 @@
 }
 
 func (su *Supervisor) targetGone(id string, revision int64) {
-	if _, ok := su.balancer.Target(id); !ok {
+	ta, ok := su.balancer.Target(id)
+	if !ok {
 		return
 	}
+	su.departed.note(ta, revision)
 	su.balancer.RemoveTarget(id)
 	su.forwarder.Forget(id)
 	su.logger.Info("target gone", "target", id, "revision", revision)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -105,6 +105,7 @@
 
 	configuration atomic.Pointer[router.Configuration]
 	releaser      releaser.Releaser
+	departed      departed
 	newer         newer
 	changeTold    changeTold
 	// operatorChange is the store's revision of the newest change of the operator's keys that is known here.
@@ -128,7 +129,6 @@
 		start:       strconv.FormatUint(rand.Uint64(), 36),
 		recorder:    recorder.New(op.Out),
 		reporter:    reporter.New(),
-		store:       platform.NewStore(st.StoreAddress()),
 		targets:     platform.NewTargetClient(),
 		forwarder:   forwarder.New(),
 		quarantiner: quarantiner.New(),
@@ -136,6 +136,7 @@
 		engines:     engineReporter{held: make(map[string]bool)},
 		began:       time.Now(),
 	}
+	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), SteppedBack: su.steppedBack})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.budgeter = budgeter.New(budgeter.Options{
 		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instances,
--- a/supervisor/telling.go
+++ b/supervisor/telling.go
@@ -36,6 +36,7 @@
 		state.Leavers = append(state.Leavers, &wire.Leaver{Target: le.Target, StartedMs: le.Started.UnixMilli()})
 	}
 	state.Profiles = su.profiles()
+	su.tellStepBack(state)
 	for _, cr := range su.quarantiner.Crashes() {
 		state.Crashes = append(state.Crashes, &wire.Crash{Fingerprint: cr.Fingerprint, Count: int32(cr.Count)})
 	}
@@ -78,6 +79,7 @@
 // takeState takes in what a peer tells.
 func (su *Supervisor) takeState(state *wire.FleetState) {
 	peer := state.GetInstance()
+	su.hearStepBack(state)
 	if su.silent.regain(peer) {
 		su.logger.Info("peer regained", "peer", peer)
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -25,6 +25,9 @@
 	// keepAfterRegain is how long after the store answers again a key that disappears is kept at least: writers that live
 	// come back within two seconds of its return, which is before that answer.
 	keepAfterRegain = 2 * time.Second
+	// keepAfterStep is how long after the store came back from an older copy a key that disappears is kept: its writer writes
+	// it again.
+	keepAfterStep = 5 * time.Second
 	// tryWait is how long a store that is lost is asked to wait for changes: it would tell of its return only with them.
 	tryWait = time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
@@ -82,6 +85,10 @@
 	history  history
 	revision int64
 	listed   bool
+	// relist tells that the keys have to be read anew, as changes after the revision cannot be had.
+	relist bool
+	// steppedBackAt is when the store was found to have come back from an older copy.
+	steppedBackAt time.Time
 	// regained is closed when the store answers again; it is not nil while the store is lost.
 	regained   chan struct{}
 	regainedAt time.Time
@@ -128,7 +135,7 @@
 	return wa.listed && wa.regained == nil && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
 }
 
-// Listed tells whether all keys have been read at least once, and not dropped since.
+// Listed tells whether all keys have been read at least once.
 func (wa *Watcher) Listed() bool {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
@@ -196,7 +203,7 @@
 // once lists the keys, or waits for changes after the last known revision.
 func (wa *Watcher) once(ctx context.Context) error {
 	wa.mu.Lock()
-	after, listed, wait := wa.revision, wa.listed, wa.op.Pace.Wait
+	after, listed, wait := wa.revision, wa.listed && !wa.relist, wa.op.Pace.Wait
 	if wa.regained != nil {
 		wait = tryWait
 	}
@@ -214,7 +221,7 @@
 	if errors.Is(err, platform.ErrCompacted) {
 		wa.op.Logger.Warn("history dropped, listing again", "prefix", wa.op.Prefix, "after", after)
 		wa.mu.Lock()
-		wa.listed = false
+		wa.relist = true
 		wa.mu.Unlock()
 		return nil
 	}
@@ -293,6 +300,15 @@
 	}
 }
 
+// SteppedBack notes that the store has come back from an older copy. All keys are read again; none that the copy lacks is
+// taken for removed at once.
+func (wa *Watcher) SteppedBack() {
+	wa.mu.Lock()
+	wa.steppedBackAt = time.Now()
+	wa.mu.Unlock()
+	wa.Renew()
+}
+
 // endLoss notes that the store is there again; the lock is held.
 func (wa *Watcher) endLoss() {
 	close(wa.regained)
@@ -311,7 +327,7 @@
 		}
 	}
 	wa.mu.Lock()
-	wa.listed, wa.revision = true, max(wa.revision, pa.Revision)
+	wa.listed, wa.relist, wa.revision = true, false, max(wa.revision, pa.Revision)
 	wa.mu.Unlock()
 	wa.op.Listed()
 }
@@ -330,6 +346,9 @@
 	if !wa.regainedAt.IsZero() && time.Since(wa.regainedAt) < keepAfterRegain {
 		return true
 	}
+	if !wa.steppedBackAt.IsZero() && time.Since(wa.steppedBackAt) < keepAfterStep {
+		return true
+	}
 	return wa.op.Trouble.Within(wa.op.Keep)
 }
 
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -25,6 +25,7 @@
 	history  []platform.Item
 	from     int64
 	revision int64
+	era      int64
 	down     bool
 	deaf     bool
 }
