--- a/acceptor/events.go
+++ b/acceptor/events.go
@@ -1,6 +1,15 @@
 package acceptor
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEvent bounds an event that has not ended, in bytes.
+const maxEvent = 256 << 10
+
+// errLongEvent means that what a target sends is no stream of events.
+var errLongEvent = errors.New("an event of the answer does not end")
 
 // eventScanner splits a stream of events. Where whole is set it gives out whole events only.
 type eventScanner struct {
@@ -36,6 +45,9 @@
 	return out
 }
 
+// tooLong tells whether an event has grown beyond all measure without an end.
+func (es *eventScanner) tooLong() bool { return len(es.pending) > maxEvent }
+
 // rest returns what is left at the end of a complete stream.
 func (es *eventScanner) rest() []byte { return es.pending }
 
--- a/acceptor/pass.go
+++ b/acceptor/pass.go
@@ -15,8 +15,9 @@
 const (
 	// wholeAnswer is the size up to which a plain answer is read whole before it is passed on, in bytes.
 	wholeAnswer = 1 << 20
-	// maxDrained bounds what is read of a rejection, in bytes.
+	// maxDrained and drainTime bound what is read of a rejection, in bytes, and for how long.
 	maxDrained = 64 << 10
+	drainTime  = 100 * time.Millisecond
 	// copyBuffer is the size of the buffer for answers, in bytes.
 	copyBuffer = 16 << 10
 )
@@ -27,7 +28,9 @@
 	"Upgrade", "Content-Length",
 }
 
+// drain reads the rest of an answer that is not passed on, so that its connection can be kept.
 func (ex *exchange) drain(an *forwarder.Answer) {
+	defer time.AfterFunc(drainTime, an.Abort).Stop()
 	if _, err := io.Copy(io.Discard, io.LimitReader(an, maxDrained)); err != nil {
 		ex.outcome.note(err)
 	}
@@ -139,6 +142,9 @@
 			if !ex.passEvents(an, scanner.add(buffer[:count])) {
 				return finished
 			}
+			if scanner.tooLong() {
+				return ex.tornAnswer(ta, errLongEvent)
+			}
 			ex.outcome.pace.passedOn(time.Now())
 			ex.noteEvents(scanner)
 		}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -31,6 +31,8 @@
 	// compressFrom is the size from which answers are compressed, in bytes: whole copies of the store's keys. The
 	// compressor's own state is many times as large as an exchange.
 	compressFrom = 16 << 10
+	// maxMessage bounds what a peer sends in one message, in bytes: a whole copy of the store's keys is the largest.
+	maxMessage = 16 << 20
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 600 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to a peer.
@@ -171,7 +173,7 @@
 }
 
 func (ex *Exchanger) newClient(address string) wireconnect.FleetServiceClient {
-	return wireconnect.NewFleetServiceClient(ex.client, "http://"+address)
+	return wireconnect.NewFleetServiceClient(ex.client, "http://"+address, connect.WithReadMaxBytes(maxMessage))
 }
 
 // Interval is the time between two exchanges with one peer. One side of each pair begins them; both tell and hear.
--- a/exchanger/service.go
+++ b/exchanger/service.go
@@ -24,7 +24,7 @@
 func (ex *Exchanger) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewFleetServiceHandler(
-		&service{op: ex.op, take: ex.take}, connect.WithCompressMinBytes(compressFrom),
+		&service{op: ex.op, take: ex.take}, connect.WithCompressMinBytes(compressFrom), connect.WithReadMaxBytes(maxMessage),
 	))
 	return lean(mux)
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -41,6 +41,9 @@
 	return count, err
 }
 
+// Abort makes reading the rest of the body fail.
+func (an *Answer) Abort() { an.co.abort() }
+
 // Close ends the exchange: the connection is kept if the whole body has been read, and closed if not.
 func (an *Answer) Close() {
 	an.once.Do(func() {
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -29,6 +29,7 @@
 type connection struct {
 	pool    *pool
 	conn    net.Conn
+	limited *limitedReader
 	reader  *bufio.Reader
 	reused  bool
 	aborted atomic.Bool
@@ -75,7 +76,8 @@
 	if err := co.write(rq); err != nil {
 		return nil, err
 	}
-	for {
+	co.limited.limit(maxHead)
+	for skipped := 0; skipped <= maxSkippedAnswers; {
 		//nolint:bodyclose // Answer.Close ends the exchange; closing the body would read the rest of a long one.
 		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
 		if err != nil {
@@ -85,15 +87,20 @@
 			continue
 		}
 		if co.belongs(rs, rq) {
+			co.limited.unlimit()
 			return newAnswer(co, rs), nil
 		}
 		if rs.Close || rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
 			return nil, &SendError{cause: errWrongAnswer, mayHaveRun: true}
 		}
+		skipped++
+		co.limited.limit(maxSkipped + maxHead)
 		if _, err := io.CopyN(io.Discard, rs.Body, maxSkipped); !errors.Is(err, io.EOF) {
 			return nil, &SendError{cause: errWrongAnswer, mayHaveRun: true}
 		}
+		co.limited.limit(maxHead)
 	}
+	return nil, &SendError{cause: errWrongAnswer, mayHaveRun: true}
 }
 
 // belongs tells whether an answer is that of the request. An extra answer to an earlier request names that one; only
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -79,7 +79,8 @@
 		po.dropped()
 		return nil, err
 	}
-	return &connection{pool: po, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	limited := &limitedReader{conn: conn}
+	return &connection{pool: po, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer)}, nil
 }
 
 func (po *pool) newest() *connection {
