--- a/emulator/store.go
+++ b/emulator/store.go
@@ -16,6 +16,8 @@
 	watchStep = 20 * time.Millisecond
 	// sweepStep is the time between two looks for leases that have run out.
 	sweepStep = 50 * time.Millisecond
+	// firstLease is the number before that of the first lease. The platform's numbers use all of their bits.
+	firstLease = 1 << 60
 )
 
 // item is a key of the store.
@@ -52,7 +54,7 @@
 
 // NewStore makes an empty store; Close ends its work.
 func NewStore() *Store {
-	st := &Store{items: make(map[string]item), leases: make(map[int64]lease), done: make(chan struct{})}
+	st := &Store{next: firstLease, items: make(map[string]item), leases: make(map[int64]lease), done: make(chan struct{})}
 	go st.sweep()
 	return st
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,9 +43,9 @@
 	// Turn is the least time between the orders of two holders of a target.
 	Turn time.Duration
 	// Grant, Renew, End and Transact call the store.
-	Grant    func(context.Context, time.Duration) (int64, time.Duration, error)
-	Renew    func(context.Context, int64) (time.Duration, error)
-	End      func(context.Context, int64) error
+	Grant    func(context.Context, time.Duration) (platform.Lease, time.Duration, error)
+	Renew    func(context.Context, platform.Lease) (time.Duration, error)
+	End      func(context.Context, platform.Lease) error
 	Transact func(context.Context, platform.Transaction) (int64, error)
 	// Candidates returns the targets that need holders.
 	Candidates func() []Candidate
@@ -78,7 +78,7 @@
 
 	mu           sync.Mutex
 	ledger       *ledger
-	lease        int64
+	lease        platform.Lease
 	registered   bool
 	registeredAt time.Time
 	revision     int64
@@ -236,9 +236,9 @@
 	}
 	ke.dropUnconfirmed()
 	switch {
-	case lease == 0 && due:
+	case lease.None() && due:
 		ke.grant(ctx)
-	case lease != 0 && !registered && due:
+	case !lease.None() && !registered && due:
 		ke.register(ctx)
 	case registered && due:
 		ke.renew(ctx)
@@ -266,7 +266,7 @@
 	ke.registered = false
 	ke.mu.Unlock()
 	ke.op.Changed()
-	if lease == 0 {
+	if lease.None() {
 		return
 	}
 	if err := ke.op.End(ctx, lease); err != nil {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -26,17 +26,17 @@
 	// era is in front of all revisions and leases, as the platform's client puts it; known is the era that instances know.
 	era     int64
 	known   map[string]int64
-	leases  map[int64]time.Time
+	leases  map[platform.Lease]time.Time
 	next    int64
 	items   map[string]platform.Item
-	lease   map[string]int64
+	lease   map[string]platform.Lease
 	cut     map[string]bool
 	keepers map[string]*keeper.Keeper
 }
 
 func newStore() *store {
 	return &store{
-		leases: make(map[int64]time.Time), items: make(map[string]platform.Item), lease: make(map[string]int64),
+		leases: make(map[platform.Lease]time.Time), items: make(map[string]platform.Item), lease: make(map[string]platform.Lease),
 		cut: make(map[string]bool), keepers: make(map[string]*keeper.Keeper), known: make(map[string]int64),
 	}
 }
@@ -112,7 +112,7 @@
 		}
 	}
 	for _, wr := range tx.Writes {
-		if _, ok := st.leases[wr.Lease]; wr.Lease != 0 && !ok {
+		if _, ok := st.leases[wr.Lease]; !wr.Lease.None() && !ok {
 			st.mu.Unlock()
 			return 0, platform.ErrNotFound
 		}
@@ -148,19 +148,19 @@
 	st := fl.store
 	ke := keeper.New(keeper.Options{
 		Name: name, Address: name + ":1", FailureDomain: "east", Start: name, Turn: 3 * time.Second,
-		Grant: func(_ context.Context, ttl time.Duration) (int64, time.Duration, error) {
+		Grant: func(_ context.Context, ttl time.Duration) (platform.Lease, time.Duration, error) {
 			if st.isCut(name) {
-				return 0, 0, errCut
+				return platform.Lease{}, 0, errCut
 			}
 			st.tellEra(name)
 			st.mu.Lock()
 			defer st.mu.Unlock()
 			st.next++
-			lease := st.era | st.next
+			lease := platform.NewLease(st.next, platform.Era(st.era))
 			st.leases[lease] = time.Now().Add(ttl)
 			return lease, ttl, nil
 		},
-		Renew: func(_ context.Context, lease int64) (time.Duration, error) {
+		Renew: func(_ context.Context, lease platform.Lease) (time.Duration, error) {
 			if fl.renewing != nil {
 				<-fl.renewing
 			}
@@ -170,13 +170,13 @@
 			st.tellEra(name)
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			if _, ok := st.leases[lease]; !ok || platform.Era(lease) != platform.Era(st.era) {
+			if _, ok := st.leases[lease]; !ok || lease.Era() != platform.Era(st.era) {
 				return 0, platform.ErrLeaseEnded
 			}
 			st.leases[lease] = time.Now().Add(leaseTime)
 			return leaseTime, nil
 		},
-		End: func(_ context.Context, lease int64) error {
+		End: func(_ context.Context, lease platform.Lease) error {
 			st.mu.Lock()
 			st.leases[lease] = time.Now()
 			st.mu.Unlock()
@@ -369,14 +369,15 @@
 		st := fl.store
 		ke := keeper.New(keeper.Options{
 			Name: "a", Address: "a:1", FailureDomain: "east", Turn: 3 * time.Second,
-			Grant: func(context.Context, time.Duration) (int64, time.Duration, error) {
+			Grant: func(context.Context, time.Duration) (platform.Lease, time.Duration, error) {
 				st.mu.Lock()
 				defer st.mu.Unlock()
-				st.leases[1] = time.Now().Add(time.Hour)
-				return 1, leaseTime, nil
+				lease := platform.NewLease(1, 0)
+				st.leases[lease] = time.Now().Add(time.Hour)
+				return lease, leaseTime, nil
 			},
-			Renew: func(context.Context, int64) (time.Duration, error) { return leaseTime, nil },
-			End:   func(context.Context, int64) error { return nil },
+			Renew: func(context.Context, platform.Lease) (time.Duration, error) { return leaseTime, nil },
+			End:   func(context.Context, platform.Lease) error { return nil },
 			Transact: func(_ context.Context, tx platform.Transaction) (int64, error) {
 				revision, err := st.transact(tx)
 				claims := len(tx.Writes) > 0 && strings.Contains(tx.Writes[0].Key, "holders/")
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -72,7 +72,7 @@
 	case errors.Is(err, platform.ErrConflict):
 		clear(ke.held)
 	case errors.Is(err, platform.ErrNotFound):
-		ke.lease, ke.validUntil = 0, 0
+		ke.lease, ke.validUntil = platform.Lease{}, 0
 	}
 	ke.renewAt = time.Now().Add(retryEvery)
 	ke.mu.Unlock()
@@ -111,7 +111,7 @@
 		ke.renewAt = time.Now().Add(renewEvery)
 	case errors.Is(err, platform.ErrLeaseEnded):
 		ke.op.Logger.Warn("lease ended", "lease", lease)
-		ke.lease, ke.registered, ke.validUntil = 0, false, 0
+		ke.lease, ke.registered, ke.validUntil = platform.Lease{}, false, 0
 		ke.lapsedAt = time.Now()
 		ke.renewAt = time.Time{}
 	default:
--- a/keeper/stepback_test.go
+++ b/keeper/stepback_test.go
@@ -16,9 +16,9 @@
 // backup is a copy of the store.
 type backup struct {
 	revision, next int64
-	leases         map[int64]time.Time
+	leases         map[platform.Lease]time.Time
 	items          map[string]platform.Item
-	lease          map[string]int64
+	lease          map[string]platform.Lease
 }
 
 func (st *store) backUp() backup {
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -43,13 +43,13 @@
 		FailureDomain: su.settings.FailureDomain(),
 		Start:         su.start,
 		Turn:          su.settings.HolderTurn(),
-		Grant: func(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+		Grant: func(ctx context.Context, ttl time.Duration) (platform.Lease, time.Duration, error) {
 			began := time.Now()
 			lease, granted, err := su.store.Grant(ctx, ttl)
 			su.noteCall(began, err)
 			return lease, granted, err
 		},
-		Renew: func(ctx context.Context, lease int64) (time.Duration, error) {
+		Renew: func(ctx context.Context, lease platform.Lease) (time.Duration, error) {
 			began := time.Now()
 			ttl, err := su.store.Renew(ctx, lease)
 			su.noteCall(began, err)
