Leave out of a telling what its receiver has confirmed

Change: teller numbers tellings; a peer names the newest that it has, and is told only what has changed since, with figures that move all the time (demand, what is left) told when they have moved by a part of themselves.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -112,33 +112,17 @@
 		if left <= 0 {
 			return
 		}
-		timer := time.NewTimer(left)
-		select {
-		case <-timer.C:
-		case <-lapsed:
-		case <-ctx.Done():
-			timer.Stop()
+		pauser.Until(ctx, lapsed, left)
+		if ctx.Err() != nil {
 			return
 		}
-		timer.Stop()
 	}
 }
 
 // AwaitDecision returns once this instance knows whether a reader keeps its copies up to date, or after the given time. An
 // instance that starts need not read the store before.
 func (fo *Follower) AwaitDecision(ctx context.Context, most time.Duration) {
-	select {
-	case <-fo.decided:
-		return
-	default:
-	}
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-fo.decided:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pauser.Until(ctx, fo.decided, most)
 }
 
 // left is how long a copy stays led without another answer, and what is closed if that ends sooner.
--- a/pauser/pauser.go
+++ b/pauser/pauser.go
@@ -17,3 +17,14 @@
 		return false
 	}
 }
+
+// Until waits until a channel is closed, at most for a time; the end of the context cuts it short.
+func Until(ctx context.Context, closed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -65,6 +65,7 @@
 	su.holdings.gone(name)
 	su.silent.regain(name)
 	su.profiler.Gone(name)
+	su.teller.Gone(name)
 	su.logger.Info("instance gone", "peer", name)
 }
 
@@ -134,8 +135,9 @@
 func (su *Supervisor) followPeers(ctx context.Context) {
 	mirrorAt, reportAt := time.Now(), time.Now()
 	for pauser.For(ctx, toldInterval) {
-		for _, ho := range su.holdings.held() {
-			su.balancer.Heard(ho)
+		held := su.holdings.held()
+		su.makeWord(held)
+		for _, ho := range held {
 			if or, ok := su.holdings.orderer(ho.Target); ok {
 				or.Used(su.settings.IP(), su.balancer.TakeUses(ho.Target))
 			}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -35,7 +35,9 @@
 	"lovagebank/releaser"
 	"lovagebank/reporter"
 	"lovagebank/router"
+	"lovagebank/teller"
 	"lovagebank/watcher"
+	"lovagebank/wire"
 )
 
 const (
@@ -95,6 +97,7 @@
 	profiler    *profiler.Profiler
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
+	teller      *teller.Teller
 	follower    *follower.Follower
 	acceptor    *acceptor.Acceptor
 	holdings    *holdings
@@ -106,8 +109,10 @@
 	configuration atomic.Pointer[router.Configuration]
 	releaser      releaser.Releaser
 	departed      departed
-	newer         newer
-	changeTold    changeTold
+	// word is what this instance tells of the targets that it holds.
+	word       atomic.Pointer[[]*wire.HeldTarget]
+	newer      newer
+	changeTold changeTold
 	// operatorChange is the store's revision of the newest change of the operator's keys that is known here.
 	operatorChange atomic.Int64
 	silent         silent
@@ -136,6 +141,7 @@
 		engines:     engineReporter{held: make(map[string]bool)},
 		began:       time.Now(),
 	}
+	su.teller = teller.New(su.start)
 	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), SteppedBack: su.steppedBack})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.budgeter = budgeter.New(budgeter.Options{
--- a/supervisor/telling.go
+++ b/supervisor/telling.go
@@ -12,8 +12,13 @@
 // tenths are in one: counts of requests are told in tenths.
 const tenths = 10
 
-// compose is what this instance tells a peer.
+// compose is what this instance tells a peer, less what the peer knows.
 func (su *Supervisor) compose(peer string) *wire.FleetState {
+	return su.teller.Shorten(peer, su.state(peer))
+}
+
+// state is all that this instance has to tell a peer.
+func (su *Supervisor) state(peer string) *wire.FleetState {
 	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load()}
 	known := su.revisions()
 	state.OperatorRevision, state.TargetRevision = known.operator, known.targets
@@ -24,9 +29,7 @@
 			Left: int64(ta.Left), Settled: ta.Settled,
 		})
 	}
-	for _, ho := range su.holdings.held() {
-		state.Held = append(state.Held, heldTarget(ho))
-	}
+	state.Held = su.heldWord()
 	for _, target := range su.keeper.HeldBy(peer) {
 		if uses := su.balancer.TakeUses(target); len(uses) > 0 {
 			state.Uses = append(state.Uses, targetUse(target, uses))
@@ -43,6 +46,24 @@
 	return state
 }
 
+// heldWord is the word of the targets that this instance holds, made anew once in a toldInterval.
+func (su *Supervisor) heldWord() []*wire.HeldTarget {
+	if word := su.word.Load(); word != nil {
+		return *word
+	}
+	return nil
+}
+
+// makeWord takes in what this instance knows of the targets that it holds, for its own choices and to tell peers.
+func (su *Supervisor) makeWord(held []balancer.Holding) {
+	word := make([]*wire.HeldTarget, 0, len(held))
+	for _, ho := range held {
+		su.balancer.Heard(ho)
+		word = append(word, heldTarget(ho))
+	}
+	su.word.Store(&word)
+}
+
 func heldTarget(ho balancer.Holding) *wire.HeldTarget {
 	held := &wire.HeldTarget{
 		Target: ho.Target, Active: ho.Holder != "", Load: int32(ho.Load), LoadAgeMs: int32(ho.LoadAge.Milliseconds()),
@@ -77,7 +98,8 @@
 }
 
 // takeState takes in what a peer tells.
-func (su *Supervisor) takeState(state *wire.FleetState) {
+func (su *Supervisor) takeState(told *wire.FleetState) {
+	state := su.teller.Complete(told)
 	peer := state.GetInstance()
 	su.hearStepBack(state)
 	if su.silent.regain(peer) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -151,13 +151,7 @@
 	if regained == nil {
 		return
 	}
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-regained:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pauser.Until(ctx, regained, most)
 }
 
 // Items returns the copy.
