Have prompts look for a turn at another engine, and let waits for turns weigh

Change: the holder's answer to a prompt is kept as the target's wait and weighs in the choice and for replicas; a prompt waits 60 ms at most while other engines that hold its adapter could take it, and leaves two of them for that.

--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -59,7 +59,9 @@
 	// sentAt is when the request was last sent, and unqueued tells that its target had none waiting as it began its answer.
 	sentAt   time.Time
 	unqueued bool
-	outcome  *Outcome
+	// lookedAround counts the targets that were left as the prompt would have waited there for its turn.
+	lookedAround int
+	outcome      *Outcome
 }
 
 // verdict is what became of one try.
@@ -226,7 +228,7 @@
 		Service:      ex.service.Name(),
 		Excluded:     ex.excluded,
 		PromptTokens: ex.caller.PromptTokens,
-		Again:        ex.sends+ex.loads > 0,
+		Again:        ex.sends+ex.loads+ex.lookedAround > 0,
 		HeldOnly:     ex.loads >= maxLoads,
 	}
 	if ex.service.Engine() == nil {
--- a/acceptor/turn.go
+++ b/acceptor/turn.go
@@ -19,20 +19,65 @@
 	// latePatience is how long a turn may be away that it takes: those that can be in time go first.
 	leastTurnPause = 40 * time.Millisecond
 	latePatience   = 10 * time.Millisecond
+	// shortPatience is how long a prompt waits for its turn while other targets could take it, and maxLooksAround the number of
+	// targets that it leaves for that.
+	shortPatience  = 60 * time.Millisecond
+	maxLooksAround = 2
 )
 
 // awaitTurn waits until the prompt may go to a target without making the streams there pause for too long. It is false
-// where the request should not go there any more.
+// where the request should not go there any more, or should rather go elsewhere.
 func (ex *exchange) awaitTurn(ch *balancer.Choice) bool {
 	pa, ok := ex.pace()
 	if !ok {
 		return true
 	}
 	began := time.Now()
-	for ex.askTurn(ch, pa) {
+	next := askAgain
+	for next == askAgain {
+		next = ex.askTurn(ch, pa)
 	}
 	ex.outcome.turnWait += time.Since(began)
-	return ex.ctx.Err() == nil && ex.ac.op.Balancer.Takes(ch.Target().ID())
+	return next == goThere && ex.ctx.Err() == nil && ex.ac.op.Balancer.Takes(ch.Target().ID())
+}
+
+// turnVerdict is what becomes of a prompt that has asked for its turn.
+type turnVerdict int
+
+const (
+	goThere turnVerdict = iota
+	goElsewhere
+	askAgain
+)
+
+// askTurn asks once for a turn and waits for it.
+func (ex *exchange) askTurn(ch *balancer.Choice, pa profiler.Pace) turnVerdict {
+	patience := max(ex.untilShare(turnShare)-pa.Reading, latePatience)
+	looksAround := ch.Others() > 0 && ex.lookedAround < maxLooksAround && patience > shortPatience
+	if looksAround {
+		patience = shortPatience
+	}
+	tn, err := ex.ac.op.Turn(ex.ctx, ch.Holder(), ch.Target(), sequencer.Request{Pace: pa, Patience: patience})
+	if err != nil {
+		ex.outcome.note(err)
+		return goThere
+	}
+	if tn.Granted {
+		ex.ac.op.Balancer.TurnIn(ch.Target().ID(), tn.Wait+pa.Reading)
+		pauser.For(ex.ctx, tn.Wait)
+		return goThere
+	}
+	ex.ac.op.Balancer.TurnIn(ch.Target().ID(), tn.Wait)
+	if looksAround {
+		ex.lookedAround++
+		return goElsewhere
+	}
+	left := ex.untilShare(latestTurn)
+	if left <= 0 {
+		return goThere
+	}
+	pauser.For(ex.ctx, min(max(tn.Wait, leastTurnPause), left))
+	return askAgain
 }
 
 // learnArrival takes in that events have arrived: what the first tells of the reading of the prompt, and the others of the
@@ -66,29 +111,6 @@
 	return ex.ac.op.Profiler.Pace(ex.service.Name(), ex.caller.PromptTokens, ex.route.Gap())
 }
 
-// askTurn asks once for a turn and waits for it. It is true where the prompt has to ask again.
-func (ex *exchange) askTurn(ch *balancer.Choice, pa profiler.Pace) bool {
-	patience := ex.untilShare(turnShare) - pa.Reading
-	late := patience < latePatience
-	if late {
-		patience = latePatience
-	}
-	tn, err := ex.ac.op.Turn(ex.ctx, ch.Holder(), ch.Target(), sequencer.Request{Pace: pa, Patience: patience})
-	if err != nil {
-		ex.outcome.note(err)
-		return false
-	}
-	if tn.Granted {
-		pauser.For(ex.ctx, tn.Wait)
-		return false
-	}
-	left := ex.untilShare(latestTurn)
-	if left <= 0 {
-		return false
-	}
-	return pauser.For(ex.ctx, min(max(tn.Wait, leastTurnPause), left))
-}
-
 // untilShare is the time until a share of the request's objective has passed.
 func (ex *exchange) untilShare(share float64) time.Duration {
 	return time.Until(ex.outcome.arrived.Add(time.Duration(share * float64(ex.route.Objective()))))
--- a/acceptor/turn_test.go
+++ b/acceptor/turn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,43 @@
 	}
 }
 
+// The pattern of salas-lima-grown scale-2: a prompt would wait for its turn at one engine while another that holds its adapter
+// reads none.
+func TestPromptLooksForATurnElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		engines int
+		asked   int64
+	}{
+		"the only engine":                     {1, 2},
+		"another engine has a turn":           {2, 2},
+		"a third one, when two have none now": {3, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wo := newWorld(t)
+			wo.threaten()
+			for number := range tt.engines {
+				wo.target(fmt.Sprint("e", number), "engines", ok)
+			}
+			var asked atomic.Int64
+			wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+				number := asked.Add(1)
+				if number == tt.asked {
+					return exchanger.Turn{Granted: true}, nil
+				}
+				if tt.engines > 1 && rq.Patience > 100*time.Millisecond {
+					t.Errorf("the prompt would wait for %v although others could take it", rq.Patience)
+				}
+				return exchanger.Turn{Wait: 200 * time.Millisecond}, nil
+			}
+			wo.expect("/stream/1", withPrompt, http.StatusOK)
+			if ou := <-wo.outcomes; asked.Load() != tt.asked || ou.Tries() != 1 {
+				t.Errorf("asked %d times, want %d; %d sends", asked.Load(), tt.asked, ou.Tries())
+			}
+		})
+	}
+}
+
 // A prompt without a turn is sent in the end: its caller would leave.
 func TestPromptWithoutTurn(t *testing.T) {
 	wo := newWorld(t)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,8 @@
 	inFlight     int
 	// unread is the number of prompt tokens sent for which no answer has begun.
 	unread int
+	// turnAt is when a prompt that asks now may have its turn, by the holder's last word.
+	turnAt time.Time
 	// overdue is the number of requests whose answer should have begun by now.
 	overdue int
 
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -30,6 +30,7 @@
 	spread *Target
 	by     string
 	urgent bool
+	others int
 	load   float64
 	age    time.Duration
 }
@@ -43,6 +44,9 @@
 // Holder is the instance that may order the target to load.
 func (ch *Choice) Holder() string { return ch.holder }
 
+// Others is the number of other targets that are believed to hold the adapter and could take the request.
+func (ch *Choice) Others() int { return ch.others }
+
 // Load is the target's believed load, in shares of its slots, and Age how old its last word on it is.
 func (ch *Choice) Load() float64 { return ch.load }
 
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -42,12 +42,13 @@
 		return ba.chooseLoader(ne, usable, now)
 	}
 	st := ba.chooseHolding(ne, holding, now)
-	if st.weight() > overfull {
+	if st.loadWeight() > overfull {
 		if ch, ok := ba.chooseLoader(ne, usable, now); ok && ch.load < crowded {
 			return ch, true
 		}
 	}
 	ch := ba.choice(st, now)
+	ch.others = len(holding) - 1
 	if ne.Adapter.Name != "" {
 		ba.addSpread(ch, ne, usable, holding, now)
 	}
--- a/balancer/heard.go
+++ b/balancer/heard.go
@@ -84,6 +84,15 @@
 	st.suspectUntil = time.Now().Add(wait)
 }
 
+// TurnIn notes how long a prompt would have to wait for its turn at a target.
+func (ba *Balancer) TurnIn(target string, wait time.Duration) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	if st, ok := ba.states[target]; ok {
+		st.turnAt = time.Now().Add(wait)
+	}
+}
+
 // Answered notes that a target answered, and whether with a failure of its own.
 func (ba *Balancer) Answered(target string, failure bool) {
 	ba.mu.Lock()
--- a/balancer/weigh.go
+++ b/balancer/weigh.go
@@ -6,6 +6,9 @@
 	// unreadPerTarget is the number of prompt tokens not yet read that weigh as much as a whole target's slots: reading them
 	// takes about as long as a stream may pause.
 	unreadPerTarget = 6000
+	// turnWait is the wait for a prompt's turn that weighs as much as a whole target's slots: a request that waits for so long
+	// is hardly in time.
+	turnWait = 500 * time.Millisecond
 	// failurePenalty is what a target that fails all its requests weighs more, in shares of its slots.
 	failurePenalty = 2.0
 	// overduePenalty is what each overdue request of the instance's own adds.
@@ -19,8 +22,13 @@
 	mostJitter      = 0.5
 )
 
-// weight is the believed load of a target, in shares of its slots.
+// weight is the believed load of a target with the wait for a prompt's turn there, in shares of its slots.
 func (st *state) weight() float64 {
+	return st.loadWeight() + max(time.Until(st.turnAt).Seconds(), 0)/turnWait.Seconds()
+}
+
+// loadWeight is the believed load of a target, in shares of its slots.
+func (st *state) loadWeight() float64 {
 	requests := max(st.load+st.inFlight-st.inFlightThen, st.inFlight)
 	weight := float64(requests) / float64(max(st.target.Slots(), 1))
 	weight += float64(st.unread) / unreadPerTarget
