--- a/emulator/stepback_test.go
+++ b/emulator/stepback_test.go
@@ -12,10 +12,13 @@
 // writtenAgain is how long after the store's return the operator and the targets have written theirs again.
 const writtenAgain = 1500 * time.Millisecond
 
-// until asks until a key is answered with a status, within a time.
-func (us *user) until(key string, status int, within time.Duration) {
+// inForce is how long a configuration may take to come into force.
+const inForce = 5 * time.Second
+
+// until asks until a key is answered with a status, while a configuration comes into force.
+func (us *user) until(key string, status int) {
 	us.t.Helper()
-	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(inForce); ; time.Sleep(20 * time.Millisecond) {
 		got := us.ask("/check/1", "", key)
 		if got == status {
 			return
@@ -38,8 +41,8 @@
 		t.Fatal(err)
 	}
 	for range us.entries {
-		us.until("new-key", http.StatusOK, 5*time.Second)
-		us.until(emulator.Key, http.StatusUnauthorized, 5*time.Second)
+		us.until("new-key", http.StatusOK)
+		us.until(emulator.Key, http.StatusUnauthorized)
 	}
 	time.Sleep(500 * time.Millisecond)
 	fl.Store().StepBack(copied, writtenAgain)
@@ -56,8 +59,8 @@
 		t.Fatal(err)
 	}
 	for range us.entries {
-		us.until("third-key", http.StatusOK, 5*time.Second)
-		us.until("new-key", http.StatusUnauthorized, 5*time.Second)
+		us.until("third-key", http.StatusOK)
+		us.until("new-key", http.StatusUnauthorized)
 	}
 }
 
