--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -14,7 +14,6 @@
 	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
-	"lovagebank/exchanger"
 	"lovagebank/forwarder"
 	"lovagebank/orderer"
 	"lovagebank/platform"
@@ -35,7 +34,7 @@
 	// Load has a target load an adapter, by way of its holder, and returns when it is there.
 	Load func(ctx context.Context, holder string, ta *balancer.Target, rq orderer.Request) error
 	// Turn asks the holder of a target for a prompt's turn.
-	Turn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (exchanger.Turn, error)
+	Turn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error)
 	// Leaving is told of a target that has said in an answer that it is leaving.
 	Leaving func(balancer.Leaver)
 	// Instances returns the number of instances that share the targets' connections.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -19,7 +19,6 @@
 	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/budgeter"
-	"lovagebank/exchanger"
 	"lovagebank/forwarder"
 	"lovagebank/orderer"
 	"lovagebank/profiler"
@@ -48,7 +47,7 @@
 	needed   atomic.Int64
 	profiler *profiler.Profiler
 	// turn answers prompts that want their turn.
-	turn func(sequencer.Request) (exchanger.Turn, error)
+	turn func(sequencer.Request) (sequencer.Turn, error)
 }
 
 // usual is the organisation of the test's callers.
@@ -99,7 +98,7 @@
 			}
 			return wo.loadErr
 		},
-		Turn: func(_ context.Context, _ string, _ *balancer.Target, rq sequencer.Request) (exchanger.Turn, error) {
+		Turn: func(_ context.Context, _ string, _ *balancer.Target, rq sequencer.Request) (sequencer.Turn, error) {
 			return wo.turn(rq)
 		},
 		Leaving:   func(le balancer.Leaver) { wo.balancer.Leaving(le) },
--- a/acceptor/turn.go
+++ b/acceptor/turn.go
@@ -59,7 +59,7 @@
 	}
 	tn, err := ex.ac.op.Turn(ex.ctx, ch.Holder(), ch.Target(), sequencer.Request{Pace: pa, Patience: patience})
 	if err != nil {
-		ex.outcome.note(err)
+		// Whoever asked has a line for it; the request itself has not failed.
 		return goThere
 	}
 	if tn.Granted {
--- a/acceptor/turn_test.go
+++ b/acceptor/turn_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"lovagebank/balancer"
-	"lovagebank/exchanger"
 	"lovagebank/sequencer"
 )
 
@@ -27,17 +26,17 @@
 // A prompt goes to its target when it has its turn, and at once where the holder gives none.
 func TestPromptsTakeTurns(t *testing.T) {
 	tests := map[string]struct {
-		answers []exchanger.Turn
+		answers []sequencer.Turn
 		err     error
 		path    string
 		asked   int64
 	}{
-		"its turn is now":       {[]exchanger.Turn{{Granted: true}}, nil, "/stream/1", 1},
-		"its turn is soon":      {[]exchanger.Turn{{Granted: true, Wait: 20 * time.Millisecond}}, nil, "/stream/1", 1},
-		"it asks again":         {[]exchanger.Turn{{Wait: 20 * time.Millisecond}, {Granted: true}}, nil, "/stream/1", 2},
-		"the holder is silent":  {[]exchanger.Turn{{}}, errors.New("no answer"), "/stream/1", 1},
+		"its turn is now":       {[]sequencer.Turn{{Granted: true}}, nil, "/stream/1", 1},
+		"its turn is soon":      {[]sequencer.Turn{{Granted: true, Wait: 20 * time.Millisecond}}, nil, "/stream/1", 1},
+		"it asks again":         {[]sequencer.Turn{{Wait: 20 * time.Millisecond}, {Granted: true}}, nil, "/stream/1", 2},
+		"the holder is silent":  {[]sequencer.Turn{{}}, errors.New("no answer"), "/stream/1", 1},
 		"a plain service":       {nil, nil, "/safe/1", 0},
-		"a stream that goes on": {[]exchanger.Turn{{Granted: true}}, nil, "/resume/1", 1},
+		"a stream that goes on": {[]sequencer.Turn{{Granted: true}}, nil, "/resume/1", 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +45,7 @@
 			wo.target("t1", "plain", ok)
 			wo.target("e1", "engines", ok)
 			var asked atomic.Int64
-			wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+			wo.turn = func(rq sequencer.Request) (sequencer.Turn, error) {
 				if rq.Pace.Window != gap || rq.Pace.Reading <= 0 || rq.Pace.Busy <= 0 {
 					t.Errorf("asked with %+v", rq.Pace)
 				}
@@ -79,15 +78,15 @@
 				wo.target(fmt.Sprint("e", number), "engines", ok)
 			}
 			var asked atomic.Int64
-			wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+			wo.turn = func(rq sequencer.Request) (sequencer.Turn, error) {
 				number := asked.Add(1)
 				if number == tt.asked {
-					return exchanger.Turn{Granted: true}, nil
+					return sequencer.Turn{Granted: true}, nil
 				}
 				if tt.engines > 1 && rq.Patience > 100*time.Millisecond {
 					t.Errorf("the prompt would wait for %v although others could take it", rq.Patience)
 				}
-				return exchanger.Turn{Wait: 200 * time.Millisecond}, nil
+				return sequencer.Turn{Wait: 200 * time.Millisecond}, nil
 			}
 			wo.expect("/stream/1", withPrompt, http.StatusOK)
 			if ou := <-wo.outcomes; asked.Load() != tt.asked || ou.Tries() != 1 {
@@ -103,9 +102,9 @@
 	wo.threaten()
 	wo.target("e1", "engines", ok)
 	var lasts atomic.Int64
-	wo.turn = func(rq sequencer.Request) (exchanger.Turn, error) {
+	wo.turn = func(rq sequencer.Request) (sequencer.Turn, error) {
 		lasts.Store(int64(rq.Patience))
-		return exchanger.Turn{Wait: 100 * time.Millisecond}, nil
+		return sequencer.Turn{Wait: 100 * time.Millisecond}, nil
 	}
 	wo.expect("/stream/1", withPrompt, http.StatusOK)
 	ou := <-wo.outcomes
@@ -124,12 +123,12 @@
 	var sent atomic.Int64
 	wo.target("e1", "engines", counted(&sent, ok))
 	asked := make(chan struct{}, 1)
-	wo.turn = func(sequencer.Request) (exchanger.Turn, error) {
+	wo.turn = func(sequencer.Request) (sequencer.Turn, error) {
 		select {
 		case asked <- struct{}{}:
 		default:
 		}
-		return exchanger.Turn{Granted: true, Wait: 50 * time.Millisecond}, nil
+		return sequencer.Turn{Granted: true, Wait: 50 * time.Millisecond}, nil
 	}
 	t.Run("the target leaves", func(t *testing.T) {
 		go func() {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -59,7 +59,7 @@
 	// Load has a target that this instance holds load an adapter.
 	Load func(ctx context.Context, target string, rq orderer.Request) error
 	// Turn gives a prompt its turn at a target; holder is false where this instance does not hold it.
-	Turn func(target string, rq sequencer.Request) (tn Turn, holder bool)
+	Turn func(target string, rq sequencer.Request) (tn sequencer.Turn, holder bool)
 	// Mirror returns what changed in this instance's copies of the store's keys; it may wait for a change.
 	Mirror func(ctx context.Context, rq MirrorRequest) Mirror
 	// Failed is told of a peer that did not answer an exchange.
--- a/exchanger/turn.go
+++ b/exchanger/turn.go
@@ -15,15 +15,8 @@
 // ErrNotHolder means that the instance asked for a turn does not hold the target.
 var ErrNotHolder = errors.New("the instance does not hold the target")
 
-// Turn is a holder's answer to a prompt that wants to go to its target.
-type Turn struct {
-	// Granted prompts have their turn after Wait. Others would have to wait that long, beyond their patience.
-	Granted bool
-	Wait    time.Duration
-}
-
 // Turn asks the holder of a target for a prompt's turn.
-func (ex *Exchanger) Turn(ctx context.Context, address, target string, rq sequencer.Request) (Turn, error) {
+func (ex *Exchanger) Turn(ctx context.Context, address, target string, rq sequencer.Request) (sequencer.Turn, error) {
 	answer, err := ex.clientOf(address).Turn(ctx, connect.NewRequest(&wire.TurnRequest{
 		Target:     target,
 		ReadingUs:  int32(rq.Pace.Reading.Microseconds()),
@@ -32,12 +25,12 @@
 		PatienceMs: int32(rq.Patience.Milliseconds()),
 	}))
 	if err != nil {
-		return Turn{}, err
+		return sequencer.Turn{}, err
 	}
 	if !answer.Msg.GetHolder() {
-		return Turn{}, ErrNotHolder
+		return sequencer.Turn{}, ErrNotHolder
 	}
-	return Turn{Granted: answer.Msg.GetGranted(), Wait: time.Duration(answer.Msg.GetWaitUs()) * time.Microsecond}, nil
+	return sequencer.Turn{Granted: answer.Msg.GetGranted(), Wait: time.Duration(answer.Msg.GetWaitUs()) * time.Microsecond}, nil
 }
 
 // Turn gives a prompt its turn.
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -4,6 +4,7 @@
 package sequencer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,16 +17,16 @@
 // Sequencer keeps the turns of one engine. It is safe for concurrent use.
 type Sequencer struct {
 	mu sync.Mutex
-	// turns are the times at which the engine reads, by what is known, in order and without overlap.
-	turns []turn
+	// readings are the times at which the engine reads, by what is known, in order and without overlap.
+	readings []reading
 	// window and busy bind until strictUntil.
 	window      time.Duration
 	busy        time.Duration
 	strictUntil time.Time
 }
 
-// turn is the time in which an engine reads one prompt.
-type turn struct {
+// reading is the time in which an engine reads one prompt.
+type reading struct {
 	from  time.Time
 	until time.Time
 }
@@ -37,24 +38,30 @@
 	Patience time.Duration
 }
 
+// Turn is the answer to a prompt that asks for its turn.
+type Turn struct {
+	// Granted prompts have their turn after Wait. Others would have to wait that long, beyond their patience.
+	Granted bool
+	Wait    time.Duration
+}
+
 // New makes a sequencer without turns.
 func New() *Sequencer { return &Sequencer{} }
 
-// Ask gives a prompt its turn and returns the wait until then. Where the wait is longer than the prompt's patience it gives
-// none, and granted is false.
-func (sq *Sequencer) Ask(rq Request) (wait time.Duration, granted bool) {
+// Ask gives a prompt its turn, unless the wait until then is longer than its patience.
+func (sq *Sequencer) Ask(rq Request) Turn {
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
 	now := time.Now()
 	sq.bind(rq.Pace, now)
 	sq.forget(now)
 	from := sq.earliest(rq.Pace.Reading, now)
-	wait = from.Sub(now)
+	wait := from.Sub(now)
 	if wait > rq.Patience {
-		return wait, false
+		return Turn{Wait: wait}
 	}
-	sq.turns = append(sq.turns, turn{from: from, until: from.Add(rq.Pace.Reading)})
-	return wait, true
+	sq.readings = append(sq.readings, reading{from: from, until: from.Add(rq.Pace.Reading)})
+	return Turn{Granted: true, Wait: wait}
 }
 
 // bind has the strictest promise of late hold.
@@ -66,35 +73,29 @@
 	sq.strictUntil = now.Add(strictFor)
 }
 
-// forget drops turns that no window reaches any more.
+// forget drops readings that no window reaches any more.
 func (sq *Sequencer) forget(now time.Time) {
-	kept := sq.turns[:0]
-	for _, tn := range sq.turns {
-		if tn.until.After(now.Add(-sq.window)) {
-			kept = append(kept, tn)
-		}
-	}
-	sq.turns = kept
+	sq.readings = slices.DeleteFunc(sq.readings, func(re reading) bool {
+		return !re.until.After(now.Add(-sq.window))
+	})
 }
 
 // earliest is when a prompt may go to the engine: after those before it, and so that within no window the engine reads
 // for longer than it may. A prompt that is longer than that by itself waits until nothing else is read in its window.
-func (sq *Sequencer) earliest(reading time.Duration, now time.Time) time.Time {
+func (sq *Sequencer) earliest(length time.Duration, now time.Time) time.Time {
 	from := now
-	if count := len(sq.turns); count > 0 && sq.turns[count-1].until.After(from) {
-		from = sq.turns[count-1].until
+	if count := len(sq.readings); count > 0 && sq.readings[count-1].until.After(from) {
+		from = sq.readings[count-1].until
 	}
-	left := max(sq.busy-reading, 0)
-	for at := len(sq.turns) - 1; at >= 0; at-- {
-		tn := sq.turns[at]
-		length := tn.until.Sub(tn.from)
-		if length <= left {
-			left -= length
+	left := max(sq.busy-length, 0)
+	for _, re := range slices.Backward(sq.readings) {
+		if before := re.until.Sub(re.from); before <= left {
+			left -= before
 			continue
 		}
-		// What lies before this moment has to be out of the window when the reading ends.
-		outside := tn.until.Add(-left)
-		if earliest := outside.Add(sq.window - reading); earliest.After(from) {
+		// What lies before this moment has to be out of the window when the prompt has been read.
+		outside := re.until.Add(-left)
+		if earliest := outside.Add(sq.window - length); earliest.After(from) {
 			return earliest
 		}
 		return from
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -51,9 +51,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				sq := sequencer.New()
 				for at, as := range asks {
-					wait, granted := sq.Ask(sequencer.Request{Pace: as.pace, Patience: as.patience})
-					if wait != as.wait || granted != as.granted {
-						t.Errorf("prompt %d: got %v, %v, want %v, %v", at, wait, granted, as.wait, as.granted)
+					want := sequencer.Turn{Granted: as.granted, Wait: as.wait}
+					if got := sq.Ask(sequencer.Request{Pace: as.pace, Patience: as.patience}); got != want {
+						t.Errorf("prompt %d: got %+v, want %+v", at, got, want)
 					}
 				}
 			})
@@ -68,8 +68,8 @@
 		pace := profiler.Pace{Reading: 200 * time.Millisecond, Window: 250 * time.Millisecond, Busy: 200 * time.Millisecond}
 		sq.Ask(sequencer.Request{Pace: pace, Patience: time.Second})
 		time.Sleep(451 * time.Millisecond)
-		if wait, granted := sq.Ask(sequencer.Request{Pace: pace, Patience: time.Second}); wait != 0 || !granted {
-			t.Errorf("got %v, %v after a whole window", wait, granted)
+		if tn := sq.Ask(sequencer.Request{Pace: pace, Patience: time.Second}); tn.Wait != 0 || !tn.Granted {
+			t.Errorf("got %+v after a whole window", tn)
 		}
 	})
 }
@@ -131,11 +131,11 @@
 		turns, waited := make([]time.Duration, 0, len(arrivals)), time.Duration(0)
 		for _, at := range arrivals {
 			time.Sleep(time.Until(began.Add(at)))
-			wait, granted := sq.Ask(sequencer.Request{Pace: pace, Patience: time.Minute})
-			if !granted {
+			tn := sq.Ask(sequencer.Request{Pace: pace, Patience: time.Minute})
+			if !tn.Granted {
 				t.Fatal("a prompt with patience got no turn")
 			}
-			turns, waited = append(turns, at+wait), waited+wait
+			turns, waited = append(turns, at+tn.Wait), waited+tn.Wait
 		}
 		without, events := longPauses(arrivals)
 		with, _ := longPauses(turns)
--- a/supervisor/turns.go
+++ b/supervisor/turns.go
@@ -41,7 +41,7 @@
 }
 
 // turn asks the holder of a target for a prompt's turn.
-func (su *Supervisor) turn(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (exchanger.Turn, error) {
+func (su *Supervisor) turn(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error) {
 	if holder == su.settings.IP() {
 		tn, ok := su.turnHere(ta.ID(), rq)
 		if !ok {
@@ -51,7 +51,7 @@
 	}
 	address, ok := su.peerNamed(holder)
 	if !ok || su.turnless.silent(holder) {
-		return exchanger.Turn{}, errHolderUnknown
+		return sequencer.Turn{}, errHolderUnknown
 	}
 	callCtx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
@@ -64,13 +64,12 @@
 }
 
 // turnHere gives a prompt its turn at a target that this instance holds.
-func (su *Supervisor) turnHere(target string, rq sequencer.Request) (exchanger.Turn, bool) {
+func (su *Supervisor) turnHere(target string, rq sequencer.Request) (sequencer.Turn, bool) {
 	sq, ok := su.holdings.sequencer(target)
 	if !ok {
-		return exchanger.Turn{}, false
+		return sequencer.Turn{}, false
 	}
-	wait, granted := sq.Ask(rq)
-	return exchanger.Turn{Granted: granted, Wait: wait}, true
+	return sq.Ask(rq), true
 }
 
 // profiles are what this instance has learned of engines, to tell peers.
--- a/teller/teller.go
+++ b/teller/teller.go
@@ -14,8 +14,8 @@
 const (
 	// unconfirmed is the number of tellings to one peer that are kept until it confirms one of them, and recent that of its
 	// own that are kept, beside the one that it adds to.
-	unconfirmed = 4
-	recent      = 4
+	unconfirmed = 2
+	recent      = 2
 	// firstNumbers is the range of an instance's first number: a confirmation to its earlier process means nothing.
 	firstNumbers = 1 << 14
 )
