--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Parallel  int           `long:"parallel" default:"1" description:"runs at a time"`
 	Instances int           `long:"instances" default:"4" description:"entry instances of a run"`
 	Length    time.Duration `long:"length" default:"12s" description:"time in which faults begin"`
+	StepsBack bool          `long:"steps-back" description:"have the store come back from older copies too"`
 	Folder    string        `long:"folder" default:"." description:"where the logs of runs with findings are kept"`
 	Break     string        `long:"break" description:"build with a deliberate fault, to see that it is caught; 'list' names them"`
 	Keep      bool          `long:"keep" description:"keep the logs of runs without findings too"`
@@ -120,7 +121,7 @@
 		return nil, err
 	}
 	so := soaker.New(soaker.Options{
-		Seed: seed, Length: op.Length, Instances: op.Instances, Program: program, Folder: own,
+		Seed: seed, Length: op.Length, Instances: op.Instances, StepsBack: op.StepsBack, Program: program, Folder: own,
 		Progress: func(line string) {
 			if op.Verbose {
 				fmt.Printf("%s seed %d: %s\n", time.Now().Format(time.TimeOnly), seed, line)
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -26,6 +26,8 @@
 	KindCutRequests Kind = "link-cut-requests"
 	KindCutAnswers  Kind = "link-cut-answers"
 	KindKey         Kind = "key-change"
+	// KindStepBack is drawn beside the others, on request.
+	KindStepBack Kind = "store-steps-back"
 )
 
 // kinds are those that a plan draws from.
@@ -83,3 +85,21 @@
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
+
+const (
+	// stepGap is the mean time between two steps back of the store.
+	stepGap = 5 * time.Second
+	// stepSeed sets the draw of the steps back apart from that of the other faults of a seed.
+	stepSeed = 1 << 32
+)
+
+// StepsBack draws when the store comes back from an older copy, and how old that is, in the order of their begins.
+func StepsBack(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, stepSeed)) //nolint:gosec // a seed has to give the same plan again
+	var steps []Fault
+	for at := time.Duration(random.Int64N(int64(stepGap))); at < length; at += stepGap/2 + time.Duration(random.Int64N(int64(stepGap))) {
+		age := leastFault + time.Duration(random.Int64N(int64(mostFault-leastFault)))
+		steps = append(steps, Fault{At: at.Round(time.Millisecond), For: age.Round(time.Millisecond), Kind: KindStepBack})
+	}
+	return steps
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,8 @@
 	Length time.Duration
 	// Instances is the number of entry instances.
 	Instances int
+	// StepsBack has the store come back from older copies too.
+	StepsBack bool
 	// Program is the built lovagebank, and Folder takes settings and logs.
 	Program string
 	Folder  string
@@ -50,6 +53,19 @@
 	Progress func(line string)
 }
 
+// writtenAgain is how long after a step back of the store the operator and the targets have written theirs again.
+const writtenAgain = 1500 * time.Millisecond
+
+// plan draws the run's faults.
+func (op Options) plan() []Fault {
+	plan := Plan(op.Seed, op.Length)
+	if op.StepsBack {
+		plan = append(plan, StepsBack(op.Seed, op.Length)...)
+		slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	}
+	return plan
+}
+
 // Soaker is one run.
 type Soaker struct {
 	op      Options
@@ -79,7 +95,7 @@
 		op.Progress = func(string) {}
 	}
 	return &Soaker{
-		op: op, plan: Plan(op.Seed, op.Length), faults: &faultLog{spans: make(map[int][]span)}, links: make(map[string]*link),
+		op: op, plan: op.plan(), faults: &faultLog{spans: make(map[int][]span)}, links: make(map[string]*link),
 	}
 }
 
@@ -232,6 +248,10 @@
 		store.Compact()
 	case KindLapse:
 		store.EndLeases()
+	case KindStepBack:
+		copied := store.Copy()
+		time.Sleep(fa.For)
+		store.StepBack(copied, writtenAgain)
 	}
 }
 
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -27,6 +27,13 @@
 	}
 }
 
+func TestStepsBackFollowTheSeed(t *testing.T) {
+	one, again, other := StepsBack(7, time.Minute), StepsBack(7, time.Minute), StepsBack(8, time.Minute)
+	if !slices.Equal(one, again) || slices.Equal(one, other) || len(one) < 5 {
+		t.Errorf("drew %v, again %v, another seed %v", one, again, other)
+	}
+}
+
 // Each deliberate fault must still fit the sources, so that it can be shown to be caught.
 func TestBreakagesFitTheSources(t *testing.T) {
 	t.Chdir("..")
