--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -277,6 +277,9 @@
 	return en.WaitReady()
 }
 
+// PID is the process's number.
+func (en *Entry) PID() int { return en.process.Process.Pid }
+
 // Address is where callers connect.
 func (en *Entry) Address() string { return en.callers }
 
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -83,6 +83,8 @@
 	leaving    bool
 	awayUntil  time.Time
 	turnedAway int
+	// endless is where the target sends bytes without end.
+	endless Endless
 	// reports are what the target was, the oldest first: its reports lag.
 	reports []dated
 }
@@ -146,6 +148,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if ta.sendWithoutEnd(w, r) {
+		return
+	}
 	ta.sayLeaving(w.Header())
 	switch r.URL.Path {
 	case "/-/report":
