Have followers know in time that their reader is cut off

Change: the watch of the operator's keys waits for half of the time for a configuration, an answer may be 0.4 s late, and a follower's call ends with its reader's currency.

--- a/supervisor/mirror.go
+++ b/supervisor/mirror.go
@@ -58,7 +58,7 @@
 	if rq.Start != su.start {
 		marks = exchanger.Marks{}
 	}
-	su.awaitChange(ctx, marks, rq.Wait)
+	su.awaitChange(ctx, marks, su.currentWithin(rq.Wait))
 	mi := exchanger.Mirror{Start: su.start, Current: true, FailureAge: neverFailed}
 	if failed := su.trouble.LastFailure(); !failed.IsZero() {
 		mi.FailureAge = time.Since(failed)
@@ -70,6 +70,15 @@
 	return mi
 }
 
+// currentWithin is the part of a wait for which the copies count as kept up to date by the store unless it goes on being
+// silent: a follower is told when they do no more.
+func (su *Supervisor) currentWithin(wait time.Duration) time.Duration {
+	for _, wa := range su.watchers() {
+		wait = min(wait, wa.CurrentFor())
+	}
+	return wait
+}
+
 func (su *Supervisor) awaitChange(ctx context.Context, marks exchanger.Marks, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -61,11 +61,22 @@
 // targets write their entries at each change of their adapters. A watch that waits while the store drops its history
 // may hear nothing more, so the waits end well within the bound of a change.
 var (
-	operatorPace = watcher.Pace{Wait: 2500 * time.Millisecond, Pause: 30 * time.Millisecond}
-	targetPace   = watcher.Pace{Wait: 2500 * time.Millisecond, Pause: 900 * time.Millisecond}
-	ownPace      = watcher.Pace{Wait: 10 * time.Second, Pause: 800 * time.Millisecond}
+	targetPace = watcher.Pace{Wait: 2500 * time.Millisecond, Pause: 900 * time.Millisecond}
+	ownPace    = watcher.Pace{Wait: 10 * time.Second, Pause: 800 * time.Millisecond}
 )
 
+const (
+	// longestOperatorWait and operatorPause are how the operator's keys are followed where a configuration may take its time.
+	longestOperatorWait = 2500 * time.Millisecond
+	operatorPause       = 30 * time.Millisecond
+)
+
+// operatorPace is how the operator's keys are followed. A reader that is cut off counts as up to date until it has missed an
+// answer, and its followers need to have read a configuration in time all the same.
+func operatorPace(inForce time.Duration) watcher.Pace {
+	return watcher.Pace{Wait: min(longestOperatorWait, inForce/2), Pause: operatorPause}
+}
+
 // Options set a Supervisor up.
 type Options struct {
 	// Settings are the instance's settings.
@@ -155,7 +166,7 @@
 	})
 	su.allotter = allotter.New(allotter.Options{Interval: su.exchanger.Interval, Slack: st.AllowanceSlack()})
 	su.acceptor = su.newAcceptor()
-	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, exchanger.CopyOperator, operatorPace, su.takeOperator)
+	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, exchanger.CopyOperator, operatorPace(st.ConfigurationTime()), su.takeOperator)
 	su.targetWatcher = su.newWatcher(platform.TargetPrefix, exchanger.CopyTargets, targetPace, su.takeTarget)
 	su.ownWatcher = su.newWatcher(platform.OwnPrefix, exchanger.CopyOwn, ownPace, su.keeper.Take)
 	su.follower = su.newFollower()
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -31,7 +31,7 @@
 	// tryWait is how long a store that is lost is asked to wait for changes: it would tell of its return only with them.
 	tryWait = time.Millisecond
 	// lateness is how much later than due an answer of the store may come.
-	lateness = time.Second
+	lateness = 400 * time.Millisecond
 )
 
 // errRenewed tells that a call was ended so that another begins.
@@ -129,10 +129,16 @@
 }
 
 // Current tells whether the store itself keeps this copy up to date: it has answered as often as it was asked to.
-func (wa *Watcher) Current() bool {
+func (wa *Watcher) Current() bool { return wa.CurrentFor() > 0 }
+
+// CurrentFor is how long the store may still be silent for this copy to count as kept up to date by it.
+func (wa *Watcher) CurrentFor() time.Duration {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	return wa.listed && wa.regained == nil && time.Since(wa.heardAt) < wa.op.Pace.Wait+wa.op.Pace.Pause+lateness
+	if !wa.listed || wa.regained != nil {
+		return 0
+	}
+	return max(wa.op.Pace.Wait+wa.op.Pace.Pause+lateness-time.Since(wa.heardAt), 0)
 }
 
 // Listed tells whether all keys have been read at least once.
