balancer: one type for a start of a target

Leaver was a start of a target under the name of one use of it. What a target's answers say holds for one start, so other announcements need the same pair of ID and start time: balancer.Start, and Target.Start for the entry at hand. No change of behaviour; the tests of balancer, acceptor and supervisor pass unchanged but for the type's name.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -38,7 +38,7 @@
 	// without pausing its streams for longer than promised.
 	RequestTurn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error)
 	// TargetLeaving is called with a target that has announced in a response that it is leaving.
-	TargetLeaving func(balancer.Leaver)
+	TargetLeaving func(balancer.Start)
 	// InstanceCount returns the number of instances that share the targets' connections.
 	InstanceCount func() int
 	// Draining reports whether the instance is shutting down, so that callers should close their connections.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -101,7 +101,7 @@
 		RequestTurn: func(_ context.Context, _ string, _ *balancer.Target, rq sequencer.Request) (sequencer.Turn, error) {
 			return ti.turn(rq)
 		},
-		TargetLeaving: func(le balancer.Leaver) { ti.balancer.MarkLeaving(le) },
+		TargetLeaving: func(ts balancer.Start) { ti.balancer.MarkLeaving(ts) },
 		InstanceCount: func() int { return 1 },
 		Draining:      func() bool { return false },
 		RequestEnded:  func(ou *acceptor.Outcome) { ti.outcomes <- ou },
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -332,7 +332,7 @@
 // recordTargetState records the target's announcements in a response that it is leaving or wants no requests for a time.
 func (ex *exchange) recordTargetState(ta *balancer.Target, rs *forwarder.Response) {
 	if platform.Leaving(rs.Header()) {
-		ex.ac.op.TargetLeaving(balancer.Leaver{Target: ta.ID(), Started: ta.Started()})
+		ex.ac.op.TargetLeaving(ta.Start())
 	}
 	if wait := platform.BackOff(rs.Status(), rs.Header()); wait > 0 {
 		ex.ac.op.Balancer.BackOff(ta.ID(), wait)
--- a/acceptor/turn_test.go
+++ b/acceptor/turn_test.go
@@ -133,7 +133,7 @@
 	t.Run("target leaves", func(t *testing.T) {
 		go func() {
 			<-asked
-			ti.balancer.MarkLeaving(balancer.Leaver{Target: "e1"})
+			ti.balancer.MarkLeaving(balancer.Start{Target: "e1"})
 		}()
 		ti.expectStatus("/stream/1", withPrompt, http.StatusServiceUnavailable)
 	})
--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -2,19 +2,13 @@
 
 import "time"
 
-// Leaver is a start of a target that has announced in an answer that it is leaving.
-type Leaver struct {
-	Target  string
-	Started time.Time
-}
-
 // MarkLeaving records that a target has announced that it is leaving, and reports whether this is new. The announcement applies
 // to this start of the target only.
-func (ba *Balancer) MarkLeaving(le Leaver) bool {
+func (ba *Balancer) MarkLeaving(ts Start) bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	st, ok := ba.states[le.Target]
-	if !ok || st.leaving || !st.target.Started().Equal(le.Started) {
+	st, ok := ba.states[ts.Target]
+	if !ok || st.leaving || !st.target.Started().Equal(ts.Started) {
 		return false
 	}
 	st.leaving = true
@@ -22,13 +16,13 @@
 }
 
 // Leavers returns the targets that are leaving but whose entries in the platform's list do not say so yet.
-func (ba *Balancer) Leavers() []Leaver {
+func (ba *Balancer) Leavers() []Start {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	var leavers []Leaver
+	var leavers []Start
 	for _, st := range ba.states {
 		if st.leaving && !st.target.Draining() {
-			leavers = append(leavers, Leaver{Target: st.target.ID(), Started: st.target.Started()})
+			leavers = append(leavers, st.target.Start())
 		}
 	}
 	return leavers
--- a/balancer/leaving_test.go
+++ b/balancer/leaving_test.go
@@ -9,7 +9,7 @@
 )
 
 // leaver returns the announcement that a target of newFleet is leaving. Its targets all have the zero start time.
-func leaver(number int) balancer.Leaver { return balancer.Leaver{Target: id(number)} }
+func leaver(number int) balancer.Start { return balancer.Start{Target: id(number)} }
 
 // chosenTarget returns the ID of the target that is chosen for adapter 7; empty if there is none.
 func chosenTarget(t *testing.T, ba *balancer.Balancer) string {
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -77,6 +77,15 @@
 // Residents returns the base models that the target reports to hold.
 func (ta *Target) Residents() []Resident { return ta.op.Residents }
 
+// Start identifies a start of a target. A target that restarts under the same ID has another start time.
+type Start struct {
+	Target  string
+	Started time.Time
+}
+
+// Start returns the start of the target that this entry belongs to.
+func (ta *Target) Start() Start { return Start{Target: ta.op.ID, Started: ta.op.Started} }
+
 // SameStart reports whether another entry belongs to the same start of the same target: it has the same ID, start time and
 // address.
 func (ta *Target) SameStart(other *Target) bool {
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -122,7 +122,7 @@
 		},
 		Report: su.targets.Report,
 		OnLeaving: func() {
-			su.markTargetLeaving(balancer.Leaver{Target: ta.ID(), Started: ta.Started()})
+			su.markTargetLeaving(ta.Start())
 		},
 		Order:     su.targets.Order,
 		OnChanged: func() {},
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -171,9 +171,9 @@
 }
 
 // markTargetLeaving stops sending requests to a target that an answer or a peer has reported as leaving.
-func (su *Supervisor) markTargetLeaving(le balancer.Leaver) {
-	if su.balancer.MarkLeaving(le) {
-		su.logger.Info("target leaving", "target", le.Target, "started", le.Started.UnixMilli())
+func (su *Supervisor) markTargetLeaving(ts balancer.Start) {
+	if su.balancer.MarkLeaving(ts) {
+		su.logger.Info("target leaving", "target", ts.Target, "started", ts.Started.UnixMilli())
 	}
 }
 
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -126,7 +126,7 @@
 		}
 	}
 	for _, le := range state.GetLeavers() {
-		su.markTargetLeaving(balancer.Leaver{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())})
+		su.markTargetLeaving(balancer.Start{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())})
 	}
 	crashes := make([]quarantiner.Crash, 0, len(state.GetCrashes()))
 	for _, cr := range state.GetCrashes() {
