--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -39,6 +39,9 @@
 	RequestTurn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error)
 	// TargetLeaving is called with a target that has announced in a response that it is leaving.
 	TargetLeaving func(balancer.Start)
+	// RateLimitAnswered is called with what a target has said about its rate limit in a response to a request that was sent at
+	// the given time.
+	RateLimitAnswered func(ts balancer.Start, rl platform.RateLimit, sentAt time.Time)
 	// InstanceCount returns the number of instances that share the targets' connections.
 	InstanceCount func() int
 	// Draining reports whether the instance is shutting down, so that callers should close their connections.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -21,10 +21,12 @@
 	"lovagebank/budgeter"
 	"lovagebank/forwarder"
 	"lovagebank/orderer"
+	"lovagebank/platform"
 	"lovagebank/profiler"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
 	"lovagebank/sequencer"
+	"lovagebank/throttler"
 )
 
 const (
@@ -46,6 +48,9 @@
 	newest     atomic.Int64
 	needed     atomic.Int64
 	profiler   *profiler.Profiler
+	throttler  *throttler.Throttler
+	// malformed counts the rate limits that could not be decoded.
+	malformed atomic.Int64
 	// turn answers requests for a turn.
 	turn func(sequencer.Request) (sequencer.Turn, error)
 }
@@ -87,6 +92,7 @@
 	ti := &testInstance{t: t, outcomes: make(chan *acceptor.Outcome, 100)}
 	ti.balancer = balancer.New(balancer.Options{Random: func() float64 { return 0 }})
 	ti.profiler = profiler.New()
+	ti.throttler = throttler.New()
 	cf := configuration()
 	ac := acceptor.New(acceptor.Options{
 		Configuration:   func() *router.Configuration { return cf },
@@ -101,14 +107,15 @@
 		RequestTurn: func(_ context.Context, _ string, _ *balancer.Target, rq sequencer.Request) (sequencer.Turn, error) {
 			return ti.turn(rq)
 		},
-		TargetLeaving: func(ts balancer.Start) { ti.balancer.MarkLeaving(ts) },
-		InstanceCount: func() int { return 1 },
-		Draining:      func() bool { return false },
-		RequestEnded:  func(ou *acceptor.Outcome) { ti.outcomes <- ou },
-		Random:        func() float64 { return 0 },
-		Balancer:      ti.balancer,
-		Forwarder:     forwarder.New(),
-		Allotter:      allotter.New(allotter.Options{Interval: func() time.Duration { return time.Second }}),
+		TargetLeaving:     func(ts balancer.Start) { ti.balancer.MarkLeaving(ts) },
+		RateLimitAnswered: ti.rateLimitAnswered,
+		InstanceCount:     func() int { return 1 },
+		Draining:          func() bool { return false },
+		RequestEnded:      func(ou *acceptor.Outcome) { ti.outcomes <- ou },
+		Random:            func() float64 { return 0 },
+		Balancer:          ti.balancer,
+		Forwarder:         forwarder.New(),
+		Allotter:          allotter.New(allotter.Options{Interval: func() time.Duration { return time.Second }}),
 		Budgeter: budgeter.New(budgeter.Options{
 			Ratio: 1, Extra: 100, Window: time.Second, Instances: func() int { return 1 },
 		}),
@@ -120,6 +127,18 @@
 	return ti
 }
 
+// rateLimitAnswered passes what targets say about their rate limits to the throttler.
+func (ti *testInstance) rateLimitAnswered(ts balancer.Start, rl platform.RateLimit, sentAt time.Time) {
+	switch {
+	case rl.Err != nil:
+		ti.malformed.Add(1)
+	case rl.Named:
+		ti.throttler.Named(ts, rl.Rate)
+	default:
+		ti.throttler.Unnamed(ts, sentAt)
+	}
+}
+
 // addTarget adds a target of a service; engines hold the adapter m/a.
 func (ti *testInstance) addTarget(id, service string, handler http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -338,6 +338,18 @@
 		ex.ac.op.Balancer.BackOff(ta.ID(), wait)
 		ex.outcome.backOff = wait
 	}
+	ex.recordRateLimit(ta, rs)
+}
+
+// recordRateLimit records what a response says about the target's rate limit. Only a success without a limit shows that there
+// is none any more, since other responses may not come from the target itself. A response of another target than the request
+// was meant for says nothing about this one.
+func (ex *exchange) recordRateLimit(ta *balancer.Target, rs *forwarder.Response) {
+	rl := platform.ParseRateLimit(rs.Header())
+	misdirected, success := rs.Status() == http.StatusMisdirectedRequest, rs.Status() < http.StatusMultipleChoices
+	if !misdirected && (rl.Named || success) {
+		ex.ac.op.RateLimitAnswered(ta.Start(), rl, ex.sentAt)
+	}
 }
 
 func (ex *exchange) forwarderTarget(ta *balancer.Target) forwarder.Target {
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -120,7 +120,7 @@
 		MayReplace: func(ad balancer.Adapter) bool {
 			return su.releaser.MayReplace(ad, su.balancer.Rank(ta.ID(), ad))
 		},
-		Report: su.targets.Report,
+		Report: su.requestReport,
 		OnLeaving: func() {
 			su.markTargetLeaving(ta.Start())
 		},
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -184,6 +184,8 @@
 	}
 	su.departed.record(ta, revision)
 	su.balancer.RemoveTarget(id)
+	su.throttler.Remove(id)
+	su.malformed.remove(id)
 	su.forwarder.Remove(id)
 	su.logger.Info("target removed", "target", id, "revision", revision)
 	su.holdings.triggerRefresh()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -37,6 +37,7 @@
 	"lovagebank/reporter"
 	"lovagebank/router"
 	"lovagebank/teller"
+	"lovagebank/throttler"
 	"lovagebank/watcher"
 	"lovagebank/wire"
 )
@@ -109,6 +110,7 @@
 	budgeter    *budgeter.Budgeter
 	quarantiner *quarantiner.Quarantiner
 	profiler    *profiler.Profiler
+	throttler   *throttler.Throttler
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
 	teller      *teller.Teller
@@ -132,6 +134,7 @@
 	silentPeers         silentPeers
 	unresponsiveHolders unresponsiveHolders
 	engines             engineReporter
+	malformed           malformedLog
 	storeFailures       watcher.FailureTracker
 	startedAt           time.Time
 	draining            atomic.Bool
@@ -152,6 +155,7 @@
 		forwarder:   forwarder.New(),
 		quarantiner: quarantiner.New(),
 		profiler:    profiler.New(),
+		throttler:   throttler.New(),
 		engines:     engineReporter{limited: make(map[string]bool)},
 		startedAt:   time.Now(),
 	}
@@ -178,22 +182,23 @@
 
 func (su *Supervisor) newAcceptor() *acceptor.Acceptor {
 	return acceptor.New(acceptor.Options{
-		Configuration:   su.configuration.Load,
-		NewestVersion:   su.releaser.NewestVersion,
-		RequiredVersion: su.releaser.MinVersion,
-		LoadAdapter:     su.loadAdapter,
-		RequestTurn:     su.requestTurn,
-		TargetLeaving:   su.markTargetLeaving,
-		InstanceCount:   su.instanceCount,
-		Draining:        su.draining.Load,
-		RequestEnded:    su.requestEnded,
-		Random:          rand.Float64,
-		Balancer:        su.balancer,
-		Forwarder:       su.forwarder,
-		Allotter:        su.allotter,
-		Budgeter:        su.budgeter,
-		Quarantiner:     su.quarantiner,
-		Profiler:        su.profiler,
+		Configuration:     su.configuration.Load,
+		NewestVersion:     su.releaser.NewestVersion,
+		RequiredVersion:   su.releaser.MinVersion,
+		LoadAdapter:       su.loadAdapter,
+		RequestTurn:       su.requestTurn,
+		TargetLeaving:     su.markTargetLeaving,
+		RateLimitAnswered: su.rateLimitAnswered,
+		InstanceCount:     su.instanceCount,
+		Draining:          su.draining.Load,
+		RequestEnded:      su.requestEnded,
+		Random:            rand.Float64,
+		Balancer:          su.balancer,
+		Forwarder:         su.forwarder,
+		Allotter:          su.allotter,
+		Budgeter:          su.budgeter,
+		Quarantiner:       su.quarantiner,
+		Profiler:          su.profiler,
 	})
 }
 
--- /dev/null
+++ b/throttler/limit.go
@@ -0,0 +1,116 @@
+package throttler
+
+import (
+	"time"
+
+	"lovagebank/balancer"
+)
+
+// lapseMargin is how much newer than the limit in force a peer's word of a lapse has to be. A notice that was held up on its
+// way looks younger than it is, and a limit that is wrongly believed to have lapsed is exceeded.
+const lapseMargin = 300 * time.Millisecond
+
+// Limit is the rate limit of a target.
+type Limit struct {
+	// Rate is the number of requests a second that the target takes from all instances together.
+	Rate float64
+	// Lapsed is set if the target has named a limit before and names none any more. Rate is then the last one.
+	Lapsed bool
+	// SeenAt is when an instance received the newest answer that says so.
+	SeenAt time.Time
+}
+
+// sameTerms reports whether two limits allow the same.
+func (li Limit) sameTerms(other Limit) bool {
+	return li.Lapsed == other.Lapsed && (li.Lapsed || li.Rate == other.Rate)
+}
+
+// Notice is the word of one instance on the rate limit of a target.
+type Notice struct {
+	Target balancer.Start
+	Limit  Limit
+}
+
+// Named records that a target has just named a rate limit in an answer. It reports whether that changes the limit.
+func (th *Throttler) Named(ts balancer.Start, rate float64) bool {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	return th.set(ts, Limit{Rate: rate, SeenAt: time.Now()})
+}
+
+// Unnamed records that a target has just named no rate limit in its answer to a request that was sent at the given time. It
+// reports whether that ends a limit. An answer to a request sent before the limit was last seen may be older than the limit.
+func (th *Throttler) Unnamed(ts balancer.Start, sentAt time.Time) bool {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	st := th.state(ts)
+	if st == nil || st.limit.Lapsed || !sentAt.After(st.limit.SeenAt) {
+		return false
+	}
+	return th.set(ts, Limit{Rate: st.limit.Rate, Lapsed: true, SeenAt: time.Now()})
+}
+
+// Merge applies a peer's notice and reports whether it changes the limit. The newest word holds.
+func (th *Throttler) Merge(no Notice) bool {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	return th.merge(no)
+}
+
+func (th *Throttler) merge(no Notice) bool {
+	if st := th.state(no.Target); st != nil {
+		newer := no.Limit.SeenAt.Sub(st.limit.SeenAt)
+		if newer <= 0 || no.Limit.Lapsed && !st.limit.Lapsed && newer < lapseMargin {
+			return false
+		}
+	} else if no.Limit.Lapsed {
+		return false
+	}
+	return th.set(no.Target, no.Limit)
+}
+
+// set replaces the limit of a target and reports whether its terms change. A limit of an earlier start is dropped.
+func (th *Throttler) set(ts balancer.Start, li Limit) bool {
+	now := time.Now()
+	st, ok := th.targets[ts.Target]
+	if ok && st.started.After(ts.Started) {
+		return false
+	}
+	if !ok || !st.started.Equal(ts.Started) {
+		st = &targetState{started: ts.Started, limit: li, changedAt: now}
+		th.targets[ts.Target] = st
+		return true
+	}
+	changed := !st.limit.sameTerms(li)
+	if changed {
+		st.changedAt = now
+	}
+	st.limit = li
+	return changed
+}
+
+// Limit returns the rate limit that a target has in force; false if it has none.
+func (th *Throttler) Limit(ts balancer.Start) (Limit, bool) {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	st := th.state(ts)
+	if st == nil || st.limit.Lapsed {
+		return Limit{}, false
+	}
+	return st.limit, true
+}
+
+// Notices returns what is known of all limits, for peers. Limits that lapsed long ago are forgotten.
+func (th *Throttler) Notices() []Notice {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	var notices []Notice
+	for target, st := range th.targets {
+		if st.limit.Lapsed && time.Since(st.changedAt) > lapseRetention {
+			delete(th.targets, target)
+			continue
+		}
+		notices = append(notices, Notice{Target: balancer.Start{Target: target, Started: st.started}, Limit: st.limit})
+	}
+	return notices
+}
