Tests that fail: instances together exceed the rate limit that a target names

The emulator's targets name a rate limit in their answers (Server-Limit), let it change, lapse and come again, and count what reaches them.

--- a/emulator/target.go
+++ b/emulator/target.go
@@ -86,6 +86,7 @@
 	leaving     bool
 	rejectUntil time.Time
 	rejected    int
+	rateLimit   rateLimit
 	// endlessPart is the part of the response in which the target sends bytes without end.
 	endlessPart EndlessPart
 	// reports is the recent state, oldest first, because reports lag by reportLag.
@@ -157,6 +158,7 @@
 		return
 	}
 	ta.announceLeaving(w.Header())
+	ta.announceRateLimit(w.Header())
 	switch r.URL.Path {
 	case "/-/report":
 		ta.report(w)
@@ -168,6 +170,7 @@
 }
 
 func (ta *Target) run(w http.ResponseWriter, r *http.Request) {
+	ta.countArrival()
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if ta.reject(w) {
