Keep the sends of all instances together within the rate limit that a target names

Cause: a target's answer can hold a statement about its state that instances have to act on together, and nothing acted on this one.

Change: throttler decides directly before each send. The target's holder, which all targets now have, grants sends one by one at the rate; its lease makes it the only one that counts. Who cannot ask it takes an even part of a quarter of the rate. The excess goes to other targets or is refused at once with a time to come back. The limit is known from answers, reports and peers, the newest word holds, and a lapse needs an answer to a request sent after the limit was last seen. Requests for base models and plain services no longer begin exchanges with holders: those take no uses of them.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -22,6 +22,7 @@
 	"lovagebank/quarantiner"
 	"lovagebank/router"
 	"lovagebank/sequencer"
+	"lovagebank/throttler"
 )
 
 // Options configures an Acceptor.
@@ -57,6 +58,7 @@
 	Budgeter    *budgeter.Budgeter
 	Quarantiner *quarantiner.Quarantiner
 	Profiler    *profiler.Profiler
+	Throttler   *throttler.Throttler
 }
 
 // Acceptor is the HTTP handler for callers' requests.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -92,7 +92,11 @@
 	ti := &testInstance{t: t, outcomes: make(chan *acceptor.Outcome, 100)}
 	ti.balancer = balancer.New(balancer.Options{Random: func() float64 { return 0 }})
 	ti.profiler = profiler.New()
-	ti.throttler = throttler.New()
+	ti.throttler = throttler.New(throttler.Options{
+		Ask: func(_ context.Context, no throttler.Notice) (throttler.Grant, error) {
+			return ti.throttler.Grant(no), nil
+		},
+	})
 	cf := configuration()
 	ac := acceptor.New(acceptor.Options{
 		Configuration:   func() *router.Configuration { return cf },
@@ -121,6 +125,7 @@
 		}),
 		Quarantiner: quarantiner.New(),
 		Profiler:    ti.profiler,
+		Throttler:   ti.throttler,
 	})
 	ti.front = httptest.NewServer(ac)
 	t.Cleanup(ti.front.Close)
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -60,6 +60,8 @@
 	// its response.
 	sentAt     time.Time
 	queueEmpty bool
+	// skippedForLimit counts the targets that were skipped because their rate limits are used up.
+	skippedForLimit int
 	// skippedForTurn counts the targets that were skipped because the prompt would have had to wait there for its turn.
 	skippedForTurn int
 	outcome        *Outcome
@@ -149,6 +151,9 @@
 		if rf := ex.checkDeadline(); rf != nil {
 			return rf
 		}
+		if ex.skippedForLimit >= maxSkippedForLimit {
+			return ex.noTarget()
+		}
 		ch, ok := ex.ac.op.Balancer.Choose(ex.requirements())
 		if !ok {
 			return ex.noTarget()
@@ -202,6 +207,9 @@
 	if ex.loads >= maxLoads {
 		return ex.refusalUnlessRun(refusedNoLoad)
 	}
+	if ex.skippedForLimit > 0 {
+		return ex.refusalUnlessRun(ex.refusedRateLimited())
+	}
 	if wait := ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()); wait > 0 {
 		return ex.refusalUnlessRun(refusedBackOff(wait))
 	}
@@ -230,7 +238,7 @@
 		Service:      ex.service.Name(),
 		Excluded:     ex.excluded,
 		PromptTokens: ex.caller.PromptTokens,
-		Retry:        ex.sends+ex.loads+ex.skippedForTurn > 0,
+		Retry:        ex.sends+ex.loads+ex.skippedForTurn+ex.skippedForLimit > 0,
 		HeldOnly:     ex.loads >= maxLoads,
 	}
 	if ex.service.Engine() == nil {
@@ -300,7 +308,7 @@
 	ta := ch.Target()
 	sent := ex.ac.op.Balancer.Send(ta.ID(), ex.requirements().Adapter, ex.caller.PromptTokens)
 	defer sent.Done()
-	if !ex.awaitTurn(ch) {
+	if !ex.awaitTurn(ch) || !ex.acquireSend(ta) {
 		return notRun
 	}
 	ex.sends++
@@ -341,17 +349,6 @@
 	ex.recordRateLimit(ta, rs)
 }
 
-// recordRateLimit records what a response says about the target's rate limit. Only a success without a limit shows that there
-// is none any more, since other responses may not come from the target itself. A response of another target than the request
-// was meant for says nothing about this one.
-func (ex *exchange) recordRateLimit(ta *balancer.Target, rs *forwarder.Response) {
-	rl := platform.ParseRateLimit(rs.Header())
-	misdirected, success := rs.Status() == http.StatusMisdirectedRequest, rs.Status() < http.StatusMultipleChoices
-	if !misdirected && (rl.Named || success) {
-		ex.ac.op.RateLimitAnswered(ta.Start(), rl, ex.sentAt)
-	}
-}
-
 func (ex *exchange) forwarderTarget(ta *balancer.Target) forwarder.Target {
 	maxConnections := 0
 	if limit := ex.service.MaxConnections(); limit > 0 {
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -7,6 +7,7 @@
 	"lovagebank/allotter"
 	"lovagebank/balancer"
 	"lovagebank/router"
+	"lovagebank/throttler"
 )
 
 // Outcome is the result of a request, for logs and metrics.
@@ -32,7 +33,9 @@
 	turnWait time.Duration
 	// backOff is how long the last target that asked for a back-off wants no requests.
 	backOff time.Duration
-	adapter balancer.Adapter
+	// rateLimit is the last decision on a send to a target that names a rate limit.
+	rateLimit throttler.Decision
+	adapter   balancer.Adapter
 	// loadTargets holds the IDs of the targets that were asked to load the adapter.
 	loadTargets []string
 	events      int
@@ -115,6 +118,10 @@
 	if ou.backOff > 0 {
 		fields = append(fields, "back-off-ms", ou.backOff.Milliseconds())
 	}
+	if de := ou.rateLimit; de.Limited() {
+		fields = append(fields, "rate-limit", de.Limit.Rate, "rate-limit-age-ms", time.Since(de.Limit.SeenAt).Milliseconds(),
+			"admitted", de.Admitted, "by-holder", de.Asked)
+	}
 	if ou.retryAfter > 0 {
 		fields = append(fields, "retry-after-ms", ou.retryAfter.Milliseconds())
 	}
--- /dev/null
+++ b/acceptor/ratelimit.go
@@ -0,0 +1,46 @@
+package acceptor
+
+import (
+	"net/http"
+
+	"lovagebank/balancer"
+	"lovagebank/forwarder"
+	"lovagebank/platform"
+)
+
+// maxSkippedForLimit limits the targets that a request tries although their rate limits may be used up. Each try asks a holder.
+const maxSkippedForLimit = 4
+
+// acquireSend reports whether the request may be sent to a target under the target's rate limit. If not, the request does not
+// try the target again, and other requests do only after the wait that the throttler returns.
+func (ex *exchange) acquireSend(ta *balancer.Target) bool {
+	de := ex.ac.op.Throttler.Acquire(ex.ctx, ta.Start())
+	if de.Limited() {
+		ex.outcome.rateLimit = de
+	}
+	if de.Admitted {
+		return ex.ctx.Err() == nil && ex.ac.op.Balancer.Available(ta.ID())
+	}
+	ex.skippedForLimit++
+	ex.excluded[ta.ID()] = true
+	ex.ac.op.Balancer.BackOff(ta.ID(), de.Wait)
+	return false
+}
+
+// refusedRateLimited returns the refusal of a request for which only targets with used up rate limits are left. Callers that
+// return as soon as one send is due would find it taken.
+func (ex *exchange) refusedRateLimited() *refusal {
+	wait := max(ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()), usualWait)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "the targets' rate limits are used up", wait: wait}
+}
+
+// recordRateLimit records what a response says about the target's rate limit. Only a success without a limit shows that there
+// is none any more, since other responses may not come from the target itself. A response of another target than the request
+// was meant for says nothing about this one.
+func (ex *exchange) recordRateLimit(ta *balancer.Target, rs *forwarder.Response) {
+	rl := platform.ParseRateLimit(rs.Header())
+	misdirected, success := rs.Status() == http.StatusMisdirectedRequest, rs.Status() < http.StatusMultipleChoices
+	if !misdirected && (rl.Named || success) {
+		ex.ac.op.RateLimitAnswered(ta.Start(), rl, ex.sentAt)
+	}
+}
--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// BackOff stops requests to a target for the time that the target has asked for. A longer back-off in force stays.
+// BackOff stops requests to a target for a time, because the target has asked for it or because its rate limit is used up. A
+// longer back-off in force stays.
 func (ba *Balancer) BackOff(target string, wait time.Duration) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
@@ -30,3 +31,14 @@
 	}
 	return shortest
 }
+
+// SetRateLimited records whether a start of a target names a rate limit.
+func (ba *Balancer) SetRateLimited(ts Start, limited bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	st, ok := ba.states[ts.Target]
+	if !ok || !st.target.Started().Equal(ts.Started) {
+		return
+	}
+	st.rateLimited = limited
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -82,6 +82,8 @@
 	// backOffUntil.
 	leaving      bool
 	backOffUntil time.Time
+	// rateLimited is set while the target names a rate limit. Adapters are loaded on other targets then.
+	rateLimited bool
 }
 
 // New returns a balancer without targets.
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -73,11 +73,12 @@
 }
 
 // chooseLoadTarget picks the target that should load an adapter. It picks the first in rank that is not much busier than the
-// least loaded one. Targets that hold an older version come last, as they have to wait for their running requests to end.
+// least loaded one. Targets that hold an older version come last, as they have to wait for their running requests to end, and
+// targets that name a rate limit only if there are no others, as the adapter would draw more requests there.
 func (ba *Balancer) chooseLoadTarget(ne Request, usable []*targetState, now time.Time) (*Choice, bool) {
 	candidates := make([]*targetState, 0, len(usable))
 	var outdated []*targetState
-	for _, st := range usable {
+	for _, st := range withoutRateLimit(usable) {
 		if !ba.canLoad(st, ne, now) {
 			continue
 		}
@@ -120,7 +121,7 @@
 		return
 	}
 	candidates := make([]*targetState, 0, len(usable))
-	for _, st := range usable {
+	for _, st := range withoutRateLimit(usable) {
 		if ba.canLoad(st, ne, now) && st.weight() <= busyLoad {
 			candidates = append(candidates, st)
 		}
@@ -130,6 +131,20 @@
 	}
 }
 
+// withoutRateLimit returns the targets that name no rate limit, or all of them if each one does.
+func withoutRateLimit(states []*targetState) []*targetState {
+	free := make([]*targetState, 0, len(states))
+	for _, st := range states {
+		if !st.rateLimited {
+			free = append(free, st)
+		}
+	}
+	if len(free) == 0 {
+		return states
+	}
+	return free
+}
+
 // sharedPart returns the ID of the last part of a prompt that other requests are likely to share; empty if there is none. The
 // very last part belongs to one request or session only. The parts that the requests of a session share come before it too.
 func sharedPart(parts []PromptPart) string {
--- a/balancer/pending.go
+++ b/balancer/pending.go
@@ -27,7 +27,7 @@
 	}
 	se.use = se.st.useOf(ad)
 	se.use.Sent++
-	if se.st.unreportedSince.IsZero() {
+	if ad.Name != "" && se.st.unreportedSince.IsZero() {
 		se.st.unreportedSince = time.Now()
 	}
 	se.use.Running++
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -14,6 +14,7 @@
 
 	"lovagebank/orderer"
 	"lovagebank/sequencer"
+	"lovagebank/throttler"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
 )
@@ -61,6 +62,9 @@
 	// Turn reserves a prompt's turn at a target; holder is false if this instance does not hold the target. A prompt's turn
 	// is the time at which it may go to the target to be prefilled.
 	Turn func(target string, rq sequencer.Request) (tn sequencer.Turn, holder bool)
+	// GrantSend decides whether a peer may send a request to a target that has named a rate limit; holder is false if this
+	// instance may not decide.
+	GrantSend func(no throttler.Notice) (gr throttler.Grant, holder bool)
 	// Mirror returns the changes of this instance's copies of the store's keys; it may wait for a change.
 	Mirror func(ctx context.Context, rq MirrorRequest) MirrorResponse
 	// ExchangeFailed is called with the name of a peer that did not answer an exchange.
--- /dev/null
+++ b/exchanger/send.go
@@ -0,0 +1,63 @@
+package exchanger
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovagebank/balancer"
+	"lovagebank/throttler"
+	"lovagebank/wire"
+)
+
+// AskSend asks the instance at an address, the holder of a target that has named a rate limit, whether this instance may send the
+// target a request now. It returns ErrNotHolder if that instance does not hold the target, or the error of the call.
+func (ex *Exchanger) AskSend(ctx context.Context, address string, no throttler.Notice) (throttler.Grant, error) {
+	answer, err := ex.clientOf(address).Send(ctx, connect.NewRequest(&wire.SendRequest{Limit: EncodeNotice(no)}))
+	if err != nil {
+		return throttler.Grant{}, err
+	}
+	if !answer.Msg.GetHolder() {
+		return throttler.Grant{}, ErrNotHolder
+	}
+	gr := throttler.Grant{
+		Granted: answer.Msg.GetGranted(), Wait: time.Duration(answer.Msg.GetWaitMs()) * time.Millisecond,
+		Notice: throttler.Notice{Target: no.Target},
+	}
+	if limit := answer.Msg.GetLimit(); limit != nil {
+		gr.Notice = DecodeNotice(limit)
+	}
+	return gr, nil
+}
+
+// Send decides whether a peer may send a request to a target that this instance holds.
+func (se *service) Send(_ context.Context, rq *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error) {
+	gr, holder := se.op.GrantSend(DecodeNotice(rq.Msg.GetLimit()))
+	answer := &wire.SendResponse{Holder: holder, Granted: gr.Granted, WaitMs: int32(gr.Wait.Milliseconds())}
+	if !gr.Notice.Limit.SeenAt.IsZero() {
+		answer.Limit = EncodeNotice(gr.Notice)
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// EncodeNotice returns the message of a notice of a target's rate limit.
+func EncodeNotice(no throttler.Notice) *wire.TargetLimit {
+	return &wire.TargetLimit{
+		Target: no.Target.Target, StartedMs: no.Target.Started.UnixMilli(), Rate: no.Limit.Rate, Lapsed: no.Limit.Lapsed,
+		AgeMs: int32(min(time.Since(no.Limit.SeenAt), maxLimitAge).Milliseconds()),
+	}
+}
+
+// maxLimitAge limits the age of a limit in messages.
+const maxLimitAge = time.Hour
+
+// DecodeNotice returns the notice of a target's rate limit in a message.
+func DecodeNotice(tl *wire.TargetLimit) throttler.Notice {
+	return throttler.Notice{
+		Target: balancer.Start{Target: tl.GetTarget(), Started: time.UnixMilli(tl.GetStartedMs())},
+		Limit: throttler.Limit{
+			Rate: tl.GetRate(), Lapsed: tl.GetLapsed(), SeenAt: time.Now().Add(-time.Duration(tl.GetAgeMs()) * time.Millisecond),
+		},
+	}
+}
--- a/supervisor/holdings.go
+++ b/supervisor/holdings.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// candidates returns the targets that need a holder, which are the model engines.
+// candidates returns the targets that need a holder. These are all targets of the configured services: engines take orders, and
+// the holder of any target counts what instances send under the target's rate limit.
 func (ho *holdings) candidates() []keeper.Candidate {
 	cf := ho.su.configuration.Load()
 	if cf == nil {
@@ -49,7 +50,7 @@
 	}
 	var candidates []keeper.Candidate
 	for _, ta := range ho.su.balancer.All() {
-		if sv, ok := cf.Service(ta.Service()); ok && sv.Engine() != nil {
+		if _, ok := cf.Service(ta.Service()); ok {
 			candidates = append(candidates, keeper.Candidate{ID: ta.ID(), FailureDomain: ta.FailureDomain()})
 		}
 	}
--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"lovagebank/balancer"
+	"lovagebank/exchanger"
 	"lovagebank/platform"
+	"lovagebank/throttler"
+	"lovagebank/wire"
 )
 
 // Sources of a target's rate limit, for the log.
 const (
 	limitFromAnswer = "answer"
 	limitFromReport = "report"
+	limitFromPeer   = "peer"
 )
 
 // malformedLogInterval is the least time between two log lines about malformed limits of one target.
@@ -87,6 +92,7 @@
 func (su *Supervisor) logRateLimit(ts balancer.Start, source string) {
 	su.reporter.AddToCounter("rate_limit_changes", 1)
 	li, inForce := su.throttler.Limit(ts)
+	su.balancer.SetRateLimited(ts, inForce)
 	if !inForce {
 		su.logger.Info("target rate limit lapsed", "target", ts.Target, "started", ts.Started.UnixMilli(), "source", source)
 		return
@@ -94,3 +100,56 @@
 	su.logger.Info("target rate limit", "target", ts.Target, "started", ts.Started.UnixMilli(), "rate", li.Rate,
 		"age-ms", time.Since(li.SeenAt).Milliseconds(), "source", source)
 }
+
+// askSend asks the holder of a target whether this instance may send the target a request now.
+func (su *Supervisor) askSend(ctx context.Context, no throttler.Notice) (throttler.Grant, error) {
+	holder := su.keeper.Holder(no.Target.Target)
+	if holder == su.settings.IP() {
+		gr, ok := su.grantSend(no)
+		if !ok {
+			return gr, exchanger.ErrNotHolder
+		}
+		return gr, nil
+	}
+	gr, err := askHolder(ctx, su, holder, no.Target.Target, func(ctx context.Context, address string) (throttler.Grant, error) {
+		return su.exchanger.AskSend(ctx, address, no)
+	})
+	if err == nil && gr.Notice.Limit != (throttler.Limit{}) {
+		su.mergeRateLimit(gr.Notice)
+	}
+	return gr, err
+}
+
+// grantSend decides whether an instance may send a request to a target that this instance holds; it is false without the
+// authority to decide. The authority ends before another instance can have it.
+func (su *Supervisor) grantSend(no throttler.Notice) (throttler.Grant, bool) {
+	if _, ok := su.keeper.Authority(no.Target.Target); !ok {
+		return throttler.Grant{}, false
+	}
+	su.mergeRateLimit(no)
+	return su.throttler.Grant(no), true
+}
+
+// mergeRateLimit records what a peer knows of a target's rate limit.
+func (su *Supervisor) mergeRateLimit(no throttler.Notice) {
+	ta, ok := su.balancer.Target(no.Target.Target)
+	if !ok || !ta.Started().Equal(no.Target.Started) || !validRate(no.Limit.Rate) {
+		return
+	}
+	if su.throttler.Merge(no) {
+		su.logRateLimit(no.Target, limitFromPeer)
+	}
+}
+
+// validRate reports whether a peer's figure can be a rate.
+func validRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 1) }
+
+// encodeRateLimits returns the rate limits to report to peers.
+func (su *Supervisor) encodeRateLimits() []*wire.TargetLimit {
+	notices := su.throttler.Notices()
+	limits := make([]*wire.TargetLimit, 0, len(notices))
+	for _, no := range notices {
+		limits = append(limits, exchanger.EncodeNotice(no))
+	}
+	return limits
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -31,13 +31,14 @@
 
 func (su *Supervisor) newExchanger() *exchanger.Exchanger {
 	return exchanger.New(exchanger.Options{
-		Self:    su.settings.IP(),
-		Peers:   su.peers,
-		Compose: su.composeUpdate,
-		Apply:   su.applyUpdate,
-		Load:    su.loadLocally,
-		Turn:    su.reserveTurn,
-		Mirror:  su.mirror,
+		Self:      su.settings.IP(),
+		Peers:     su.peers,
+		Compose:   su.composeUpdate,
+		Apply:     su.applyUpdate,
+		Load:      su.loadLocally,
+		Turn:      su.reserveTurn,
+		GrantSend: su.grantSend,
+		Mirror:    su.mirror,
 		ExchangeFailed: func(peer string, err error) {
 			su.reporter.AddToCounter("exchange_failures", 1)
 			if su.silentPeers.add(peer) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -155,11 +155,11 @@
 		forwarder:   forwarder.New(),
 		quarantiner: quarantiner.New(),
 		profiler:    profiler.New(),
-		throttler:   throttler.New(),
 		engines:     engineReporter{limited: make(map[string]bool)},
 		startedAt:   time.Now(),
 	}
 	su.teller = teller.New(su.start)
+	su.throttler = throttler.New(throttler.Options{Ask: su.askSend, Instances: su.instanceCount, Random: rand.Float64})
 	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), OnRollback: su.storeRolledBack})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.budgeter = budgeter.New(budgeter.Options{
@@ -199,6 +199,7 @@
 		Budgeter:          su.budgeter,
 		Quarantiner:       su.quarantiner,
 		Profiler:          su.profiler,
+		Throttler:         su.throttler,
 	})
 }
 
--- a/supervisor/turns.go
+++ b/supervisor/turns.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"lovagebank/balancer"
 	"lovagebank/exchanger"
@@ -12,36 +10,8 @@
 	"lovagebank/wire"
 )
 
-const (
-	// turnTimeout limits the wait for a holder's answer to a request for a prompt's turn. The turn is the time at which
-	// the prompt may go to the engine; package sequencer schedules it.
-	turnTimeout = 60 * time.Millisecond
-	// turnRetryDelay is how long a holder that gave no answer is not asked for further turns.
-	turnRetryDelay = time.Second
-)
-
-// unresponsiveHolders are the holders that recently did not answer a request for a turn.
-type unresponsiveHolders struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-}
-
-func (uh *unresponsiveHolders) contains(holder string) bool {
-	uh.mu.Lock()
-	defer uh.mu.Unlock()
-	return time.Now().Before(uh.until[holder])
-}
-
-func (uh *unresponsiveHolders) add(holder string) {
-	uh.mu.Lock()
-	defer uh.mu.Unlock()
-	if uh.until == nil {
-		uh.until = make(map[string]time.Time)
-	}
-	uh.until[holder] = time.Now().Add(turnRetryDelay)
-}
-
-// requestTurn requests a prompt's turn from the holder of a target.
+// requestTurn requests a prompt's turn from the holder of a target. The turn is the time at which the prompt may go to the
+// engine; package sequencer schedules it.
 func (su *Supervisor) requestTurn(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error) {
 	if holder == su.settings.IP() {
 		tn, ok := su.reserveTurn(ta.ID(), rq)
@@ -50,18 +20,9 @@
 		}
 		return tn, nil
 	}
-	address, ok := su.addressOf(holder)
-	if !ok || su.unresponsiveHolders.contains(holder) {
-		return sequencer.Turn{}, errHolderUnknown
-	}
-	callCtx, cancel := context.WithTimeout(ctx, turnTimeout)
-	defer cancel()
-	tn, err := su.exchanger.Turn(callCtx, address, ta.ID(), rq)
-	if err != nil && ctx.Err() == nil {
-		su.unresponsiveHolders.add(holder)
-		su.logger.Warn("turn request to holder failed", "holder", holder, "target", ta.ID(), "error", err)
-	}
-	return tn, err
+	return askHolder(ctx, su, holder, ta.ID(), func(ctx context.Context, address string) (sequencer.Turn, error) {
+		return su.exchanger.Turn(ctx, address, ta.ID(), rq)
+	})
 }
 
 // reserveTurn reserves a prompt's turn at a target; it is false if this instance does not hold the target.
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -5,6 +5,7 @@
 
 	"lovagebank/allotter"
 	"lovagebank/balancer"
+	"lovagebank/exchanger"
 	"lovagebank/quarantiner"
 	"lovagebank/wire"
 )
@@ -38,6 +39,7 @@
 	for _, le := range su.balancer.Leavers() {
 		state.Leavers = append(state.Leavers, &wire.Leaver{Target: le.Target, StartedMs: le.Started.UnixMilli()})
 	}
+	state.Limits = su.encodeRateLimits()
 	state.Profiles = su.profiles()
 	su.addRollbackAge(state)
 	for _, cr := range su.quarantiner.Crashes() {
@@ -128,6 +130,9 @@
 	for _, le := range state.GetLeavers() {
 		su.markTargetLeaving(balancer.Start{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())})
 	}
+	for _, tl := range state.GetLimits() {
+		su.mergeRateLimit(exchanger.DecodeNotice(tl))
+	}
 	crashes := make([]quarantiner.Crash, 0, len(state.GetCrashes()))
 	for _, cr := range state.GetCrashes() {
 		crashes = append(crashes, quarantiner.Crash{Fingerprint: cr.GetFingerprint(), Count: int(cr.GetCount())})
--- /dev/null
+++ b/throttler/acquire.go
@@ -0,0 +1,78 @@
+package throttler
+
+import (
+	"context"
+	"time"
+
+	"lovagebank/balancer"
+)
+
+const (
+	// grantLifetime is how long after it was asked for a grant may be used. A process that was paused meanwhile asks again.
+	grantLifetime = 250 * time.Millisecond
+	// shareOfRate is the part of a target's rate that all instances together send while they cannot ask the holder. It comes on
+	// top of what the holder grants to those that can.
+	shareOfRate = 0.25
+	// maxShareTime limits the time since an instance's last decision for which it may catch up on its own share.
+	maxShareTime = time.Second
+)
+
+// Decision is whether a request may be sent to a target now, and why.
+type Decision struct {
+	// Admitted reports whether the request may be sent. Otherwise Wait is when the target may be tried again.
+	Admitted bool
+	Wait     time.Duration
+	// Limit is the limit that decided; its rate is 0 and SeenAt is zero if there was none.
+	Limit Limit
+	// Asked reports whether the holder decided. Otherwise this instance's own share did.
+	Asked bool
+}
+
+// Limited reports whether a rate limit decided.
+func (de Decision) Limited() bool { return !de.Limit.SeenAt.IsZero() }
+
+// Acquire decides whether a request may be sent to a target now. It has to be called for every send, directly before it.
+func (th *Throttler) Acquire(ctx context.Context, ts balancer.Start) Decision {
+	li, ok := th.Limit(ts)
+	if !ok {
+		return Decision{Admitted: true}
+	}
+	began := time.Now()
+	gr, err := th.op.Ask(ctx, Notice{Target: ts, Limit: li})
+	if err != nil || gr.Granted && time.Since(began) > grantLifetime {
+		return th.useOwnShare(ts)
+	}
+	if !gr.Notice.Limit.SeenAt.IsZero() {
+		th.Merge(gr.Notice)
+		li = gr.Notice.Limit
+	}
+	th.askedHolder(ts)
+	return Decision{Admitted: gr.Granted, Wait: gr.Wait, Limit: li, Asked: true}
+}
+
+// useOwnShare decides by this instance's own share of the rate. That may be one send in minutes, so it is drawn by chance: the
+// sends of all instances together then come at an even rate, whichever of them have requests.
+func (th *Throttler) useOwnShare(ts balancer.Start) Decision {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	st := th.state(ts)
+	if st == nil || st.limit.Lapsed {
+		return Decision{Admitted: true}
+	}
+	rate := shareOfRate * st.limit.Rate / float64(max(th.op.Instances(), 1))
+	due := rate * min(time.Since(st.decidedAt), maxShareTime).Seconds()
+	st.decidedAt = time.Now()
+	if th.op.Random() < due {
+		return Decision{Admitted: true, Limit: st.limit}
+	}
+	return Decision{Limit: st.limit, Wait: maxGrantWait}
+}
+
+// askedHolder records that the holder of a target has just decided for this instance.
+func (th *Throttler) askedHolder(ts balancer.Start) {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	if st := th.state(ts); st != nil {
+		st.decidedAt = time.Now()
+	}
+}
--- /dev/null
+++ b/throttler/grant.go
@@ -0,0 +1,29 @@
+package throttler
+
+import "time"
+
+// Grant is the answer of a target's holder to an instance that wants to send the target a request.
+type Grant struct {
+	// Granted reports whether the instance may send its request now. Otherwise Wait is when it may ask again.
+	Granted bool
+	Wait    time.Duration
+	// Notice is what the holder knows of the limit. Its limit is zero if the holder knows none.
+	Notice Notice
+}
+
+// Grant decides as the holder of a target whether an instance may send it a request now. The caller makes sure that this
+// instance is the holder. The notice of the asking instance counts first, as the holder may not have heard of the limit.
+func (th *Throttler) Grant(no Notice) Grant {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	th.merge(no)
+	st := th.state(no.Target)
+	if st == nil {
+		return Grant{Wait: maxGrantWait, Notice: Notice{Target: no.Target}}
+	}
+	gr := Grant{Granted: true, Notice: Notice{Target: no.Target, Limit: st.limit}}
+	if !st.limit.Lapsed {
+		gr.Wait, gr.Granted = st.grants.take(holderRate(st.limit), time.Now())
+	}
+	return gr
+}
--- a/throttler/limit.go
+++ b/throttler/limit.go
@@ -10,6 +10,10 @@
 // way looks younger than it is, and a limit that is wrongly believed to have lapsed is exceeded.
 const lapseMargin = 300 * time.Millisecond
 
+// noticeTime is how long a change of a limit is told to peers: a few of the intervals at which the instances of a large fleet
+// exchange updates. An instance that has not heard of a limit learns it from the first answer that it gets from the target.
+const noticeTime = 15 * time.Second
+
 // Limit is the rate limit of a target.
 type Limit struct {
 	// Rate is the number of requests a second that the target takes from all instances together.
@@ -77,12 +81,13 @@
 		return false
 	}
 	if !ok || !st.started.Equal(ts.Started) {
-		st = &targetState{started: ts.Started, limit: li, changedAt: now}
+		st = &targetState{started: ts.Started, limit: li, changedAt: now, decidedAt: now, grants: bucket{at: now}}
 		th.targets[ts.Target] = st
 		return true
 	}
 	changed := !st.limit.sameTerms(li)
 	if changed {
+		st.grants.refill(holderRate(st.limit), now)
 		st.changedAt = now
 	}
 	st.limit = li
@@ -100,17 +105,20 @@
 	return st.limit, true
 }
 
-// Notices returns what is known of all limits, for peers. Limits that lapsed long ago are forgotten.
+// Notices returns the limits that have changed of late, for peers. Limits that lapsed long ago are forgotten.
 func (th *Throttler) Notices() []Notice {
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	var notices []Notice
 	for target, st := range th.targets {
-		if st.limit.Lapsed && time.Since(st.changedAt) > lapseRetention {
+		age := time.Since(st.changedAt)
+		if st.limit.Lapsed && age > lapseRetention {
 			delete(th.targets, target)
 			continue
 		}
-		notices = append(notices, Notice{Target: balancer.Start{Target: target, Started: st.started}, Limit: st.limit})
+		if age <= noticeTime {
+			notices = append(notices, Notice{Target: balancer.Start{Target: target, Started: st.started}, Limit: st.limit})
+		}
 	}
 	return notices
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -1,18 +1,34 @@
-// Package throttler keeps the rate limits that targets name in their answers. It performs no I/O.
+// Package throttler keeps the requests that all instances together send to a target within the rate limit that the target
+// names in its answers. A target's holder grants the sends one by one: a single place has to count them, and the holder's
+// lease makes it the only one. An instance that cannot ask the holder sends its part of a small share of the rate. The
+// package performs no I/O.
 package throttler
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"lovagebank/balancer"
 )
 
-// lapseRetention is how long a lapsed limit is remembered and told to peers that may still believe in it.
+// lapseRetention is how long a lapsed limit is remembered, so that an instance that still believes in it is corrected.
 const lapseRetention = 30 * time.Second
 
+// Options configures a Throttler.
+type Options struct {
+	// Ask asks the holder of a target whether this instance may send it a request now. The notice tells the holder the limit
+	// that this instance knows. An error means that the holder is not known, did not answer, or is no holder now.
+	Ask func(ctx context.Context, no Notice) (Grant, error)
+	// Instances returns the number of instances, including this one, that may send requests to the targets.
+	Instances func() int
+	// Random returns a number in [0, 1).
+	Random func() float64
+}
+
 // Throttler keeps the rate limits that targets have named. It is safe for concurrent use.
 type Throttler struct {
+	op      Options
 	mu      sync.Mutex
 	targets map[string]*targetState
 }
@@ -23,11 +39,15 @@
 	limit   Limit
 	// changedAt is when the limit last changed, at this instance.
 	changedAt time.Time
+	// grants counts the sends that this instance grants as the target's holder.
+	grants bucket
+	// decidedAt is when a send of this instance was last decided.
+	decidedAt time.Time
 }
 
 // New returns a throttler that knows no limits.
-func New() *Throttler {
-	return &Throttler{targets: make(map[string]*targetState)}
+func New(op Options) *Throttler {
+	return &Throttler{op: op, targets: make(map[string]*targetState)}
 }
 
 // Remove forgets a target that has been removed from the platform's list.
--- a/wire/wireconnect/fleet.connect.go
+++ b/wire/wireconnect/fleet.connect.go
@@ -41,6 +41,8 @@
 	FleetServiceMirrorProcedure = "/lovagebank.fleet.FleetService/Mirror"
 	// FleetServiceTurnProcedure is the fully-qualified name of the FleetService's Turn RPC.
 	FleetServiceTurnProcedure = "/lovagebank.fleet.FleetService/Turn"
+	// FleetServiceSendProcedure is the fully-qualified name of the FleetService's Send RPC.
+	FleetServiceSendProcedure = "/lovagebank.fleet.FleetService/Send"
 )
 
 // FleetServiceClient is a client for the lovagebank.fleet.FleetService service.
@@ -54,6 +56,8 @@
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
 	// Turn gives a prompt its turn at a target that the callee holds.
 	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
+	// Send asks the holder of a target that has named a rate limit whether the caller may send it a request now.
+	Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the lovagebank.fleet.FleetService service. By
@@ -91,6 +95,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Turn")),
 			connect.WithClientOptions(opts...),
 		),
+		send: connect.NewClient[wire.SendRequest, wire.SendResponse](
+			httpClient,
+			baseURL+FleetServiceSendProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Send")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -100,6 +110,7 @@
 	load     *connect.Client[wire.LoadRequest, wire.LoadResponse]
 	mirror   *connect.Client[wire.MirrorRequest, wire.MirrorResponse]
 	turn     *connect.Client[wire.TurnRequest, wire.TurnResponse]
+	send     *connect.Client[wire.SendRequest, wire.SendResponse]
 }
 
 // Exchange calls lovagebank.fleet.FleetService.Exchange.
@@ -122,6 +133,11 @@
 	return c.turn.CallUnary(ctx, req)
 }
 
+// Send calls lovagebank.fleet.FleetService.Send.
+func (c *fleetServiceClient) Send(ctx context.Context, req *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error) {
+	return c.send.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the lovagebank.fleet.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange tells what the caller knows and returns what the callee knows.
@@ -133,6 +149,8 @@
 	Mirror(context.Context, *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error)
 	// Turn gives a prompt its turn at a target that the callee holds.
 	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
+	// Send asks the holder of a target that has named a rate limit whether the caller may send it a request now.
+	Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -166,6 +184,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Turn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceSendHandler := connect.NewUnaryHandler(
+		FleetServiceSendProcedure,
+		svc.Send,
+		connect.WithSchema(fleetServiceMethods.ByName("Send")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovagebank.fleet.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -176,6 +200,8 @@
 			fleetServiceMirrorHandler.ServeHTTP(w, r)
 		case FleetServiceTurnProcedure:
 			fleetServiceTurnHandler.ServeHTTP(w, r)
+		case FleetServiceSendProcedure:
+			fleetServiceSendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -200,3 +226,7 @@
 func (UnimplementedFleetServiceHandler) Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Turn is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Send is not implemented"))
+}
