Soak: targets name rate limits, and what reaches them is checked

Targets drawn from the seed now name limits of up to 6 requests a second for 2 to 14 s, several at once, beside all other faults. Checked from what targets and callers see: in any 4 s at most one and a half times what the limit allows and 5 more, over the instances that have relayed an answer with the limit and were not stopped or paused since.

--- a/emulator/ratelimit.go
+++ b/emulator/ratelimit.go
@@ -13,10 +13,8 @@
 	limitWindow    = 4 * time.Second
 	limitTolerance = 1.5
 	limitSlack     = 5
-	// limitBinds is the time after which a newly named limit binds, and limitNotice the time that instances have to hear of a
-	// change: requests that arrive within it are not counted.
-	limitBinds  = 3 * time.Second
-	limitNotice = time.Second
+	// limitBinds is the time after which a newly named limit binds.
+	limitBinds = 3 * time.Second
 )
 
 // limitSpan is a time in which the target names one rate limit.
@@ -32,8 +30,14 @@
 	// header is the value that the target names in its answers; empty for none.
 	header string
 	spans  []limitSpan
-	// arrivals are the times of the requests that reached the target since it first named a limit.
-	arrivals []time.Time
+	// arrivals are the requests that reached the target since it first named a limit.
+	arrivals []Arrival
+}
+
+// Arrival is a request that has reached a target.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // NameRateLimit makes the target name a rate limit in all its answers, in requests a second.
@@ -76,11 +80,11 @@
 }
 
 // countArrival counts a request that has reached the target.
-func (ta *Target) countArrival() {
+func (ta *Target) countArrival(id string) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if len(ta.rateLimit.spans) > 0 {
-		ta.rateLimit.arrivals = append(ta.rateLimit.arrivals, time.Now())
+		ta.rateLimit.arrivals = append(ta.rateLimit.arrivals, Arrival{ID: id, At: time.Now()})
 	}
 }
 
@@ -89,8 +93,8 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	count := 0
-	for _, at := range ta.rateLimit.arrivals {
-		if at.After(since) {
+	for _, ar := range ta.rateLimit.arrivals {
+		if ar.At.After(since) {
 			count++
 		}
 	}
@@ -98,33 +102,36 @@
 }
 
 // RateLimitExcess describes the first time window in which the target got more requests than its rate limit allows; empty if
-// there is none. The function excused reports whether a window is left out.
-func (ta *Target) RateLimitExcess(excused func(from, until time.Time) bool) string {
+// there is none. The function counts reports whether an arrival counts, given the earlier ones under the same limit.
+func (ta *Target) RateLimitExcess(counts func(ar Arrival, earlier []Arrival) bool) string {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	for _, sp := range ta.rateLimit.spans {
-		if excess := ta.rateLimit.excessIn(sp, excused); excess != "" {
+		if excess := sp.excess(ta.rateLimit.arrivals, counts); excess != "" {
 			return ta.id + " " + excess
 		}
 	}
 	return ""
 }
 
-// excessIn describes the first window of a span with too many requests.
-func (rl *rateLimit) excessIn(sp limitSpan, excused func(from, until time.Time) bool) string {
+// excess describes the first window of a span with too many requests.
+func (sp limitSpan) excess(arrivals []Arrival, counts func(ar Arrival, earlier []Arrival) bool) string {
 	allowed := limitTolerance*sp.rate*limitWindow.Seconds() + limitSlack
-	first := 0
-	for at, until := range rl.arrivals {
-		from := until.Add(-limitWindow)
-		if told := sp.from.Add(limitNotice); from.Before(told) {
-			from = told
+	var earlier []Arrival
+	var counted []time.Time
+	for _, ar := range arrivals {
+		if ar.At.Before(sp.from) || !sp.until.IsZero() && ar.At.After(sp.until) {
+			continue
+		}
+		if counts(ar, earlier) {
+			counted = append(counted, ar.At)
 		}
-		for first < at && !rl.arrivals[first].After(from) {
-			first++
+		earlier = append(earlier, ar)
+		for len(counted) > 0 && ar.At.Sub(counted[0]) >= limitWindow {
+			counted = counted[1:]
 		}
-		over := until.After(sp.from.Add(limitBinds)) && (sp.until.IsZero() || until.Before(sp.until))
-		if count := at - first + 1; over && float64(count) > allowed && !excused(from, until) {
-			return fmt.Sprintf("got %d requests in %v at a limit of %g a second; allowed %g", count, until.Sub(from), sp.rate, allowed)
+		if ar.At.Sub(sp.from) > limitBinds && float64(len(counted)) > allowed {
+			return fmt.Sprintf("got %d requests in %v at a limit of %g a second; allowed %g", len(counted), limitWindow, sp.rate, allowed)
 		}
 	}
 	return ""
--- a/emulator/ratelimit_test.go
+++ b/emulator/ratelimit_test.go
@@ -19,8 +19,13 @@
 	limitedTime = 8 * time.Second
 )
 
-// noneExcused leaves out no window of a rate limit.
-func noneExcused(time.Time, time.Time) bool { return false }
+// noticeTime is the time that all instances have to learn of a limit, from the first answer that names it.
+const noticeTime = time.Second
+
+// afterNotice counts the requests that arrive when all instances know of the limit.
+func afterNotice(ar emulator.Arrival, earlier []emulator.Arrival) bool {
+	return len(earlier) > 0 && ar.At.Sub(earlier[0].At) > noticeTime
+}
 
 // sendFor sends requests at an even rate for a time and returns how many were answered with each status.
 func (us *user) sendFor(length time.Duration, path, adapter string) map[int]int {
@@ -80,7 +85,7 @@
 			named := time.Now()
 			statuses := us.sendFor(limitedTime, tt.path, tt.adapter)
 			for _, ta := range targets {
-				if excess := ta.RateLimitExcess(noneExcused); excess != "" {
+				if excess := ta.RateLimitExcess(afterNotice); excess != "" {
 					t.Error(excess)
 				}
 			}
@@ -115,7 +120,7 @@
 	}
 	ta.NameRateLimit(3)
 	us.sendFor(limitedTime, "/order/1", "")
-	if excess := ta.RateLimitExcess(noneExcused); excess != "" {
+	if excess := ta.RateLimitExcess(afterNotice); excess != "" {
 		t.Error(excess)
 	}
 	us.checkInvariants(fl)
@@ -151,7 +156,7 @@
 		us.entries = all
 		us.sendFor(limitedTime/4, "/order/1", "")
 	}
-	if excess := ta.RateLimitExcess(noneExcused); excess != "" {
+	if excess := ta.RateLimitExcess(afterNotice); excess != "" {
 		t.Error(excess)
 	}
 	us.checkInvariants(fl)
--- a/soaker/breakages.go
+++ b/soaker/breakages.go
@@ -31,4 +31,8 @@
 		name: "exit-without-end", file: "supervisor/supervisor.go", promise: "an instance ends well and in time",
 		old: "\tsu.drain(ctx, servers)\n", new: "\t_ = servers\n\tos.Exit(3)\n",
 	},
+	{
+		name: "rate-limit-ignored", file: "acceptor/exchange.go", promise: "instances together keep to a target's rate limit",
+		old: "!ex.acquireSend(ta)", new: "(ex.ctx.Err() != nil && !ex.acquireSend(ta))",
+	},
 }
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -28,6 +28,8 @@
 	KindKeyChange         Kind = "key-change"
 	// KindStoreRollback is a store rollback. PlanRollbacks draws it separately from the other kinds, on request.
 	KindStoreRollback Kind = "store-steps-back"
+	// KindRateLimit is a target that names a rate limit. PlanRateLimits draws it separately from the other kinds.
+	KindRateLimit Kind = "target-rate-limit"
 )
 
 // kinds are the kinds from which Plan draws.
@@ -45,6 +47,8 @@
 	Kind Kind
 	// Subject selects the affected instance, target or link: its index is Subject modulo their number.
 	Subject int
+	// Rate is the rate limit that a target names, in requests a second; 0 for other faults.
+	Rate float64
 }
 
 // String formats the fault as one line for the progress output.
@@ -104,3 +108,29 @@
 	}
 	return rollbacks
 }
+
+const (
+	// meanRateLimitGap is the mean time between the starts of two rate limits; some fall on a target that names one already.
+	meanRateLimitGap = 3 * time.Second
+	// minRateLimitTime and maxRateLimitTime bound how long a target names one limit. A limit binds some seconds after it was named.
+	minRateLimitTime = 2 * time.Second
+	maxRateLimitTime = 14 * time.Second
+	// maxRateLimit is the largest limit, in requests a second.
+	maxRateLimit = 6.0
+	// rateLimitSeed makes the random sequence of the rate limits independent of the other faults of the same seed.
+	rateLimitSeed = 2 << 32
+)
+
+// PlanRateLimits returns the rate limits of a seed, sorted by start. The length bounds their start.
+func PlanRateLimits(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, rateLimitSeed)) //nolint:gosec // a seed must reproduce its plan
+	var limits []Fault
+	for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(2 * meanRateLimitGap))) {
+		lasts := minRateLimitTime + time.Duration(random.Int64N(int64(maxRateLimitTime-minRateLimitTime)))
+		limits = append(limits, Fault{
+			Start: at.Round(time.Millisecond), Duration: lasts.Round(time.Millisecond), Kind: KindRateLimit,
+			Subject: random.IntN(1 << 16), Rate: random.Float64() * maxRateLimit,
+		})
+	}
+	return limits
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -60,11 +60,11 @@
 
 // plan returns the faults of the run, sorted by start.
 func (op Options) plan() []Fault {
-	plan := Plan(op.Seed, op.FaultPeriod)
+	plan := append(Plan(op.Seed, op.FaultPeriod), PlanRateLimits(op.Seed, op.FaultPeriod)...)
 	if op.StoreRollbacks {
 		plan = append(plan, PlanRollbacks(op.Seed, op.FaultPeriod)...)
-		slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.Start - b.Start) })
 	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.Start - b.Start) })
 	return plan
 }
 
@@ -134,6 +134,7 @@
 		return nil, ErrStopped
 	}
 	so.checkRecovered()
+	so.checker.checkRateLimits()
 	so.checker.check()
 	return so.report(), nil
 }
@@ -223,6 +224,8 @@
 	case KindTargetCrash:
 		ids := so.fleet.TargetIDs()
 		so.expectInjected("restart of a target", so.fleet.RestartTarget(ids[fa.Subject%len(ids)]))
+	case KindRateLimit:
+		so.injectRateLimit(fa)
 	case KindKeyChange:
 		so.changeKey()
 	case KindLinkDelay, KindLinkReset, KindLinkSilent, KindCutRequests, KindCutAnswers:
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -34,6 +34,13 @@
 	}
 }
 
+func TestRateLimitsDependOnSeedOnly(t *testing.T) {
+	one, again, other := PlanRateLimits(7, time.Minute), PlanRateLimits(7, time.Minute), PlanRateLimits(8, time.Minute)
+	if !slices.Equal(one, again) || slices.Equal(one, other) || len(one) < 10 {
+		t.Errorf("drew %v, again %v, another seed %v", one, again, other)
+	}
+}
+
 // Each deliberate fault must still match the source files. Otherwise, it cannot be built to show that it is caught.
 func TestBreakagesMatchSources(t *testing.T) {
 	t.Chdir("..")
