--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -152,13 +152,22 @@
 	if text, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
 	}
-	for name, seed := range map[string]uint64{"first": 1} {
+	tests := map[string]struct {
+		seed      uint64
+		period    time.Duration
+		instances int
+	}{
+		"first": {1, 5 * time.Second, 3},
+		// A target named its rate limit with 19 characters, and the instances took it for malformed.
+		"rate-limit-of-many-digits": {701, 12 * time.Second, 4},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			seedFolder := filepath.Join(folder, name)
 			if err := os.Mkdir(seedFolder, 0o700); err != nil {
 				t.Fatal(err)
 			}
-			re, err := New(Options{Seed: seed, FaultPeriod: 5 * time.Second, Instances: 3, Program: program, Folder: seedFolder}).Run(t.Context())
+			re, err := New(Options{Seed: tt.seed, FaultPeriod: tt.period, Instances: tt.instances, Program: program, Folder: seedFolder}).Run(t.Context())
 			if err != nil {
 				t.Fatal(err)
 			}
