scheduler: the test without a lease begins without one

Trace: the test started its scheduler with a lease and took the lease away. Where the scheduler handled the first report in between, it had held the lease (everHeld) and lost it, and the request is sent to the new holder (wrong-holder); where it had not, it never held one (no-target). Both answers are right for what happened, so the test was wrong, not the code.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -127,7 +127,12 @@
 
 func startHarness(t *testing.T) *harness {
 	t.Helper()
-	en := newFakeEngine()
+	return startHarnessWith(t, newFakeEngine())
+}
+
+// startHarnessWith starts a scheduler for an engine that is in its initial state.
+func startHarnessWith(t *testing.T, en *fakeEngine) *harness {
+	t.Helper()
 	sc := New(Options{
 		Target: &wire.Target{Id: "t", Slots: 2, Batch: 2}, Holds: en.holds, Invoke: en.invoke, Load: en.load,
 		Unload: en.unload, Poll: en.poll, EvictionDelay: time.Second,
@@ -349,18 +354,34 @@
 
 // TestRefusesRequestQueuedBeforeFirstReportWithoutLease guards against a request that arrives before the first load
 // report and waits for its deadline. Without a lease its adapter can't be loaded here, so the request must go to
-// another target.
+// another target: at once if there has never been a lease, and by way of the new holder if the lease was lost.
 func TestRefusesRequestQueuedBeforeFirstReportWithoutLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ha := startHarness(t)
-		ha.en.update(func() { ha.en.held = false })
-		started := time.Now()
-		rs := <-ha.submit(t.Context(), requester.Fields{ID: "r", Adapter: "a"})
-		if rf := requester.AsRefusal(rs.err); rf == nil || rf.Code() != requester.CodeNoTarget {
-			t.Fatalf("ended with %v, want a refusal with code no-target", rs.err)
-		}
-		if waited := time.Since(started); waited > 5*time.Second {
-			t.Errorf("refused after %s", waited)
-		}
-	})
+	tests := map[string]struct {
+		heldBefore bool
+		code       requester.Code
+	}{
+		"never held": {false, requester.CodeNoTarget},
+		"lost":       {true, requester.CodeWrongHolder},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				en := newFakeEngine()
+				en.held = tt.heldBefore
+				ha := startHarnessWith(t, en)
+				if tt.heldBefore {
+					synctest.Wait()
+					ha.en.update(func() { ha.en.held = false })
+				}
+				started := time.Now()
+				rs := <-ha.submit(t.Context(), requester.Fields{ID: "r", Adapter: "a"})
+				if rf := requester.AsRefusal(rs.err); rf == nil || rf.Code() != tt.code {
+					t.Fatalf("ended with %v, want a refusal with code %s", rs.err, tt.code)
+				}
+				if waited := time.Since(started); waited > 5*time.Second {
+					t.Errorf("refused after %s", waited)
+				}
+			})
+		})
+	}
 }
