Refuse for used up rate limits with the same reason and wait throughout

A request that came while its targets were left alone for their rate limits was refused as if they had asked for a back-off, with the time to the holder's next send, often some 10 ms: its caller came back to find that send taken, and the log named another cause. Now it ends with the reason of the rate limit and at least the usual wait; the second request of TestSendsNoMoreThanRateLimit has that check. A holder no longer decides for a target that it does not know (any more), so that nothing is kept for removed targets.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -139,6 +139,7 @@
 		ti.malformed.Add(1)
 	case rl.Named:
 		ti.throttler.Named(ts, rl.Rate)
+		ti.balancer.SetRateLimited(ts, true)
 	default:
 		ti.throttler.Unnamed(ts, sentAt)
 	}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -207,11 +207,8 @@
 	if ex.loads >= maxLoads {
 		return ex.refusalUnlessRun(refusedNoLoad)
 	}
-	if ex.skippedForLimit > 0 {
-		return ex.refusalUnlessRun(ex.refusedRateLimited())
-	}
-	if wait := ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()); wait > 0 {
-		return ex.refusalUnlessRun(refusedBackOff(wait))
+	if wait := ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()); wait > 0 || ex.skippedForLimit > 0 {
+		return ex.refusalUnlessRun(ex.refusedForNow(wait))
 	}
 	if ex.targetsFull {
 		return ex.refusalUnlessRun(refusedFull)
--- a/acceptor/ratelimit.go
+++ b/acceptor/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"lovagebank/balancer"
 	"lovagebank/forwarder"
@@ -27,11 +28,13 @@
 	return false
 }
 
-// refusedRateLimited returns the refusal of a request for which only targets with used up rate limits are left. Callers that
-// return as soon as one send is due would find it taken.
-func (ex *exchange) refusedRateLimited() *refusal {
-	wait := max(ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()), usualWait)
-	return &refusal{status: http.StatusServiceUnavailable, reason: "the targets' rate limits are used up", wait: wait}
+// refusedForNow returns the refusal of a request whose targets are left alone for a time: because they have asked for it, or
+// because their rate limits are used up. In that case, callers that return as soon as one send is due would find it taken.
+func (ex *exchange) refusedForNow(wait time.Duration) *refusal {
+	if ex.skippedForLimit == 0 && !ex.ac.op.Balancer.AnyRateLimited(ex.service.Name()) {
+		return refusedBackOff(wait)
+	}
+	return refusedRateLimited(max(wait, usualWait))
 }
 
 // recordRateLimit records what a response says about the target's rate limit. Only a success without a limit shows that there
--- a/acceptor/ratelimit_test.go
+++ b/acceptor/ratelimit_test.go
@@ -40,10 +40,13 @@
 			if _, _, err := ti.send(tt.path, nil); err != nil {
 				t.Fatal(err)
 			}
-			rs, text := ti.expectStatus(tt.path, nil, http.StatusServiceUnavailable)
-			wait, err := strconv.ParseFloat(rs.Header.Get("Retry-After"), 64)
-			if err != nil || wait <= 0 || !strings.Contains(text, "rate limit") {
-				t.Errorf("Retry-After %q: %s", rs.Header.Get("Retry-After"), text)
+			// The first request finds the limit used up, the second one finds the target left alone for it.
+			for range 2 {
+				rs, text := ti.expectStatus(tt.path, nil, http.StatusServiceUnavailable)
+				wait, err := strconv.ParseFloat(rs.Header.Get("Retry-After"), 64)
+				if err != nil || wait < 0.4 || !strings.Contains(text, "rate limit") {
+					t.Errorf("Retry-After %q: %s", rs.Header.Get("Retry-After"), text)
+				}
 			}
 			ti.addTarget("t2", tt.service, ok)
 			for range 3 {
--- a/acceptor/refusal.go
+++ b/acceptor/refusal.go
@@ -50,6 +50,10 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "the targets have asked to be left alone", wait: wait}
 }
 
+func refusedRateLimited(wait time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "the targets' rate limits are used up", wait: wait}
+}
+
 // refuse sends the refusal to the caller as the final response.
 func (ex *exchange) refuse(rf *refusal) {
 	ex.outcome.reason = rf.reason
--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -42,3 +42,15 @@
 	}
 	st.rateLimited = limited
 }
+
+// AnyRateLimited reports whether a target of a service names a rate limit.
+func (ba *Balancer) AnyRateLimited(service string) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	for _, st := range ba.byService[service] {
+		if st.rateLimited && !st.draining() {
+			return true
+		}
+	}
+	return false
+}
--- a/supervisor/limits.go
+++ b/supervisor/limits.go
@@ -123,22 +123,23 @@
 // grantSend decides whether an instance may send a request to a target that this instance holds; it is false without the
 // authority to decide. The authority ends before another instance can have it.
 func (su *Supervisor) grantSend(no throttler.Notice) (throttler.Grant, bool) {
-	if _, ok := su.keeper.Authority(no.Target.Target); !ok {
+	if _, ok := su.keeper.Authority(no.Target.Target); !ok || !su.mergeRateLimit(no) {
 		return throttler.Grant{}, false
 	}
-	su.mergeRateLimit(no)
 	return su.throttler.Grant(no), true
 }
 
-// mergeRateLimit records what a peer knows of a target's rate limit.
-func (su *Supervisor) mergeRateLimit(no throttler.Notice) {
+// mergeRateLimit records what a peer knows of a target's rate limit. It reports whether this instance knows that start of the
+// target, and the notice is valid.
+func (su *Supervisor) mergeRateLimit(no throttler.Notice) bool {
 	ta, ok := su.balancer.Target(no.Target.Target)
 	if !ok || !ta.Started().Equal(no.Target.Started) || !validRate(no.Limit.Rate) {
-		return
+		return false
 	}
 	if su.throttler.Merge(no) {
 		su.logRateLimit(no.Target, limitFromPeer)
 	}
+	return true
 }
 
 // validRate reports whether a peer's figure can be a rate.
