Log when a request was sent, who said that a target leaves, and removals that are held back

Now sent-ms in each request line, source in 'target leaving', and 'removal of key deferred' with the age of the store's failure. No behaviour changes.

--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -26,10 +26,12 @@
 	reason        string
 	retryAfter    time.Duration
 	target        string
-	load          float64
-	loadAge       time.Duration
-	tries         int
-	loadWait      time.Duration
+	// sentAfter is the time from the arrival to the last send.
+	sentAfter time.Duration
+	load      float64
+	loadAge   time.Duration
+	tries     int
+	loadWait  time.Duration
 	// turnWait is how long the prompt waited for its turn at the target.
 	turnWait time.Duration
 	// backOff is how long the last target that asked for a back-off wants no requests.
@@ -108,7 +110,7 @@
 	}
 	if ou.target != "" {
 		fields = append(fields, "target", ou.target, "load", int(ou.load*100), "load-age-ms", ou.loadAge.Milliseconds(),
-			"tries", ou.tries, "first-ms", ou.TimeToFirstByte().Milliseconds(), "software", ou.software)
+			"tries", ou.tries, "sent-ms", ou.sentAfter.Milliseconds(), "first-ms", ou.TimeToFirstByte().Milliseconds(), "software", ou.software)
 	}
 	if st := ou.timing; st.longestPause > 0 {
 		fields = append(fields, "pause-ms", st.longestPause.Milliseconds(),
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -124,7 +124,7 @@
 		},
 		Report: su.requestReport,
 		OnLeaving: func() {
-			su.markTargetLeaving(ta.Start())
+			su.markTargetLeaving(ta.Start(), leavingFromReport)
 		},
 		Order:     su.targets.Order,
 		OnChanged: func() {},
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -173,10 +173,17 @@
 	su.holdings.triggerRefresh()
 }
 
+// Sources of the word that a target is leaving, for the log.
+const (
+	leavingFromAnswer = "answer"
+	leavingFromReport = "report"
+	leavingFromPeer   = "peer"
+)
+
 // markTargetLeaving stops sending requests to a target that an answer or a peer has reported as leaving.
-func (su *Supervisor) markTargetLeaving(ts balancer.Start) {
+func (su *Supervisor) markTargetLeaving(ts balancer.Start, source string) {
 	if su.balancer.MarkLeaving(ts) {
-		su.logger.Info("target leaving", "target", ts.Target, "started", ts.Started.UnixMilli())
+		su.logger.Info("target leaving", "target", ts.Target, "started", ts.Started.UnixMilli(), "source", source)
 	}
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -195,7 +195,7 @@
 		RequiredVersion:   su.releaser.MinVersion,
 		LoadAdapter:       su.loadAdapter,
 		RequestTurn:       su.requestTurn,
-		TargetLeaving:     su.markTargetLeaving,
+		TargetLeaving:     func(ts balancer.Start) { su.markTargetLeaving(ts, leavingFromAnswer) },
 		RateLimitAnswered: su.rateLimitAnswered,
 		AnswerBroken:      su.answerBroken,
 		ClaimProbe:        su.claimProbe,
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, le := range state.GetLeavers() {
-		su.markTargetLeaving(balancer.Start{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())})
+		su.markTargetLeaving(balancer.Start{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())}, leavingFromPeer)
 	}
 	for _, tl := range state.GetLimits() {
 		su.mergeRateLimit(exchanger.DecodeNotice(tl))
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -375,6 +375,10 @@
 	case it.Deleted && (!ok || it.Revision < current.Revision):
 		return false
 	case it.Deleted && !certain && wa.defersRemovals():
+		if _, ok := wa.deferredRemovals[it.Key]; !ok {
+			wa.op.Logger.Info("removal of key deferred", "key", it.Key, "revision", it.Revision,
+				"failure-ms", time.Since(wa.op.Failures.LastFailure()).Milliseconds())
+		}
 		wa.deferredRemovals[it.Key] = it
 		return false
 	case it.Deleted:
