--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -134,7 +134,7 @@
 		RequestEnded:      func(ou *acceptor.Outcome) { ti.outcomes <- ou },
 		Random:            func() float64 { return 0 },
 		Balancer:          ti.balancer,
-		Forwarder:         forwarder.New(),
+		Forwarder:         forwarder.New(forwarder.Options{}),
 		Allotter:          allotter.New(allotter.Options{Interval: func() time.Duration { return time.Second }}),
 		Budgeter: budgeter.New(budgeter.Options{
 			Ratio: 1, Extra: 100, Window: time.Second, Instances: func() int { return 1 },
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -80,11 +80,16 @@
 	Software []string
 	// StreamEvents is the number of events of each stream; 0 selects 6.
 	StreamEvents int
+	// Listen opens the listeners of the store and the targets; nil listens on TCP ports.
+	Listen Listen
 	// Plain selects a deployment without organisations and keys, whose targets report neither load nor health.
 	Plain bool
 }
 
 func (op Options) withDefaults() Options {
+	if op.Listen == nil {
+		op.Listen = net.Listen
+	}
 	if op.AddressOverride == nil {
 		op.AddressOverride = func(_, address string) (string, error) { return address, nil }
 	}
@@ -102,17 +107,18 @@
 // NewFleet claims a loopback network, starts a store and the targets, and writes the first configuration. It returns an
 // error if no network is free, or if a target cannot be started or registered.
 func NewFleet(op Options) (*Fleet, error) {
-	ne, err := claimNetwork()
+	op = op.withDefaults()
+	ne, err := claimNetwork(op.Listen)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := op.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		ne.release()
 		return nil, err
 	}
 	fl := &Fleet{
-		op: op.withDefaults(), network: ne, store: NewStore(), address: listener.Addr().String(), runLog: &RunLog{},
+		op: op, network: ne, store: NewStore(), address: listener.Addr().String(), runLog: &RunLog{},
 		targets: make(map[string]*Target), entries: make(map[string]*Instance), restarting: make(map[string]bool),
 		crashing: &crashingParts{parts: make(map[string]*crashingPart)}, closing: make(chan struct{}),
 	}
@@ -260,37 +266,55 @@
 
 // StartInstance starts an entry instance and waits until it is ready. The number determines its name and its IP address.
 func (fl *Fleet) StartInstance(number int) (*Instance, error) {
-	ip := fl.IP(number)
-	ports, err := freePorts(ip, 4)
+	en, settings, err := fl.newInstance(number)
 	if err != nil {
 		return nil, err
 	}
+	path := filepath.Join(fl.op.Folder, fmt.Sprintf("entry-%d.conf", number))
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	en.launch = func() error { return en.start(fl.op.Program, path) }
+	fl.entries[fl.IP(number)] = en
+	return en, en.launch()
+}
+
+// newInstance returns an entry instance that has not been started, and the text of its settings.
+func (fl *Fleet) newInstance(number int) (*Instance, string, error) {
+	ip := fl.IP(number)
+	ports, err := fl.freePorts(ip, 4)
+	if err != nil {
+		return nil, "", err
+	}
 	store, err := fl.op.AddressOverride("store/"+ip, fl.address)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	en := &Instance{callerAddress: net.JoinHostPort(ip, ports[0]), readyAddress: net.JoinHostPort(ip, ports[1])}
-	path := filepath.Join(fl.op.Folder, fmt.Sprintf("entry-%d.conf", number))
 	settings := strings.Join([]string{
 		"nodeName=entry-" + strconv.Itoa(number), "ip=" + ip, "zone=" + fl.zone(number),
 		"listen.front=" + en.callerAddress, "listen.ready=" + en.readyAddress,
 		"internalPorts=" + ports[2] + "," + ports[2], "platform.addr=" + store, "limits.memoryMb=284",
 		"listen.control=" + net.JoinHostPort(ip, ports[3]), "seeds=" + strings.Join(fl.seeds, ","), "",
 	}, "\n")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		return nil, err
-	}
-	en.launch = func() error { return en.start(fl.op.Program, path) }
-	fl.entries[ip] = en
 	fl.seeds = append(fl.seeds, net.JoinHostPort(ip, ports[3]))
-	return en, en.launch()
+	return en, settings, nil
+}
+
+// Settings returns the settings and the callers' address of an instance that runs in the same process as the fleet.
+func (fl *Fleet) Settings(number int) (settings []byte, callers string, err error) {
+	en, text, err := fl.newInstance(number)
+	if err != nil {
+		return nil, "", err
+	}
+	return []byte(text), en.callerAddress, nil
 }
 
 // freePorts returns ports of the IP address that have no listener at present. Instances call each other at their own addresses.
-func freePorts(ip string, count int) ([]string, error) {
+func (fl *Fleet) freePorts(ip string, count int) ([]string, error) {
 	ports := make([]string, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		listener, err := fl.op.Listen("tcp4", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -24,10 +24,13 @@
 	claim  net.Listener
 }
 
+// Listen opens a listener at an address of the form host:port.
+type Listen func(network, address string) (net.Listener, error)
+
 // claimNetwork claims the first free network. It returns errNoNetwork if all are claimed.
-func claimNetwork() (*network, error) {
+func claimNetwork(listen Listen) (*network, error) {
 	for number := 1; number <= networkCount; number++ {
-		claim, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:%d", number, claimPort))
+		claim, err := listen("tcp4", fmt.Sprintf("127.%d.0.1:%d", number, claimPort))
 		if err == nil {
 			return &network{number: number, claim: claim}, nil
 		}
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -104,7 +103,7 @@
 
 // newTarget starts a target on a free port of 127.0.0.1.
 func (fl *Fleet) newTarget(id, service string, engine bool) (*Target, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := fl.op.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovagebank/orderer"
+	"lovagebank/platform"
 	"lovagebank/sequencer"
 	"lovagebank/throttler"
 	"lovagebank/wire"
@@ -69,7 +70,8 @@
 	Mirror func(ctx context.Context, rq MirrorRequest) MirrorResponse
 	// ExchangeFailed is called with the name of a peer that did not answer an exchange.
 	ExchangeFailed func(peer string, err error)
-	// Transport sends the calls; nil means HTTP over TCP.
+	// Dial opens connections to peers; nil opens TCP connections. Transport sends the calls; nil means HTTP over these connections.
+	Dial      platform.Dial
 	Transport http.RoundTripper
 }
 
@@ -97,7 +99,7 @@
 // New returns an exchanger, which starts exchanges in Run.
 func New(op Options) *Exchanger {
 	if op.Transport == nil {
-		op.Transport = newTransport()
+		op.Transport = newTransport(op.Dial)
 	}
 	return &Exchanger{
 		op:         op,
@@ -109,13 +111,16 @@
 	}
 }
 
-func newTransport() http.RoundTripper {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+func newTransport(dial platform.Dial) http.RoundTripper {
+	if dial == nil {
+		dialer := &net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		}
+		dial = dialer.DialContext
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -69,21 +70,33 @@
 	MaxConnections int
 }
 
+// Options configures a Forwarder.
+type Options struct {
+	// Dial opens connections to targets; nil opens TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Forwarder holds a pool of connections for each target. It is safe for concurrent use.
 type Forwarder struct {
+	op    Options
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
 // New returns a Forwarder without connections.
-func New() *Forwarder { return &Forwarder{pools: make(map[string]*pool)} }
+func New(op Options) *Forwarder {
+	if op.Dial == nil {
+		op.Dial = dialer.DialContext
+	}
+	return &Forwarder{op: op, pools: make(map[string]*pool)}
+}
 
 func (fo *Forwarder) pool(ta Target) *pool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	po, ok := fo.pools[ta.ID]
 	if !ok {
-		po = newPool(ta.Address)
+		po = newPool(ta.Address, fo.op.Dial)
 		fo.pools[ta.ID] = po
 	}
 	po.setMaxOpen(ta.MaxConnections)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -112,7 +112,7 @@
 			write(conn, response(id, "body-"+id))
 		}
 	})
-	fo := forwarder.New()
+	fo := forwarder.New(forwarder.Options{})
 	for _, id := range []string{"1", "2", "3"} {
 		if text, err := send(fo, st, id, "hello"); err != nil || text != "body-"+id {
 			t.Fatalf("got %q, %v", text, err)
@@ -153,7 +153,7 @@
 	for name, script := range tests {
 		t.Run(name, func(t *testing.T) {
 			st := newScriptedTarget(t, script)
-			fo := forwarder.New()
+			fo := forwarder.New(forwarder.Options{})
 			for _, id := range []string{"1", "2", "3"} {
 				text, err := send(fo, st, id, "hello")
 				if err == nil && text != "body-"+id {
@@ -202,7 +202,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			st := newScriptedTarget(t, tt.script)
-			fo := forwarder.New()
+			fo := forwarder.New(forwarder.Options{})
 			if _, err := send(fo, st, "1", ""); err != nil {
 				t.Fatal(err)
 			}
@@ -230,7 +230,7 @@
 func TestRefusedConnection(t *testing.T) {
 	st := newScriptedTarget(t, func(*scriptedTarget, int, net.Conn, *bufio.Reader) {})
 	_ = st.listener.Close()
-	_, err := send(forwarder.New(), st, "1", "")
+	_, err := send(forwarder.New(forwarder.Options{}), st, "1", "")
 	if err == nil || mayHaveRun(t, err) {
 		t.Errorf("got %v", err)
 	}
@@ -248,7 +248,7 @@
 				st.receive(reader)
 				write(conn, text)
 			})
-			if _, err := send(forwarder.New(), st, "1", ""); err == nil {
+			if _, err := send(forwarder.New(forwarder.Options{}), st, "1", ""); err == nil {
 				t.Error("a truncated body was read as complete")
 			}
 		})
@@ -270,7 +270,7 @@
 		write(conn, response(rq.Header.Get("Request-Id"), "early"))
 		time.Sleep(300 * time.Millisecond)
 	})
-	fo := forwarder.New()
+	fo := forwarder.New(forwarder.Options{})
 	if text, err := send(fo, st, "1", strings.Repeat("x", 8<<20)); err != nil || text != "early" {
 		t.Fatalf("got %q, %v", text, err)
 	}
@@ -286,7 +286,7 @@
 		<-release
 		write(conn, response(id, "ok"))
 	})
-	fo := forwarder.New()
+	fo := forwarder.New(forwarder.Options{})
 	to := forwarder.Target{ID: "t", Address: st.listener.Addr().String(), MaxConnections: 1}
 	rq := &forwarder.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ResponseID: func(http.Header) string { return "" }}
 	first := make(chan error, 1)
@@ -324,7 +324,7 @@
 		}
 		cancel()
 	}()
-	_, err := forwarder.New().Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
+	_, err := forwarder.New(forwarder.Options{}).Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
 		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ResponseID: func(http.Header) string { return "" },
 	})
 	if err == nil {
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -26,8 +26,8 @@
 	readBufferSize = 4 << 10
 )
 
+// dialer opens TCP connections to targets.
 var dialer = &net.Dialer{
-	Timeout:         dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount},
 	Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
@@ -44,6 +44,7 @@
 // pool holds the connections to one target.
 type pool struct {
 	address string
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	idle    []*connection
@@ -53,7 +54,9 @@
 	closed bool
 }
 
-func newPool(address string) *pool { return &pool{address: address} }
+func newPool(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *pool {
+	return &pool{address: address, dial: dial}
+}
 
 func (po *pool) setMaxOpen(most int) {
 	po.mu.Lock()
@@ -76,7 +79,9 @@
 	if !po.reserve() {
 		return nil, ErrNoConnection
 	}
-	conn, err := dialer.DialContext(ctx, "tcp4", po.address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := po.dial(dialCtx, "tcp4", po.address)
 	if err != nil {
 		po.connectionClosed()
 		return nil, err
--- a/forwarder/unbounded_test.go
+++ b/forwarder/unbounded_test.go
@@ -43,7 +43,7 @@
 					text = tt.again
 				}
 			})
-			_, err := send(forwarder.New(), st, "id-1", "body")
+			_, err := send(forwarder.New(forwarder.Options{}), st, "id-1", "body")
 			if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Fatalf("got %v", err)
 			}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -39,6 +39,7 @@
 		Turn:      su.reserveTurn,
 		GrantSend: su.grantSend,
 		Mirror:    su.mirror,
+		Dial:      su.op.Dial,
 		ExchangeFailed: func(peer string, err error) {
 			su.reporter.AddToCounter("exchange_failures", 1)
 			if su.silentPeers.add(peer) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -92,6 +92,10 @@
 	MetricsPort int
 	// Out receives the log.
 	Out io.Writer
+	// Dial opens connections to the store, to targets and to other instances; nil opens TCP connections.
+	Dial platform.Dial
+	// Listen opens the instance's listeners; nil listens on TCP ports.
+	Listen func(network, address string) (net.Listener, error)
 }
 
 // Supervisor runs the components of one instance.
@@ -149,6 +153,9 @@
 
 // New returns an instance with its components; Run starts it.
 func New(op Options) *Supervisor {
+	if op.Listen == nil {
+		op.Listen = net.Listen
+	}
 	st := op.Settings
 	su := &Supervisor{
 		op:          op,
@@ -156,8 +163,8 @@
 		start:       strconv.FormatUint(rand.Uint64(), 36),
 		recorder:    recorder.New(op.Out),
 		reporter:    reporter.New(),
-		targets:     platform.NewTargetClient(),
-		forwarder:   forwarder.New(),
+		targets:     platform.NewTargetClient(op.Dial),
+		forwarder:   forwarder.New(forwarder.Options{Dial: op.Dial}),
 		quarantiner: quarantiner.New(),
 		profiler:    profiler.New(),
 		engines:     engineReporter{limited: make(map[string]bool)},
@@ -167,7 +174,7 @@
 	su.teller = teller.New(su.start)
 	su.parts = quarantiner.NewParts(su.start)
 	su.throttler = throttler.New(throttler.Options{Ask: su.askSend, Instances: su.instanceCount, Random: rand.Float64})
-	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), OnRollback: su.storeRolledBack})
+	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), OnRollback: su.storeRolledBack, Dial: op.Dial})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.budgeter = budgeter.New(budgeter.Options{
 		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instanceCount,
@@ -400,7 +407,7 @@
 	}
 	sv.callers.Addr = su.settings.CallerAddress()
 	for _, server := range append([]*http.Server{sv.callers}, sv.others...) {
-		listener, err := net.Listen("tcp4", server.Addr)
+		listener, err := su.op.Listen("tcp4", server.Addr)
 		if err != nil {
 			return nil, oops.Wrapf(err, "listen on %s", server.Addr)
 		}
