--- a/emulator/target.go
+++ b/emulator/target.go
@@ -251,3 +251,6 @@
 	}
 	return rest.String(), versions
 }
+
+// Address returns the address at which the target listens.
+func (ta *Target) Address() string { return ta.address }
--- a/faker/network.go
+++ b/faker/network.go
@@ -209,3 +209,16 @@
 
 // Addr returns the listener's address.
 func (li *networkListener) Addr() net.Addr { return li.address }
+
+// Close resets all connections that are still open.
+func (nw *Network) Close() {
+	nw.mu.Lock()
+	open := make([]*networkConn, 0, len(nw.open))
+	for co := range nw.open {
+		open = append(open, co)
+	}
+	nw.mu.Unlock()
+	for _, co := range open {
+		co.abort(syscall.ECONNRESET)
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -290,6 +290,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	defer su.recorder.Close()
+	defer su.reporter.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	servers, err := su.listen()
