Tests that fail: requests reach targets that have left

DRAIN, reproduced in virtual time on the code as it was, listed as known red:

- Removed, while callers of take-ups leave: 28 requests, the last one 2.38 s after the store was told; the store answers all the while.
- Draining or removed, as the reader of a failure domain is cut off from the store: 24 and 18 requests, up to 2.75 s, all at the reader itself.
- Announced in an answer, then the entry lapses for half a second or is malformed for a moment: 1 to 2 requests 4 s after the announcement.
- A request that waits for the claim of a test of a verdict or for its connection: sent to a target that has left, restarted or been removed meanwhile, in six of six cases.
- A request that has ended while the path to its target was silent arrives when the path is open again.

'draining' and 'removed' without a fault pass.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -221,6 +221,9 @@
 	return fl.targets[id]
 }
 
+// StoreAddress returns the address of the store.
+func (fl *Fleet) StoreAddress() string { return fl.address }
+
 // Store returns the store of the fleet.
 func (fl *Fleet) Store() *Store { return fl.store }
 
--- a/emulator/ratelimit.go
+++ b/emulator/ratelimit.go
@@ -83,6 +83,7 @@
 func (ta *Target) countArrival(id string) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
+	ta.countLateArrival(id)
 	if len(ta.rateLimit.spans) > 0 {
 		ta.rateLimit.arrivals = append(ta.rateLimit.arrivals, Arrival{ID: id, At: time.Now()})
 	}
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -92,6 +92,10 @@
 	rejectUntil time.Time
 	rejected    int
 	rateLimit   rateLimit
+	// leftAt is when it was first announced that the target is leaving; zero if it is not. lateArrivals are the requests that reached it
+	// later than leavingNotice after that.
+	leftAt       time.Time
+	lateArrivals []Arrival
 	// crashing holds the parts of prompts that crash the target; crashed is called when one does.
 	crashing *crashingParts
 	crashed  func()
--- a/faker/network.go
+++ b/faker/network.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// maxDialTime is how long the opening of a connection is tried if its context does not end before.
+const maxDialTime = 700 * time.Millisecond
+
 // firstNetworkPort is the first port that a Network assigns.
 const firstNetworkPort = 20000
 
@@ -107,6 +110,8 @@
 
 func (nw *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	key := pathKey{from, address}
+	ctx, cancel := context.WithTimeout(ctx, maxDialTime)
+	defer cancel()
 	select {
 	case <-ctx.Done():
 		return nil, dialError(ctx.Err())
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -135,6 +135,13 @@
 	return answerTimeout - time.Since(fo.answeredAt), fo.lapsed
 }
 
+// Reader returns the name of the reader that is followed; false if this instance reads the store itself.
+func (fo *Follower) Reader() (string, bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.reader.Name, fo.start != ""
+}
+
 // DropReader drops the reader for a while, as another instance knows a change that the reader has not sent. This instance then
 // reads the store itself.
 func (fo *Follower) DropReader() {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -10,8 +10,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"lovagebank/faker"
 	"lovagebank/forwarder"
 )
 
@@ -332,3 +334,71 @@
 	}
 	<-closed
 }
+
+// Guards against DRAIN: the bytes of a request that has ended wait at this side, and reach the target when it reads again.
+func TestEndedRequestDoesNotArriveLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := faker.NewNetwork(time.Millisecond, time.Minute)
+		listener, err := nw.Listen("tcp4", "t:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		address := listener.Addr().String()
+		arrived := make(chan string, 4)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					reader := bufio.NewReader(conn)
+					for {
+						rq, err := http.ReadRequest(reader)
+						if err != nil {
+							_ = conn.Close()
+							return
+						}
+						id := rq.Header.Get("Request-Id")
+						arrived <- id
+						write(conn, response(id, "x"))
+					}
+				}()
+			}
+		}()
+		fo := forwarder.New(forwarder.Options{Dial: nw.DialFrom("a")})
+		ask := func(id string, timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			rs, err := fo.Send(ctx, forwarder.Target{ID: "t", Address: address}, &forwarder.Request{
+				Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id,
+				ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+			})
+			if err == nil {
+				_, err = io.ReadAll(rs)
+				rs.Close()
+			}
+			return err
+		}
+		if err := ask("first", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		nw.SetPath("a", address, faker.PathSilent)
+		if err := ask("ended", time.Second); err == nil {
+			t.Error("answered over a silent path")
+		}
+		time.Sleep(time.Second)
+		nw.SetPath("a", address, faker.PathOpen)
+		time.Sleep(time.Second)
+		fo.Remove("t")
+		nw.Close()
+		time.Sleep(time.Second)
+		close(arrived)
+		for id := range arrived {
+			if id == "ended" {
+				t.Error("the request arrived after its end")
+			}
+		}
+	})
+}
