faker.Network: bytes held for a connection that was closed arrive too

The network forgot a closed connection whose bytes were still held, so that TestEndedRequestDoesNotArriveLater passed by mistake.

--- a/faker/network_conn.go
+++ b/faker/network_conn.go
@@ -144,7 +144,7 @@
 	co.sent = co.sent[1:]
 	if bytes == nil {
 		co.out.update(func() { co.out.ended = true })
-		co.network.forget(co)
+		co.forgetIfDone()
 		return
 	}
 	silent := co.network.state(co) == PathSilent
@@ -178,6 +178,17 @@
 		co.abort(syscall.ECONNRESET)
 	case PathOpen, PathKeepsOpen:
 		co.out.update(func() { co.out.arrived, co.out.held = append(co.out.arrived, co.out.held...), nil })
+		co.forgetIfDone()
+	}
+}
+
+// forgetIfDone makes the network forget this end once all that it has sent has arrived.
+func (co *networkConn) forgetIfDone() {
+	co.out.mu.Lock()
+	done := co.out.ended && len(co.out.held) == 0
+	co.out.mu.Unlock()
+	if done {
+		co.network.forget(co)
 	}
 }
 
