DRAIN: a call that the instance gave up is no failure of the store

Callers' requests reached a target up to 2.4 s after its entry had been removed, though the store answered all the while.

Cause: after a failed call to the store the removal of an entry is held back for 2.5 s, as it may only have lapsed in an outage. A call counted as failed also if the instance itself ended it: the caller of a take-up left while its origin was looked up, the claim of the test of a verdict would wait for 0.2 s only, evidence or an entry of a stream for 0.6 s. It also made holders wait for a whole lease before they took targets over.

Now a call that its issuer ended within a second says nothing about the store; silence for the call's own time, or refusals, do as before. Evidence: TestRequestsDoNotReachTargetsThatHaveLeft/removed, as callers of take-ups leave: 28 late requests before, none now; TestWhichCallsAreFailuresOfTheStore, two of its cases failed before. The cases of readers that are cut off still fail (known red).

--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -11,19 +11,26 @@
 	"lovagebank/router"
 )
 
-// recordCall records whether the store answered a call that began at the given time.
-func (su *Supervisor) recordCall(began time.Time, err error) {
-	if errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown) {
+// silentStoreTime is how long a call has to have waited for the store to count as a failure of the store if its issuer ended it.
+const silentStoreTime = time.Second
+
+// recordCall records whether the store answered a call that began at the given time. A call that its issuer ended before the store had
+// to answer says nothing about the store: its caller has left, or would not wait for long.
+func (su *Supervisor) recordCall(ctx context.Context, began time.Time, err error) {
+	failed := errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown)
+	switch {
+	case failed && ctx.Err() != nil && time.Since(began) < silentStoreTime:
+	case failed:
 		su.storeFailures.RecordFailure(began)
-		return
+	default:
+		su.storeFailures.RecordAnswer(began)
 	}
-	su.storeFailures.RecordAnswer(began)
 }
 
 func (su *Supervisor) list(ctx context.Context, prefix string, stale bool) (platform.Page, error) {
 	began := time.Now()
 	pa, err := su.store.List(ctx, prefix, stale)
-	su.recordCall(began, err)
+	su.recordCall(ctx, began, err)
 	return pa, err
 }
 
@@ -31,7 +38,7 @@
 	began := time.Now()
 	pa, err := su.store.Watch(ctx, prefix, after, wait)
 	if ctx.Err() == nil {
-		su.recordCall(began, err)
+		su.recordCall(ctx, began, err)
 	}
 	return pa, err
 }
@@ -40,7 +47,7 @@
 func (su *Supervisor) transact(ctx context.Context, tx platform.Transaction) (int64, error) {
 	began := time.Now()
 	revision, err := su.store.Transact(ctx, tx)
-	su.recordCall(began, err)
+	su.recordCall(ctx, began, err)
 	return revision, err
 }
 
@@ -54,13 +61,13 @@
 		Grant: func(ctx context.Context, ttl time.Duration) (platform.Lease, time.Duration, error) {
 			began := time.Now()
 			lease, granted, err := su.store.Grant(ctx, ttl)
-			su.recordCall(began, err)
+			su.recordCall(ctx, began, err)
 			return lease, granted, err
 		},
 		Renew: func(ctx context.Context, lease platform.Lease) (time.Duration, error) {
 			began := time.Now()
 			ttl, err := su.store.Renew(ctx, lease)
-			su.recordCall(began, err)
+			su.recordCall(ctx, began, err)
 			return ttl, err
 		},
 		End:             su.store.End,
--- a/supervisor/streams.go
+++ b/supervisor/streams.go
@@ -15,7 +15,7 @@
 		Get: func(ctx context.Context, key string) (platform.Item, error) {
 			began := time.Now()
 			it, err := su.store.Get(ctx, key)
-			su.recordCall(began, err)
+			su.recordCall(ctx, began, err)
 			return it, err
 		},
 		List: func(ctx context.Context, prefix string) (platform.Page, error) {
