DRAIN: the announcement of a leaving outlives the target's entry

Callers' requests reached a target seconds after an answer had said that it leaves, once its entry in the store had gone and come back.

Cause: what an answer or a peer had said was kept with the entry. When the entry lapsed, or another writer spoilt it for a moment, the target was dropped and then taken in as a new one; an announcement that came while it was not listed was dropped too. Now the balancer remembers which starts of targets are leaving, from answers, peers and entries, for five minutes after the last word; another start of the same target is not affected, and a target that does not say when it started is not remembered.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,6 +37,8 @@
 	states    map[string]*targetState
 	byService map[string][]*targetState
 	demand    *demand
+	// leaving remembers the starts of targets that are leaving.
+	leaving announcements
 	// fleet is the demand for adapters as the holders of the targets report it.
 	fleet *fleetDemand
 }
@@ -96,6 +98,7 @@
 		states:    make(map[string]*targetState),
 		byService: make(map[string][]*targetState),
 		demand:    newDemand(),
+		leaving:   make(announcements),
 		fleet:     newFleetDemand(),
 	}
 }
@@ -105,14 +108,18 @@
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	st, known := ba.states[ta.ID()]
+	if ta.Draining() {
+		ba.leaving.record(ta.Start(), time.Now())
+	}
 	if known && st.target.SameStart(ta) {
-		st.target = ta
+		st.target, st.leaving = ta, st.leaving || ba.leaving.contains(ta.Start())
 		return
 	}
 	ba.remove(ta.ID())
 	st = &targetState{
 		target:   ta,
 		hash:     xxhash.Sum64String(ta.ID()),
+		leaving:  ba.leaving.contains(ta.Start()),
 		adapters: make(map[Adapter]int64),
 		uses:     make(map[Adapter]*Use),
 	}
--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -2,17 +2,58 @@
 
 import "time"
 
+const (
+	// announcementRetention is how long it is remembered that a start of a target is leaving, from the last time that it was heard. It
+	// is longer than targets take to leave.
+	announcementRetention = 5 * time.Minute
+	// pruneAnnouncementsAbove is the number of announcements from which outdated ones are dropped.
+	pruneAnnouncementsAbove = 64
+)
+
+// announcements remembers the starts of targets that are leaving, by when that was last heard. It outlives their entries in the
+// platform's list, which may go and come back.
+type announcements map[Start]time.Time
+
+// record remembers that a start is leaving. A target that does not say when it started is not remembered, as its starts cannot be told apart.
+func (an announcements) record(ts Start, now time.Time) {
+	if ts.Started.UnixMilli() <= 0 {
+		return
+	}
+	an[ts.normalized()] = now
+	if len(an) <= pruneAnnouncementsAbove {
+		return
+	}
+	for other, at := range an {
+		if now.Sub(at) > announcementRetention {
+			delete(an, other)
+		}
+	}
+}
+
+// contains reports whether a start is known to be leaving.
+func (an announcements) contains(ts Start) bool {
+	_, known := an[ts.normalized()]
+	return known
+}
+
+// normalized returns the start as a key of a map: equal starts have equal keys.
+func (ts Start) normalized() Start {
+	return Start{Target: ts.Target, Started: time.UnixMilli(ts.Started.UnixMilli())}
+}
+
 // MarkLeaving records that a target has announced that it is leaving, and reports whether this is new. The announcement applies
-// to this start of the target only.
+// to this start of the target only, and also if the platform's list does not have it now.
 func (ba *Balancer) MarkLeaving(ts Start) bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	st, ok := ba.states[ts.Target]
-	if !ok || st.leaving || !st.target.Started().Equal(ts.Started) {
-		return false
+	known := ba.leaving.contains(ts)
+	ba.leaving.record(ts, time.Now())
+	if st, ok := ba.states[ts.Target]; ok && st.target.SameAs(ts) {
+		known = known || st.leaving
+		st.leaving = true
+		return !known
 	}
-	st.leaving = true
-	return true
+	return !known && ba.leaving.contains(ts)
 }
 
 // Leavers returns the targets that are leaving but whose entries in the platform's list do not say so yet.
--- a/balancer/leaving_test.go
+++ b/balancer/leaving_test.go
@@ -100,3 +100,58 @@
 		}
 	})
 }
+
+// Guards against DRAIN: a target that has announced in an answer that it is leaving gets requests again because its entry in the platform's
+// list went and came back.
+func TestAnnouncementIsRemembered(t *testing.T) {
+	first, second := time.UnixMilli(100), time.UnixMilli(200)
+	set := func(ba *balancer.Balancer, started time.Time, draining bool) {
+		ba.SetTarget(balancer.NewTarget(balancer.TargetOptions{
+			ID: id(0), Service: service, Address: "x:1", Slots: slots, Started: started, Draining: draining,
+		}))
+		update(ba, 0, 0, 7)
+	}
+	announce := func(ba *balancer.Balancer) { ba.MarkLeaving(balancer.Start{Target: id(0), Started: first}) }
+	tests := map[string]struct {
+		before func(ba *balancer.Balancer)
+		want   string
+	}{
+		"removed and back": {func(ba *balancer.Balancer) {
+			set(ba, first, false)
+			announce(ba)
+			ba.RemoveTarget(id(0))
+			set(ba, first, false)
+		}, ""},
+		"announced while it is not listed": {func(ba *balancer.Balancer) {
+			announce(ba)
+			set(ba, first, false)
+		}, ""},
+		"draining, removed and back as ready": {func(ba *balancer.Balancer) {
+			set(ba, first, true)
+			ba.RemoveTarget(id(0))
+			set(ba, first, false)
+		}, ""},
+		"draining, then ready": {func(ba *balancer.Balancer) {
+			set(ba, first, true)
+			set(ba, first, false)
+		}, ""},
+		"started again": {func(ba *balancer.Balancer) {
+			set(ba, first, false)
+			announce(ba)
+			ba.RemoveTarget(id(0))
+			set(ba, second, false)
+		}, id(0)},
+		"never announced": {func(ba *balancer.Balancer) {
+			set(ba, first, false)
+			ba.RemoveTarget(id(0))
+			set(ba, first, false)
+		}, id(0)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ba := newFleet(0)
+			tt.before(ba)
+			expectChosen(t, ba, tt.want, "at last")
+		})
+	}
+}
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -91,6 +91,11 @@
 // Start returns the start of the target that this entry belongs to.
 func (ta *Target) Start() Start { return Start{Target: ta.op.ID, Started: ta.op.Started} }
 
+// SameAs reports whether the entry belongs to a start of a target.
+func (ta *Target) SameAs(ts Start) bool {
+	return ta.op.ID == ts.Target && ta.op.Started.Equal(ts.Started)
+}
+
 // SameStart reports whether another entry belongs to the same start of the same target: it has the same ID, start time and
 // address.
 func (ta *Target) SameStart(other *Target) bool {
