DRAIN: whether a target takes requests is checked directly before the first byte

Callers' requests were sent to a target that had left, started again or been removed while they waited for the claim of the test of a verdict (up to 0.2 s) or for a connection (up to 0.3 s).

Cause: the last check came after the grants of turns and rate limits, before these two waits; and it asked by the target's ID, so that the entry of a later start answered for the address of the one before. Connections were pooled by ID with the address of the first request, so that one request that was late could send all later ones to the old address. Now the forwarder asks once it has a connection, directly before the first byte; the question names the start and the address; connections are pooled by ID and address. A connection that was opened in vain is kept for the next request.

--- a/acceptor/ratelimit.go
+++ b/acceptor/ratelimit.go
@@ -20,7 +20,7 @@
 		ex.outcome.rateLimit = de
 	}
 	if de.Admitted {
-		return ex.ctx.Err() == nil && ex.ac.op.Balancer.Available(ta.ID())
+		return ex.ctx.Err() == nil && ex.ac.op.Balancer.Available(ta)
 	}
 	ex.skippedForLimit++
 	ex.excluded[ta.ID()] = true
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -107,6 +107,7 @@
 		HasBody:    ex.hasBody,
 		ID:         ex.caller.ID,
 		ResponseID: platform.ResponseID,
+		Usable:     func() bool { return ex.ac.op.Balancer.Available(ch.Target()) },
 	}
 }
 
@@ -115,7 +116,7 @@
 	ex.outcome.recordError(err)
 	var se *forwarder.SendError
 	mayHaveRun := errors.As(err, &se) && se.MayHaveRun()
-	if !ex.ended() && !errors.Is(err, forwarder.ErrNoConnection) {
+	if !ex.ended() && !errors.Is(err, forwarder.ErrNoConnection) && !errors.Is(err, forwarder.ErrUnusable) {
 		ex.ac.op.Balancer.ConnectionFailed(ta.ID(), !mayHaveRun)
 		ex.ac.op.Forwarder.CloseIdle(ta.ID())
 	}
--- a/acceptor/turn.go
+++ b/acceptor/turn.go
@@ -39,7 +39,7 @@
 		next = ex.askTurn(ch, pa)
 	}
 	ex.outcome.turnWait += time.Since(began)
-	return next == sendNow && ex.ctx.Err() == nil && ex.ac.op.Balancer.Available(ch.Target().ID())
+	return next == sendNow && ex.ctx.Err() == nil && ex.ac.op.Balancer.Available(ch.Target())
 }
 
 // turnResult is the result of one request for a turn.
--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -69,12 +69,12 @@
 	return leavers
 }
 
-// Available reports whether a target takes requests now.
-func (ba *Balancer) Available(target string) bool {
+// Available reports whether this start of a target, at this address, still takes requests.
+func (ba *Balancer) Available(ta *Target) bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	st, ok := ba.states[target]
-	return ok && !st.unavailable(time.Now())
+	st, ok := ba.states[ta.ID()]
+	return ok && st.target.SameStart(ta) && !st.unavailable(time.Now())
 }
 
 // draining reports whether the target takes no new requests any more.
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -157,6 +157,14 @@
 	co.pool.put(co)
 }
 
+// keep returns a connection on which nothing was sent to its pool.
+func (co *connection) keep() {
+	if !co.reused {
+		co.idleTimeout, co.idleSince = defaultIdleTimeout, time.Now()
+	}
+	co.pool.put(co)
+}
+
 // idleTimeout returns how long a connection may stay idle after a response; 0 means that it must not be reused.
 func idleTimeout(rs *http.Response) time.Duration {
 	if rs.Close || rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,6 +18,8 @@
 var (
 	// ErrNoConnection means that Target.MaxConnections connections to the target are open and in use.
 	ErrNoConnection = errors.New("all connections to the target are in use")
+	// ErrUnusable means that Request.Usable did not allow the request to be sent.
+	ErrUnusable = errors.New("the target takes no requests any more")
 	// errUnmatchedResponse means that a response cannot be attributed to the request.
 	errUnmatchedResponse = errors.New("response does not name the request ID")
 )
@@ -58,11 +60,14 @@
 	ID string
 	// ResponseID returns the request ID that a response header names.
 	ResponseID func(http.Header) string
+	// Usable reports whether the request may still be sent. It is called directly before the first byte, as the opening of a connection
+	// takes time; nil means that it may.
+	Usable func() bool
 }
 
 // Target is the destination of a request.
 type Target struct {
-	// ID identifies one start of the target. Connections are pooled by it.
+	// ID identifies the target. Connections are pooled by it and the address, as a target may start again under its ID.
 	ID string
 	// Address is the target's IP address and port.
 	Address string
@@ -80,40 +85,57 @@
 type Forwarder struct {
 	op    Options
 	mu    sync.Mutex
-	pools map[string]*pool
+	pools map[poolKey]*pool
 }
 
+// poolKey identifies the connections to one address of a target.
+type poolKey struct{ id, address string }
+
 // New returns a Forwarder without connections.
 func New(op Options) *Forwarder {
 	if op.Dial == nil {
 		op.Dial = dialer.DialContext
 	}
-	return &Forwarder{op: op, pools: make(map[string]*pool)}
+	return &Forwarder{op: op, pools: make(map[poolKey]*pool)}
 }
 
 func (fo *Forwarder) pool(ta Target) *pool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	po, ok := fo.pools[ta.ID]
+	key := poolKey{ta.ID, ta.Address}
+	po, ok := fo.pools[key]
 	if !ok {
 		po = newPool(ta.Address, fo.op.Dial)
-		fo.pools[ta.ID] = po
+		fo.pools[key] = po
 	}
 	po.setMaxOpen(ta.MaxConnections)
 	return po
 }
 
-// Remove removes the pool of a departed target. Idle connections are closed at once, others when their request ends.
+// Remove removes the pools of a departed target. Idle connections are closed at once, others when their request ends.
 func (fo *Forwarder) Remove(id string) {
-	fo.mu.Lock()
-	po, ok := fo.pools[id]
-	delete(fo.pools, id)
-	fo.mu.Unlock()
-	if ok {
+	for _, po := range fo.poolsOf(id, true) {
 		po.closeAll()
 	}
 }
 
+// poolsOf returns the pools of a target, and drops them if remove is set.
+func (fo *Forwarder) poolsOf(id string, remove bool) []*pool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	var pools []*pool
+	for key, po := range fo.pools {
+		if key.id != id {
+			continue
+		}
+		pools = append(pools, po)
+		if remove {
+			delete(fo.pools, key)
+		}
+	}
+	return pools
+}
+
 // Send sends a request and returns its response, whose body is still to be read. Errors are of type *SendError. The end of
 // the context aborts the connection, also while the body is read.
 func (fo *Forwarder) Send(ctx context.Context, ta Target, rq *Request) (*Response, error) {
@@ -122,6 +144,10 @@
 	if err != nil {
 		return nil, &SendError{cause: err, timedOut: isTimeout(err)}
 	}
+	if rq.Usable != nil && !rq.Usable() {
+		co.keep()
+		return nil, &SendError{cause: ErrUnusable}
+	}
 	stop := context.AfterFunc(ctx, co.abort)
 	rs, err := co.roundTrip(rq)
 	if err != nil {
@@ -167,10 +193,7 @@
 // CloseIdle closes the idle connections to a target. It is called after one of them failed or went silent, because the
 // others may have too.
 func (fo *Forwarder) CloseIdle(id string) {
-	fo.mu.Lock()
-	po, ok := fo.pools[id]
-	fo.mu.Unlock()
-	if ok {
+	for _, po := range fo.poolsOf(id, false) {
 		po.closeIdle()
 	}
 }
