DRAIN: what is left of a request that has ended is discarded

A request that was written to a connection whose path is silent, and has ended, reached its target when the path was open again: seconds later, when the target may have left, or the request's caller.

Cause: an orderly close leaves the bytes to the kernel, which delivers them however late. Now a connection with bytes that the other machine has not acknowledged is reset as the request ends. Others are closed in order as before: a reset is not repeated if it is lost.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -46,11 +48,37 @@
 	_ = co.conn.SetDeadline(time.Unix(1, 0))
 }
 
+// close closes the connection. If bytes of a request have not reached the target's machine, they are discarded, as the request has ended; an
+// orderly close would still deliver them, however much later.
 func (co *connection) close() {
+	if lc, ok := co.conn.(interface{ SetLinger(seconds int) error }); ok && unacknowledged(co.conn) > 0 {
+		_ = lc.SetLinger(0)
+	}
 	_ = co.conn.Close()
 	co.pool.connectionClosed()
 }
 
+// unacknowledged returns the number of bytes that were written to a connection and not acknowledged by the other side; 0 if it is not known.
+func unacknowledged(conn net.Conn) int {
+	if counter, ok := conn.(interface{ Unacknowledged() (int, error) }); ok {
+		count, _ := counter.Unacknowledged()
+		return count
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	if err := raw.Control(func(fd uintptr) { count, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+		return 0
+	}
+	return count
+}
+
 // usable reports whether an idle connection is still open and holds no unread bytes.
 func (co *connection) usable() bool {
 	sc, ok := co.conn.(syscall.Conn)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -402,3 +403,26 @@
 		}
 	})
 }
+
+// The same over TCP: the bytes that a target has not read when the request ends are discarded by a reset.
+func TestDiscardsUnacknowledgedBytes(t *testing.T) {
+	ended, read := make(chan struct{}), make(chan error, 1)
+	st := newScriptedTarget(t, func(_ *scriptedTarget, _ int, _ net.Conn, reader *bufio.Reader) {
+		<-ended
+		_, err := io.Copy(io.Discard, reader)
+		read <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := forwarder.New(forwarder.Options{}).Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
+		Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20), HasBody: true,
+		ResponseID: func(http.Header) string { return "" },
+	})
+	if err == nil {
+		t.Error("answered without reading")
+	}
+	close(ended)
+	if err := <-read; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the target read to the end of the connection: %v", err)
+	}
+}
