DRAIN: what one instance knows of a leaving, all others are told

An instance whose reader, or which itself, was cut off from the store just before a leaving sent requests to that target for up to 2.8 s. By the numbers a follower may be 2.3 s late too: its reader pauses for up to 0.9 s between two reads of targets and counts as up to date for 1.4 s after the store's last answer.

Cause: peers were told only of leavings that answers had announced; what the store's entries said each instance had to learn from the store or from its reader. Now the state that instances exchange names the draining targets too, and for 10 s those whose entries were removed, with the store's revision. A target that a peer knows to be gone gets no requests until this instance's own copy has reached that revision; if it is listed then, it goes on. The cost is a few bytes while a target leaves, and no call to the store.

The test that draining targets are not told to peers is replaced: that they are, once each, is what is wanted now; TestAbsentTarget beside it. A new field of the exchanged state was left out by its delta encoding at first: TestEachFieldReachesPeers fails for any such field.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -84,6 +84,8 @@
 	// backOffUntil.
 	leaving      bool
 	backOffUntil time.Time
+	// absent is set while a peer's copy of the platform's list, newer than this instance's, no longer has the target.
+	absent bool
 	// rateLimited is set while the target names a rate limit. Adapters are loaded on other targets then.
 	rateLimited bool
 }
--- a/balancer/leaving.go
+++ b/balancer/leaving.go
@@ -56,13 +56,26 @@
 	return !known && ba.leaving.contains(ts)
 }
 
-// Leavers returns the targets that are leaving but whose entries in the platform's list do not say so yet.
+// SetAbsent records whether a peer knows that the platform's list no longer has this start of a target, while this instance's copy of the list
+// is older. The target gets no requests meanwhile. It reports whether this has changed.
+func (ba *Balancer) SetAbsent(ts Start, absent bool) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	st, ok := ba.states[ts.Target]
+	if !ok || !st.target.SameAs(ts) || st.absent == absent {
+		return false
+	}
+	st.absent = absent
+	return true
+}
+
+// Leavers returns the listed targets that are leaving.
 func (ba *Balancer) Leavers() []Start {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	var leavers []Start
 	for _, st := range ba.states {
-		if st.leaving && !st.target.Draining() {
+		if st.leaving || st.target.Draining() {
 			leavers = append(leavers, st.target.Start())
 		}
 	}
@@ -77,8 +90,8 @@
 	return ok && st.target.SameStart(ta) && !st.unavailable(time.Now())
 }
 
-// draining reports whether the target takes no new requests any more.
-func (st *targetState) draining() bool { return st.leaving || st.target.Draining() }
+// draining reports whether the target takes no new requests any more, as far as this instance knows.
+func (st *targetState) draining() bool { return st.leaving || st.absent || st.target.Draining() }
 
 // unavailable reports whether the target takes no requests now, either because it is draining or because it backs off.
 func (st *targetState) unavailable(now time.Time) bool {
--- a/supervisor/rollback.go
+++ b/supervisor/rollback.go
@@ -1,10 +1,8 @@
 package supervisor
 
 import (
-	"sync"
 	"time"
 
-	"lovagebank/balancer"
 	"lovagebank/platform"
 	"lovagebank/wire"
 )
@@ -48,42 +46,3 @@
 		su.keeper.RenewNow()
 	}
 }
-
-// departedRetention is how long a removed target is remembered.
-const departedRetention = time.Minute
-
-// departedTargets are the recently removed targets. After a store rollback the store may still list them as ready.
-type departedTargets struct {
-	mu      sync.Mutex
-	targets map[string]departure
-}
-
-type departure struct {
-	started   time.Time
-	revision  int64
-	removedAt time.Time
-}
-
-// record remembers that a target was removed at a revision of the store, and drops outdated records.
-func (dt *departedTargets) record(ta *balancer.Target, revision int64) {
-	dt.mu.Lock()
-	defer dt.mu.Unlock()
-	if dt.targets == nil {
-		dt.targets = make(map[string]departure)
-	}
-	for id, dp := range dt.targets {
-		if time.Since(dp.removedAt) > departedRetention {
-			delete(dt.targets, id)
-		}
-	}
-	dt.targets[ta.ID()] = departure{started: ta.Started(), revision: revision, removedAt: time.Now()}
-}
-
-// isStale reports whether an entry, read at a revision of a later era, was written before the target was removed.
-func (dt *departedTargets) isStale(ta *balancer.Target, revision int64) bool {
-	dt.mu.Lock()
-	defer dt.mu.Unlock()
-	dp, ok := dt.targets[ta.ID()]
-	return ok && dp.started.Equal(ta.Started()) && platform.Era(revision) > platform.Era(dp.revision) &&
-		platform.RevisionNumber(revision) <= platform.RevisionNumber(dp.revision)
-}
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -173,6 +173,7 @@
 		su.forwarder.Remove(id)
 	}
 	su.balancer.SetTarget(ta)
+	su.balancer.SetAbsent(ta.Start(), su.reportedDepartures.outdates(id, it.Revision))
 	if !ok || current.Draining() != ta.Draining() || !current.SameStart(ta) {
 		su.logger.Info("target", "target", id, "address", ta.Address(), "service", ta.Service(),
 			"software", ta.Software(), "draining", ta.Draining(), "started", ta.Started().UnixMilli(), "revision", it.Revision)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -134,6 +134,8 @@
 	configuration atomic.Pointer[router.Configuration]
 	releaser      releaser.Releaser
 	departed      departedTargets
+	// reportedDepartures are removals of targets that this instance has heard of from peers only.
+	reportedDepartures reportedDepartures
 	// heldUpdate is the part of the state updates that covers the targets that this instance holds.
 	heldUpdate     atomic.Pointer[[]*wire.HeldTarget]
 	peerRevisions  peerRevisions
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -39,6 +39,7 @@
 	for _, le := range su.balancer.Leavers() {
 		state.Leavers = append(state.Leavers, &wire.Leaver{Target: le.Target, StartedMs: le.Started.UnixMilli()})
 	}
+	state.Departures = su.departed.recent(departureToldTime)
 	state.Limits = su.encodeRateLimits()
 	state.Profiles = su.profiles()
 	su.addRollbackAge(state)
@@ -132,6 +133,9 @@
 	for _, le := range state.GetLeavers() {
 		su.markTargetLeaving(balancer.Start{Target: le.GetTarget(), Started: time.UnixMilli(le.GetStartedMs())}, leavingFromPeer)
 	}
+	for _, de := range state.GetDepartures() {
+		su.targetDeparted(de)
+	}
 	for _, tl := range state.GetLimits() {
 		su.mergeRateLimit(exchanger.DecodeNotice(tl))
 	}
--- a/teller/delta.go
+++ b/teller/delta.go
@@ -21,9 +21,7 @@
 
 // delta returns a state update that omits what has not changed since an earlier one; nil means there is no earlier one.
 func delta(full, before *wire.FleetState) *wire.FleetState {
-	update := head(full)
-	update.Uses, update.Crashes, update.Leavers = full.GetUses(), full.GetCrashes(), full.GetLeavers()
-	update.Limits, update.Parts = full.GetLimits(), full.GetParts()
+	update := withoutDeltas(full)
 	if before == nil {
 		update.Tallies, update.Held, update.Profiles = full.GetTallies(), full.GetHeld(), full.GetProfiles()
 		return update
@@ -41,6 +39,14 @@
 	return update
 }
 
+// withoutDeltas returns a state update without the fields of which only changes are sent.
+func withoutDeltas(fs *wire.FleetState) *wire.FleetState {
+	update := head(fs)
+	update.Uses, update.Crashes, update.Leavers = fs.GetUses(), fs.GetCrashes(), fs.GetLeavers()
+	update.Departures, update.Limits, update.Parts = fs.GetDepartures(), fs.GetLimits(), fs.GetParts()
+	return update
+}
+
 // head returns a state update with only the fields that every update contains.
 func head(fs *wire.FleetState) *wire.FleetState {
 	return &wire.FleetState{
--- a/teller/merge.go
+++ b/teller/merge.go
@@ -16,9 +16,7 @@
 
 // merge applies a state update to the state that it builds on.
 func merge(known, update *wire.FleetState) *wire.FleetState {
-	full := head(update)
-	full.Uses, full.Crashes, full.Leavers = update.GetUses(), update.GetCrashes(), update.GetLeavers()
-	full.Limits, full.Parts = update.GetLimits(), update.GetParts()
+	full := withoutDeltas(update)
 	full.Tallies = replaceByName(known.GetTallies(), update.GetTallies(), (*wire.OrganisationTally).GetOrganisation)
 	full.Profiles = replaceByName(known.GetProfiles(), update.GetProfiles(), (*wire.EngineProfile).GetService)
 	targets := make(map[string]*wire.HeldTarget, len(known.GetHeld()))
