--- /dev/null
+++ b/supervisor/cut_test.go
@@ -0,0 +1,150 @@
+package supervisor
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"lovagebank/emulator"
+	"lovagebank/faker"
+)
+
+const (
+	// cutNotice is the time from the beginning of a cut after which callers at cut instances have to be served, and cutTime how long it lasts.
+	cutNotice = 3 * time.Second
+	cutTime   = 10 * time.Second
+	// callInterval is the time between two requests to one instance.
+	callInterval = 60 * time.Millisecond
+	// toleratedFailures and toleratedFailureShare bound the first tries that fail at cut instances before their share of served ones counts.
+	toleratedFailures     = 10
+	toleratedFailureShare = 0.02
+	// leastServedShare is the least share of first tries served at cut instances, in proportion to that at the others.
+	leastServedShare = 2.0 / 3
+)
+
+// tries counts callers' first tries.
+type tries struct {
+	mu            sync.Mutex
+	served, total int
+	// statuses counts the tries by their status.
+	statuses map[int]int
+	// slowest is the longest time to a refusal.
+	slowest time.Duration
+}
+
+func (tr *tries) add(status int, took time.Duration) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.total++
+	if tr.statuses == nil {
+		tr.statuses = make(map[int]int)
+	}
+	tr.statuses[status]++
+	if status == http.StatusOK {
+		tr.served++
+		return
+	}
+	tr.slowest = max(tr.slowest, took)
+}
+
+func (tr *tries) share() float64 { return float64(tr.served) / float64(max(tr.total, 1)) }
+
+// playCut cuts instances off from all targets for cutTime, and counts callers' first tries from cutNotice after its beginning to its end.
+func (vf *virtualFleet) playCut(cut map[int]bool, state faker.PathState) (cutOnes, others *tries) {
+	cutOnes, others = &tries{}, &tries{}
+	for number := range cut {
+		vf.cut(number, state)
+	}
+	began := time.Now()
+	var tasks sync.WaitGroup
+	for number := range vf.instances {
+		counted := others
+		if cut[number] {
+			counted = cutOnes
+		}
+		tasks.Go(func() { vf.callFor(number, began, counted) })
+	}
+	tasks.Wait()
+	for number := range cut {
+		vf.cut(number, faker.PathOpen)
+	}
+	return cutOnes, others
+}
+
+// callFor sends requests of all kinds to an instance for cutTime and counts those that are sent from cutNotice on.
+func (vf *virtualFleet) callFor(instance int, began time.Time, counted *tries) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for number := 0; time.Since(began) < cutTime; number++ {
+		path, adapter := []string{"/ask/1", "/order/1", "/check/1"}[number%3], ""
+		if number%3 == 0 {
+			adapter = fmt.Sprintf("a%d", number%12)
+		}
+		counts := time.Since(began) >= cutNotice
+		calls.Go(func() {
+			status, took := vf.ask(instance, path, adapter)
+			if counts {
+				counted.add(status, took)
+			}
+		})
+		time.Sleep(callInterval)
+	}
+}
+
+// expectServedAlike expects that callers' first tries are served alike at cut instances and at the others.
+func expectServedAlike(t *testing.T, cutOnes, others *tries) {
+	t.Helper()
+	failed := cutOnes.total - cutOnes.served
+	all := cutOnes.total + others.total
+	t.Logf("cut: %d of %d first tries served %v, slowest refusal %v; others: %d of %d %v", cutOnes.served, cutOnes.total, cutOnes.statuses,
+		cutOnes.slowest, others.served, others.total, others.statuses)
+	if float64(failed) > toleratedFailures+toleratedFailureShare*float64(all) && cutOnes.share() < leastServedShare*others.share() {
+		t.Errorf("cut instances served %d of %d first tries, the others %d of %d", cutOnes.served, cutOnes.total, others.served, others.total)
+	}
+	if others.share() < 0.95 {
+		t.Errorf("the cut costs the others: they served %d of %d first tries", others.served, others.total)
+	}
+}
+
+// Guards against the incident RECOVER: callers' first tries at instances that are cut off from all targets, while the store and the other
+// instances reach them, are served far worse than those at the others.
+func TestInstancesCutFromTargetsServe(t *testing.T) {
+	paths := map[string]faker.PathState{
+		"connections hang": faker.PathSilent, "connections are reset": faker.PathReset, "open connections live on": faker.PathKeepsOpen,
+	}
+	cuts := map[string]struct {
+		instances int
+		cut       map[int]bool
+	}{
+		"one of four":           {4, map[int]bool{1: true}},
+		"a whole domain of two": {6, map[int]bool{0: true, 2: true, 4: true}},
+		"five of eight":         {8, map[int]bool{0: true, 1: true, 2: true, 5: true, 7: true}},
+	}
+	for pathName, state := range paths {
+		for cutName, tt := range cuts {
+			t.Run(pathName+", "+cutName, func(t *testing.T) {
+				playVirtually(t, tt.instances, emulator.Options{Applications: 3}, func(vf *virtualFleet) {
+					cutOnes, others := vf.playCut(tt.cut, state)
+					expectServedAlike(t, cutOnes, others)
+					vf.expectRunOnce()
+				})
+			})
+		}
+	}
+}
+
+// expectRunOnce expects that no order has run twice.
+func (vf *virtualFleet) expectRunOnce() {
+	vf.t.Helper()
+	runs := make(map[string]int)
+	for _, ru := range vf.fleet.Runs() {
+		if ru.Path == "/order/1" {
+			runs[ru.ID]++
+		}
+		if runs[ru.ID] > 1 {
+			vf.t.Errorf("order %s ran %d times", ru.ID, runs[ru.ID])
+		}
+	}
+}
