RECOVER: an instance that is cut off from the targets sends through one that reaches them

Cause: each instance knew no path to a target but its own, and did not know that it was cut: it suspected target after target, tried each again, and held what waited. Holders among the cut ones made the others wait for adapters that they could not have loaded.

Now the prober tells a cut from failing targets: connections to two targets not opened, or no byte for 0.3 s while requests wait, make it open connections to three targets; if none opens and a peer has heard a target since, the instance is cut off. Then the relayer passes each send to such a peer, which only lends its connection: all decisions stay at the instance that took the request. Requests that may be repeated and hang are given up and relayed. Neither failed sends nor hops count against targets or prompts meanwhile. A cut holder says so and refuses loads at once. Without a peer, the instance is not ready and refuses at once, 'not run'. Two good rounds of probes end it. Requests whose bytes have not reached a target that leaves are discarded too.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -39,6 +39,12 @@
 	// RequestTurn asks the holder of a target for a prompt's turn: the time from which the engine may prefill the prompt
 	// without pausing its streams for longer than promised.
 	RequestTurn func(ctx context.Context, holder string, ta *balancer.Target, rq sequencer.Request) (sequencer.Turn, error)
+	// CutOff reports whether this instance is cut off from the targets; Relay then sends a request through another instance, with errors
+	// like those of the Forwarder. Awaiting is called when a request begins to wait for bytes of a target, and the function that it returns
+	// when it no longer does.
+	CutOff   func() bool
+	Relay    func(ctx context.Context, ts balancer.Start, rq *forwarder.Request) (*forwarder.Response, error)
+	Awaiting func() (ended func())
 	// TargetLeaving is called with a target that has announced in a response that it is leaving.
 	TargetLeaving func(balancer.Start)
 	// RateLimitAnswered is called with what a target has said about its rate limit in a response to a request that was sent at
@@ -72,7 +78,15 @@
 type Acceptor struct{ op Options }
 
 // New returns an Acceptor with the given options.
-func New(op Options) *Acceptor { return &Acceptor{op: op} }
+func New(op Options) *Acceptor {
+	if op.CutOff == nil {
+		op.CutOff = func() bool { return false }
+	}
+	if op.Awaiting == nil {
+		op.Awaiting = func() func() { return func() {} }
+	}
+	return &Acceptor{op: op}
+}
 
 // defaultTimeout limits a request where neither the route nor the caller sets a limit.
 const defaultTimeout = 30 * time.Second
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -50,6 +50,8 @@
 	// its response.
 	sentAt     time.Time
 	queueEmpty bool
+	// relayed is true if the last send went through another instance.
+	relayed bool
 	// begunAt is when the target of the last send began to send its answer; zero if it did not. proven is true once the answer
 	// shows that the request does not crash targets.
 	begunAt time.Time
@@ -181,6 +183,8 @@
 			return nil
 		case notRun:
 			continue
+		case noPath:
+			return ex.refusalUnlessRun(refusedCutOff)
 		case interrupted:
 			if !ex.route.Repeatable() || ex.ran >= ex.route.Attempts() || ex.mayCrashTargets() {
 				return ex.failureAfterRun()
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -31,7 +31,10 @@
 	load      float64
 	loadAge   time.Duration
 	tries     int
-	loadWait  time.Duration
+	// relayed is true if the last send went through another instance, and via names that one once it has passed an answer on.
+	relayed  bool
+	via      string
+	loadWait time.Duration
 	// turnWait is how long the prompt waited for its turn at the target.
 	turnWait time.Duration
 	// backOff is how long the last target that asked for a back-off wants no requests.
@@ -112,6 +115,9 @@
 		fields = append(fields, "target", ou.target, "load", int(ou.load*100), "load-age-ms", ou.loadAge.Milliseconds(),
 			"tries", ou.tries, "sent-ms", ou.sentAfter.Milliseconds(), "first-ms", ou.TimeToFirstByte().Milliseconds(), "software", ou.software)
 	}
+	if ou.relayed {
+		fields = append(fields, "relayed", true, "via", ou.via)
+	}
 	if st := ou.timing; st.longestPause > 0 {
 		fields = append(fields, "pause-ms", st.longestPause.Milliseconds(),
 			"pause-at-ms", st.longestPauseEnd.Sub(ou.arrived).Milliseconds(), "passing-ms", st.slowestRelay.Milliseconds())
--- a/acceptor/refusal.go
+++ b/acceptor/refusal.go
@@ -40,6 +40,7 @@
 	refusedIsolated      = &refusal{status: http.StatusServiceUnavailable, reason: "its prompt may crash targets, and the one for it cannot take it", wait: usualWait}
 	refusedUnknownOrigin = &refusal{status: http.StatusServiceUnavailable, reason: "it is not known where the stream began", wait: usualWait}
 	refusedOriginGone    = &refusal{status: http.StatusServiceUnavailable, reason: "no target has the software version that began the stream"}
+	refusedCutOff        = &refusal{status: http.StatusServiceUnavailable, reason: "this instance is cut off from the targets", wait: usualWait}
 	refusedOutOfTime     = &refusal{status: http.StatusServiceUnavailable, reason: "no target could take it in time", wait: shortWait}
 	failedNoAnswer       = &refusal{status: http.StatusBadGateway, reason: "the target gave no whole answer"}
 	failedTimeout        = &refusal{status: http.StatusGatewayTimeout, reason: "the target did not answer in time"}
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -85,7 +85,7 @@
 func (ex *exchange) handleTruncation(ta *balancer.Target, err error) sendResult {
 	ex.outcome.recordError(err)
 	ex.excluded[ta.ID()] = true
-	if !ex.ended() {
+	if ex.blames(err) {
 		ex.ac.op.Balancer.ConnectionFailed(ta.ID(), false)
 		ex.recordBroken(ta)
 	}
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -8,6 +9,7 @@
 	"lovagebank/balancer"
 	"lovagebank/forwarder"
 	"lovagebank/platform"
+	"lovagebank/router"
 )
 
 // connectionShare is the share of a target's connections that the instances divide evenly. The rest is left for
@@ -24,6 +26,8 @@
 	notRun
 	// interrupted means that the send failed after the target may have run the request.
 	interrupted
+	// noPath means that the request could not be sent to any target: the instance is cut off, and no other relays.
+	noPath
 )
 
 // send sends the request to one target and relays the response.
@@ -47,11 +51,13 @@
 	}
 	ctx, cancel := ex.trackParts(ex.ctx)
 	defer cancel()
-	rs, err := ex.ac.op.Forwarder.Send(ctx, ex.forwarderTarget(ta), ex.forwarderRequest(ch))
+	defer ex.ac.op.Awaiting()()
+	rs, err := ex.transmit(ctx, ch)
 	if err != nil {
 		return ex.handleSendError(ta, err)
 	}
 	defer rs.Close()
+	ex.outcome.via = rs.Via()
 	if tl, ok := platform.ParseTargetLoad(rs.Header()); ok {
 		ex.ac.op.Balancer.SetLoad(ta.ID(), tl.Running+tl.Waiting)
 		ex.queueEmpty = tl.Waiting == 0
@@ -65,6 +71,16 @@
 	return ex.relay(ta, rs, sent)
 }
 
+// transmit sends the request over a connection of this instance or, while it is cut off from the targets, through another one.
+func (ex *exchange) transmit(ctx context.Context, ch *balancer.Choice) (*forwarder.Response, error) {
+	ex.relayed = ex.ac.op.CutOff()
+	ex.outcome.relayed = ex.relayed
+	if ex.relayed {
+		return ex.ac.op.Relay(ctx, ch.Target().Start(), ex.forwarderRequest(ch))
+	}
+	return ex.ac.op.Forwarder.Send(ctx, ex.forwarderTarget(ch.Target()), ex.forwarderRequest(ch))
+}
+
 // recordTargetState records the target's announcements in a response that it is leaving or wants no requests for a time.
 func (ex *exchange) recordTargetState(ta *balancer.Target, rs *forwarder.Response) {
 	if platform.Leaving(rs.Header()) {
@@ -78,9 +94,14 @@
 }
 
 func (ex *exchange) forwarderTarget(ta *balancer.Target) forwarder.Target {
+	return ForwarderTarget(ta, ex.service, ex.ac.op.InstanceCount())
+}
+
+// ForwarderTarget returns the destination of sends to a target of a service, whose connections the given number of instances share.
+func ForwarderTarget(ta *balancer.Target, service *router.Service, instances int) forwarder.Target {
 	maxConnections := 0
-	if limit := ex.service.MaxConnections(); limit > 0 {
-		maxConnections = max(int(float64(limit)*connectionShare)/max(ex.ac.op.InstanceCount(), 1), 1)
+	if limit := service.MaxConnections(); limit > 0 {
+		maxConnections = max(int(float64(limit)*connectionShare)/max(instances, 1), 1)
 	}
 	return forwarder.Target{ID: ta.ID(), Address: ta.Address(), MaxConnections: maxConnections}
 }
@@ -107,6 +128,7 @@
 		HasBody:    ex.hasBody,
 		ID:         ex.caller.ID,
 		ResponseID: platform.ResponseID,
+		Repeatable: ex.route.Repeatable(),
 		Usable:     func() bool { return ex.ac.op.Balancer.Available(ch.Target()) },
 	}
 }
@@ -116,7 +138,10 @@
 	ex.outcome.recordError(err)
 	var se *forwarder.SendError
 	mayHaveRun := errors.As(err, &se) && se.MayHaveRun()
-	if !ex.ended() && !errors.Is(err, forwarder.ErrNoConnection) && !errors.Is(err, forwarder.ErrUnusable) {
+	if se != nil && se.OnHop() && !mayHaveRun {
+		return noPath
+	}
+	if ex.blames(err) && !errors.Is(err, forwarder.ErrNoConnection) && !errors.Is(err, forwarder.ErrUnusable) {
 		ex.ac.op.Balancer.ConnectionFailed(ta.ID(), !mayHaveRun)
 		ex.ac.op.Forwarder.CloseIdle(ta.ID())
 	}
@@ -125,12 +150,21 @@
 		return notRun
 	}
 	ex.ran++
-	if !ex.ended() {
+	if ex.blames(err) {
 		ex.recordBroken(ta)
 	}
 	return interrupted
 }
 
+// blames reports whether the failure of a send or of its answer says something about the target: the request has not ended on this side, and
+// it was neither this instance's path to all targets that failed, nor the hop to another instance.
+func (ex *exchange) blames(err error) bool {
+	var se *forwarder.SendError
+	onHop := errors.As(err, &se) && se.OnHop()
+	cutMeanwhile := !ex.relayed && ex.ac.op.CutOff()
+	return !ex.ended() && !onHop && !cutMeanwhile
+}
+
 // handleRejection handles a response which says that the target did not run the request.
 func (ex *exchange) handleRejection(ta *balancer.Target, rs *forwarder.Response) sendResult {
 	ex.drain(rs)
--- a/balancer/observe.go
+++ b/balancer/observe.go
@@ -84,6 +84,15 @@
 	st.suspectUntil = time.Now().Add(wait)
 }
 
+// ForgiveFailures forgets that connections to targets have failed, as it was this instance's path to all of them that failed.
+func (ba *Balancer) ForgiveFailures() {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	for _, st := range ba.states {
+		st.failures, st.suspectUntil, st.unreachable = 0, time.Time{}, false
+	}
+}
+
 // SetTurnWait records how long a prompt would have to wait for its turn at a target.
 func (ba *Balancer) SetTurnWait(target string, wait time.Duration) {
 	ba.mu.Lock()
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -39,6 +39,8 @@
 	exchangeTimeout = 600 * time.Millisecond
 	// dialTimeout is the maximum duration of opening a connection to a peer.
 	dialTimeout = 400 * time.Millisecond
+	// maxIdleConnections limits the unused connections to one peer. Requests that are relayed need many at the same time.
+	maxIdleConnections = 32
 	// idleTimeout is how long an unused connection to a peer is kept open.
 	idleTimeout = 30 * time.Second
 )
@@ -68,6 +70,8 @@
 	GrantSend func(no throttler.Notice) (gr throttler.Grant, holder bool)
 	// Mirror returns the changes of this instance's copies of the store's keys; it may wait for a change.
 	Mirror func(ctx context.Context, rq MirrorRequest) MirrorResponse
+	// Relay sends a request to a target for a peer, and calls send with the parts of the answer as they arrive.
+	Relay func(ctx context.Context, rq *wire.RelayRequest, send func(*wire.RelayResponse) error) error
 	// ExchangeFailed is called with the name of a peer that did not answer an exchange.
 	ExchangeFailed func(peer string, err error)
 	// Dial opens connections to peers; nil opens TCP connections. Transport sends the calls; nil means HTTP over these connections.
@@ -122,7 +126,7 @@
 	return &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
-		MaxIdleConnsPerHost: 2,
+		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
 }
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -55,7 +55,7 @@
 		_ = lc.SetLinger(0)
 	}
 	_ = co.conn.Close()
-	co.pool.connectionClosed()
+	co.pool.connectionClosed(co)
 }
 
 // unacknowledged returns the number of bytes that were written to a connection and not acknowledged by the other side; 0 if it is not known.
@@ -101,23 +101,23 @@
 
 // roundTrip writes the request and reads the head of its response. It skips interim responses and extra responses to
 // earlier requests.
-func (co *connection) roundTrip(rq *Request) (*Response, error) {
+func (co *connection) roundTrip(rq *Request) (*http.Response, error) {
 	if err := co.writeRequest(rq); err != nil {
 		return nil, err
 	}
 	co.limited.limit(maxHeadSize)
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		//nolint:bodyclose // Response.Close ends the exchange; closing the body would read a long body to its end.
+		//nolint:bodyclose // The response is read by its Response; closing the body would read a long body to its end.
 		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
 		if err != nil {
-			return nil, &SendError{cause: err, mayHaveRun: true, timedOut: isTimeout(err) && !co.aborted.Load()}
+			return nil, &SendError{cause: err, mayHaveRun: true}
 		}
 		if rs.StatusCode < http.StatusOK {
 			continue
 		}
 		if co.matches(rs, rq) {
 			co.limited.unlimit()
-			return newResponse(co, rs), nil
+			return rs, nil
 		}
 		if rs.Close || rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
 			return nil, &SendError{cause: errUnmatchedResponse, mayHaveRun: true}
@@ -148,12 +148,12 @@
 		buffer.Write(rq.Body)
 		count, err := co.conn.Write(buffer.Bytes())
 		if err != nil {
-			return &SendError{cause: err, mayHaveRun: count > 0, timedOut: isTimeout(err) && !co.aborted.Load()}
+			return &SendError{cause: err, mayHaveRun: count > 0}
 		}
 		return nil
 	}
 	if count, err := co.conn.Write(buffer.Bytes()); err != nil {
-		return &SendError{cause: err, mayHaveRun: count > 0, timedOut: isTimeout(err) && !co.aborted.Load()}
+		return &SendError{cause: err, mayHaveRun: count > 0}
 	}
 	written := make(chan struct{})
 	co.written = written
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,11 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Errors that Send returns, wrapped in a SendError.
@@ -28,7 +31,18 @@
 type SendError struct {
 	cause      error
 	mayHaveRun bool
-	timedOut   bool
+	hop        bool
+}
+
+// NewHopError returns the error of a send through another instance that failed on the way to that instance, or there. It says nothing
+// about the target.
+func NewHopError(cause error, mayHaveRun bool) *SendError {
+	return &SendError{cause: cause, mayHaveRun: mayHaveRun, hop: true}
+}
+
+// NewSendError returns the error of a send through another instance that the target's connection there has failed with.
+func NewSendError(cause error, mayHaveRun bool) *SendError {
+	return &SendError{cause: cause, mayHaveRun: mayHaveRun}
 }
 
 // Error says whether the request was sent, and gives the cause.
@@ -45,6 +59,9 @@
 // MayHaveRun reports whether the target may have run the request.
 func (se *SendError) MayHaveRun() bool { return se.mayHaveRun }
 
+// OnHop reports whether the send failed on the way to another instance, or there, so that the error says nothing about the target.
+func (se *SendError) OnHop() bool { return se.hop }
+
 // Request is a request to a target.
 type Request struct {
 	// Method, URI and Host are written to the request's head unchanged, as the caller sent them.
@@ -60,6 +77,8 @@
 	ID string
 	// ResponseID returns the request ID that a response header names.
 	ResponseID func(http.Header) string
+	// Repeatable is set if the request may be sent again to another target, so that AbandonSilent may end it.
+	Repeatable bool
 	// Usable reports whether the request may still be sent. It is called directly before the first byte, as the opening of a connection
 	// takes time; nil means that it may.
 	Usable func() bool
@@ -79,6 +98,10 @@
 type Options struct {
 	// Dial opens connections to targets; nil opens TCP connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Opened is called with the result of each attempt to open a connection to a target, by the target's ID; nil for no call.
+	Opened func(target string, err error)
+	// Heard is called when bytes of any target have arrived; nil for no call.
+	Heard func()
 }
 
 // Forwarder holds a pool of connections for each target. It is safe for concurrent use.
@@ -96,6 +119,12 @@
 	if op.Dial == nil {
 		op.Dial = dialer.DialContext
 	}
+	if op.Opened == nil {
+		op.Opened = func(string, error) {}
+	}
+	if op.Heard == nil {
+		op.Heard = func() {}
+	}
 	return &Forwarder{op: op, pools: make(map[poolKey]*pool)}
 }
 
@@ -105,7 +134,7 @@
 	key := poolKey{ta.ID, ta.Address}
 	po, ok := fo.pools[key]
 	if !ok {
-		po = newPool(ta.Address, fo.op.Dial)
+		po = newPool(ta, fo.op)
 		fo.pools[key] = po
 	}
 	po.setMaxOpen(ta.MaxConnections)
@@ -119,6 +148,38 @@
 	}
 }
 
+// Probe opens a connection to a target and keeps it for the next request. It returns the error of the attempt, or ErrNoConnection if no
+// further connection may be opened.
+func (fo *Forwarder) Probe(ctx context.Context, ta Target) error {
+	co, err := fo.pool(ta).openNew(ctx)
+	if err != nil {
+		return err
+	}
+	co.keep()
+	return nil
+}
+
+// AbandonSilent ends the requests that may be repeated and whose connections have been silent for the given time, and closes all idle
+// connections. It returns the number of requests that it has ended.
+func (fo *Forwarder) AbandonSilent(silent time.Duration) int {
+	fo.mu.Lock()
+	pools := slices.Collect(maps.Values(fo.pools))
+	fo.mu.Unlock()
+	count := 0
+	for _, po := range pools {
+		count += po.abortUsed(func(co *connection, repeatable bool) bool { return repeatable && co.limited.silentFor() >= silent })
+		po.closeIdle()
+	}
+	return count
+}
+
+// DiscardUnread ends the requests to a target whose bytes have not reached its machine: they would arrive after the target has left.
+func (fo *Forwarder) DiscardUnread(id string) {
+	for _, po := range fo.poolsOf(id, false) {
+		po.abortUsed(func(co *connection, _ bool) bool { return unacknowledged(co.conn) > 0 })
+	}
+}
+
 // poolsOf returns the pools of a target, and drops them if remove is set.
 func (fo *Forwarder) poolsOf(id string, remove bool) []*pool {
 	fo.mu.Lock()
@@ -142,12 +203,13 @@
 	po := fo.pool(ta)
 	co, err := po.get(ctx)
 	if err != nil {
-		return nil, &SendError{cause: err, timedOut: isTimeout(err)}
+		return nil, &SendError{cause: err}
 	}
 	if rq.Usable != nil && !rq.Usable() {
 		co.keep()
 		return nil, &SendError{cause: ErrUnusable}
 	}
+	po.use(co, rq.Repeatable)
 	stop := context.AfterFunc(ctx, co.abort)
 	rs, err := co.roundTrip(rq)
 	if err != nil {
@@ -155,13 +217,7 @@
 		co.close()
 		return nil, err
 	}
-	rs.stop = stop
-	return rs, nil
-}
-
-func isTimeout(err error) bool {
-	var te interface{ Timeout() bool }
-	return errors.As(err, &te) && te.Timeout()
+	return newResponse(co, rs, stop), nil
 }
 
 // head returns the request's head as written in HTTP/1.1.
--- a/forwarder/limited_reader.go
+++ b/forwarder/limited_reader.go
@@ -4,6 +4,8 @@
 	"errors"
 	"math"
 	"net"
+	"sync/atomic"
+	"time"
 )
 
 const (
@@ -21,6 +23,9 @@
 type limitedReader struct {
 	conn net.Conn
 	left int64
+	// heard is called when bytes have arrived, and heardAt is when that was.
+	heard   func()
+	heardAt atomic.Pointer[time.Time]
 }
 
 // Read reads from the connection. It returns errHeadTooLong once the limit is reached.
@@ -33,9 +38,27 @@
 	}
 	count, err := lr.conn.Read(into)
 	lr.left -= int64(count)
+	if count > 0 {
+		lr.markHeard()
+		lr.heard()
+	}
 	return count, err
 }
 
+// markHeard starts the time for which nothing has been heard anew.
+func (lr *limitedReader) markHeard() {
+	now := time.Now()
+	lr.heardAt.Store(&now)
+}
+
+// silentFor returns for how long nothing has been heard.
+func (lr *limitedReader) silentFor() time.Duration {
+	if at := lr.heardAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
+}
+
 // limit sets the number of further bytes that may be read.
 func (lr *limitedReader) limit(bytes int64) { lr.left = bytes }
 
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -43,19 +44,21 @@
 
 // pool holds the connections to one target.
 type pool struct {
-	address string
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	target Target
+	op     Options
 
-	mu      sync.Mutex
-	idle    []*connection
+	mu   sync.Mutex
+	idle []*connection
+	// used are the connections that carry a request; true if it may be abandoned.
+	used    map[*connection]bool
 	open    int
 	maxOpen int
 	// closed means that the target has departed, so that returned connections are closed.
 	closed bool
 }
 
-func newPool(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *pool {
-	return &pool{address: address, dial: dial}
+func newPool(ta Target, op Options) *pool {
+	return &pool{target: ta, op: op, used: make(map[*connection]bool)}
 }
 
 func (po *pool) setMaxOpen(most int) {
@@ -76,20 +79,51 @@
 		}
 		co.close()
 	}
+	return po.openNew(ctx)
+}
+
+// openNew opens a connection.
+func (po *pool) openNew(ctx context.Context) (*connection, error) {
 	if !po.reserve() {
 		return nil, ErrNoConnection
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := po.dial(dialCtx, "tcp4", po.address)
+	conn, err := po.op.Dial(dialCtx, "tcp4", po.target.Address)
+	if ctx.Err() == nil {
+		po.op.Opened(po.target.ID, err)
+	}
 	if err != nil {
-		po.connectionClosed()
+		po.connectionClosed(nil)
 		return nil, err
 	}
-	limited := &limitedReader{conn: conn}
+	limited := &limitedReader{conn: conn, heard: po.op.Heard}
 	return &connection{pool: po, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
+// use records that a connection carries a request, which may be repeated or not.
+func (po *pool) use(co *connection, repeatable bool) {
+	co.limited.markHeard()
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.used[co] = repeatable
+}
+
+// abortUsed aborts the connections in use that the function selects, and returns their number.
+func (po *pool) abortUsed(selects func(co *connection, repeatable bool) bool) int {
+	po.mu.Lock()
+	used := maps.Clone(po.used)
+	po.mu.Unlock()
+	count := 0
+	for co, repeatable := range used {
+		if selects(co, repeatable) {
+			co.abort()
+			count++
+		}
+	}
+	return count
+}
+
 func (po *pool) popIdle() *connection {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -114,6 +148,7 @@
 
 func (po *pool) put(co *connection) {
 	po.mu.Lock()
+	delete(po.used, co)
 	closed := po.closed
 	if !closed {
 		po.idle = append(po.idle, co)
@@ -124,9 +159,11 @@
 	}
 }
 
-func (po *pool) connectionClosed() {
+// connectionClosed records that a connection has been closed; nil stands for one that could not be opened.
+func (po *pool) connectionClosed(co *connection) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	delete(po.used, co)
 	po.open--
 }
 
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -7,38 +7,69 @@
 	"sync"
 )
 
+// ResponseOptions describes a target's response, which arrives over a connection of this instance or through another instance.
+type ResponseOptions struct {
+	Status int
+	Header http.Header
+	// Length is the body's length in bytes as stated in the header, or -1 if it is not stated.
+	Length int64
+	// Unframed is set if the body has neither a length nor chunks, so that its end is the end of the connection.
+	Unframed bool
+	// Body is read until io.EOF, which it returns only at the end of a complete body.
+	Body io.Reader
+	// Via names the instance through which the response has come; empty for a connection of this instance.
+	Via string
+	// Abort makes further reads of the body fail. Close ends the exchange, and is told whether the whole body has been read.
+	Abort func()
+	Close func(complete bool)
+}
+
 // Response is a target's response. Its body is read with Read, and Close must be called at the end.
 type Response struct {
-	co       *connection
-	response *http.Response
-	stop     func() bool
-	once     sync.Once
+	op   ResponseOptions
+	once sync.Once
 	// complete reports whether the body has been read to its end.
 	complete bool
 }
 
-func newResponse(co *connection, rs *http.Response) *Response {
+// NewResponse returns a response.
+func NewResponse(op ResponseOptions) *Response { return &Response{op: op} }
+
+// newResponse returns a response that arrives over a connection. stop ends the effect of the request's context on the connection.
+func newResponse(co *connection, rs *http.Response, stop func() bool) *Response {
 	co.idleTimeout = idleTimeout(rs)
-	return &Response{co: co, response: rs}
+	return NewResponse(ResponseOptions{
+		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength,
+		Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, Body: rs.Body, Abort: co.abort,
+		Close: func(complete bool) {
+			stop()
+			if complete {
+				co.release()
+				return
+			}
+			co.close()
+		},
+	})
 }
 
 // Status returns the HTTP status code.
-func (rs *Response) Status() int { return rs.response.StatusCode }
+func (rs *Response) Status() int { return rs.op.Status }
 
 // Header returns the response header.
-func (rs *Response) Header() http.Header { return rs.response.Header }
+func (rs *Response) Header() http.Header { return rs.op.Header }
 
 // ContentLength returns the body's length in bytes as stated in the header, or -1 if it is not stated.
-func (rs *Response) ContentLength() int64 { return rs.response.ContentLength }
+func (rs *Response) ContentLength() int64 { return rs.op.Length }
 
 // Unframed reports whether the body has neither a length nor chunks, so that its end is the end of the connection.
-func (rs *Response) Unframed() bool {
-	return rs.response.ContentLength < 0 && len(rs.response.TransferEncoding) == 0
-}
+func (rs *Response) Unframed() bool { return rs.op.Unframed }
+
+// Via returns the name of the instance through which the response has come; empty for a connection of this instance.
+func (rs *Response) Via() string { return rs.op.Via }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (rs *Response) Read(into []byte) (int, error) {
-	count, err := rs.response.Body.Read(into)
+	count, err := rs.op.Body.Read(into)
 	if errors.Is(err, io.EOF) {
 		rs.complete = true
 		return count, io.EOF
@@ -47,16 +78,7 @@
 }
 
 // Abort makes further reads of the body fail.
-func (rs *Response) Abort() { rs.co.abort() }
-
-// Close ends the exchange. The connection is kept for reuse if the whole body has been read, and closed otherwise.
-func (rs *Response) Close() {
-	rs.once.Do(func() {
-		rs.stop()
-		if !rs.complete {
-			rs.co.close()
-			return
-		}
-		rs.co.release()
-	})
-}
+func (rs *Response) Abort() { rs.op.Abort() }
+
+// Close ends the exchange. A connection is kept for reuse if the whole body has been read, and closed otherwise.
+func (rs *Response) Close() { rs.once.Do(func() { rs.op.Close(rs.complete) }) }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -21,6 +21,8 @@
 var (
 	// ErrNotHolder means that this instance may not give orders to the engine now.
 	ErrNotHolder = errors.New("this instance may not order the target")
+	// ErrUnreachable means that the engine does not answer this instance now.
+	ErrUnreachable = errors.New("the target does not answer its holder")
 	// ErrFull means that all adapters on the engine are in use.
 	ErrFull = errors.New("all adapter slots of the target are in use")
 	// ErrBusy means that the engine accepts no further load now: too many are in progress, or it waits for requests to
@@ -61,6 +63,8 @@
 	Holder string
 	// Authority returns the epoch under which orders may be given now; false if none may.
 	Authority func() (int64, bool)
+	// Reachable reports whether this instance reaches the engine as far as is known; nil means that it does.
+	Reachable func() bool
 	// Newest returns the newest version named for an adapter; 0 if none is.
 	Newest func(balancer.Adapter) int64
 	// MayReplace reports whether the engine should replace an adapter by its newest version now.
@@ -94,6 +98,8 @@
 	resyncing bool
 	drain     drain
 	load      int
+	// silent is set while the engine's last report has failed.
+	silent bool
 }
 
 // Request asks for an adapter on the engine.
@@ -112,6 +118,9 @@
 
 // New returns an orderer; Run does its work.
 func New(op Options) *Orderer {
+	if op.Reachable == nil {
+		op.Reachable = func() bool { return true }
+	}
 	return &Orderer{
 		op:    op,
 		wake:  make(chan struct{}, 1),
@@ -132,6 +141,9 @@
 	if _, ok := or.op.Authority(); !ok {
 		return ErrNotHolder
 	}
+	if !or.reachable() {
+		return ErrUnreachable
+	}
 	wt := &waiter{requirement: rq.Requirement, deadline: time.Now().Add(rq.MaxWait), result: make(chan error, 1)}
 	or.mu.Lock()
 	or.waiting = append(or.waiting, wt)
@@ -148,6 +160,13 @@
 	}
 }
 
+// reachable reports whether the engine answers this instance as far as is known.
+func (or *Orderer) reachable() bool {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return !or.silent && or.op.Reachable()
+}
+
 func (or *Orderer) removeWaiter(wt *waiter) {
 	or.mu.Lock()
 	defer or.mu.Unlock()
@@ -194,7 +213,7 @@
 		Load:     or.load,
 		LoadAge:  time.Since(or.lastReportAt) + reportLag/2,
 	}
-	if _, ok := or.op.Authority(); ok {
+	if _, ok := or.op.Authority(); ok && !or.silent && or.op.Reachable() {
 		ho.Holder = or.op.Holder
 	}
 	return ho, true
@@ -246,6 +265,10 @@
 		or.failWaiting(ErrNotHolder)
 		return false
 	}
+	if !or.reachable() {
+		or.failWaiting(ErrUnreachable)
+		return false
+	}
 	sp, ok := or.next(now)
 	if !ok {
 		return false
--- a/orderer/report.go
+++ b/orderer/report.go
@@ -12,6 +12,7 @@
 	or.mu.Lock()
 	defer or.mu.Unlock()
 	or.nextReportAt = now.Add(reportInterval)
+	or.silent = err != nil
 	if err != nil {
 		or.nextReportAt = now.Add(reportLag)
 		or.op.Logger.Warn("report failed", "target", or.op.Target.ID(), "error", err)
--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,265 @@
+// Package prober tells whether this instance is cut off from all targets while other instances reach them. It goes by what the
+// instance's own requests meet, and opens connections to a few targets once that looks like a cut. It keeps connections, not requests:
+// whether requests on open connections are answered does not matter, only whether new ones are opened.
+package prober
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lovagebank/pauser"
+)
+
+const (
+	// checkInterval is the time between two looks at what requests have met.
+	checkInterval = 100 * time.Millisecond
+	// maxSilence is how long requests may wait without a sign of life of any target before connections are tried. It is longer than
+	// a packet that is sent again takes.
+	maxSilence = 300 * time.Millisecond
+	// failureWindow is the time within which connections to suspectTargets targets have to fail, with none opened since, before
+	// further ones are tried.
+	failureWindow  = time.Second
+	suspectTargets = 2
+	// probeTargets is the number of targets to which connections are tried, and probeTimeout limits each try.
+	probeTargets = 3
+	probeTimeout = 250 * time.Millisecond
+	// peerMargin is how long after the suspicion began a peer has to have heard a target, so that it is not the targets that are silent.
+	peerMargin = 150 * time.Millisecond
+	// recheckInterval is the least time between two rounds of tries that found no cut.
+	recheckInterval = 500 * time.Millisecond
+	// recoveryInterval is the time between two rounds of tries during a cut, and recoveryRounds the number of rounds in a row in which all
+	// connections but one at most are opened, after which the cut is over.
+	recoveryInterval = 250 * time.Millisecond
+	recoveryRounds   = 2
+)
+
+// Target is a target to which a connection may be tried.
+type Target struct {
+	// ID is the target's ID.
+	ID string
+	// Group names what the target shares with others that may fail together: its service and failure domain.
+	Group string
+}
+
+// Options configures a Prober.
+type Options struct {
+	// Targets returns the targets that may be tried.
+	Targets func() []Target
+	// Probe opens a connection to a target.
+	Probe func(ctx context.Context, target string) error
+	// PeersReach reports whether another instance that this one reaches has heard a target since the given time.
+	PeersReach func(since time.Time) bool
+	// CutOff is called when a cut is found, and Restored when it is over.
+	CutOff   func()
+	Restored func()
+	// Logger receives a line when a cut is found and when it is over.
+	Logger *log.Logger
+}
+
+// Prober watches the paths from this instance to the targets. It is safe for concurrent use.
+type Prober struct {
+	op   Options
+	done chan struct{}
+	wake chan struct{}
+
+	mu sync.Mutex
+	// waiting counts the requests that wait for bytes of targets; quietSince is when the first of them began to wait or when bytes last
+	// arrived, whichever is later.
+	waiting    int
+	quietSince time.Time
+	// heardAt is when bytes or an opened connection of any target last arrived, and lastOpened when each target last let a connection open.
+	heardAt    time.Time
+	lastOpened map[string]time.Time
+	// failedAt is when connections to targets last failed to open, for those that failed since the last one opened.
+	failedAt map[string]time.Time
+	checkAt  time.Time
+	cut      bool
+	cutSince time.Time
+	// goodRounds counts the rounds in a row in which connections were opened during a cut.
+	goodRounds int
+}
+
+// New returns a Prober; Run does its work.
+func New(op Options) *Prober {
+	return &Prober{
+		op: op, done: make(chan struct{}), wake: make(chan struct{}, 1),
+		lastOpened: make(map[string]time.Time), failedAt: make(map[string]time.Time),
+	}
+}
+
+// Done returns a channel that is closed when Run has ended.
+func (pr *Prober) Done() <-chan struct{} { return pr.done }
+
+// Cut reports whether the instance is cut off from the targets.
+func (pr *Prober) Cut() bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.cut
+}
+
+// HeardAge returns how long ago a target was last heard; false if none ever was, or while the instance is cut off.
+func (pr *Prober) HeardAge() (time.Duration, bool) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return time.Since(pr.heardAt), !pr.cut && !pr.heardAt.IsZero()
+}
+
+// Began records that a request begins to wait for bytes of a target; the returned function records that it no longer does.
+func (pr *Prober) Began() (ended func()) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pr.waiting == 0 {
+		pr.quietSince = time.Now()
+	}
+	pr.waiting++
+	return sync.OnceFunc(func() {
+		pr.mu.Lock()
+		defer pr.mu.Unlock()
+		pr.waiting--
+	})
+}
+
+// Heard records that bytes of a target have arrived.
+func (pr *Prober) Heard() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.heardAt = time.Now()
+	pr.quietSince = pr.heardAt
+}
+
+// Opened records the result of an attempt to open a connection to a target.
+func (pr *Prober) Opened(target string, err error) {
+	now := time.Now()
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if err == nil {
+		clear(pr.failedAt)
+		pr.heardAt, pr.quietSince, pr.lastOpened[target] = now, now, now
+		return
+	}
+	pr.failedAt[target] = now
+	select {
+	case pr.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run looks for cuts, and for their ends, until the context ends.
+func (pr *Prober) Run(ctx context.Context) {
+	defer close(pr.done)
+	for {
+		pauser.Until(ctx, pr.wake, checkInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		if sp, due := pr.suspect(time.Now()); due {
+			pr.check(ctx, sp)
+		}
+	}
+}
+
+// suspicion is why connections to targets are to be tried, and since when nothing speaks against it.
+type suspicion struct {
+	reason string
+	since  time.Time
+}
+
+// suspect reports whether connections to targets are to be tried now, and why.
+func (pr *Prober) suspect(now time.Time) (sp suspicion, due bool) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if now.Before(pr.checkAt) {
+		return suspicion{}, false
+	}
+	if pr.cut {
+		return suspicion{reason: "cut off", since: pr.cutSince}, true
+	}
+	first := now
+	for target, at := range pr.failedAt {
+		if now.Sub(at) > failureWindow {
+			delete(pr.failedAt, target)
+			continue
+		}
+		if at.Before(first) {
+			first = at
+		}
+	}
+	switch {
+	case len(pr.failedAt) >= suspectTargets:
+		return suspicion{reason: "connections not opened", since: first}, true
+	case pr.waiting > 0 && now.Sub(pr.quietSince) >= maxSilence:
+		return suspicion{reason: "no bytes of any target", since: pr.quietSince}, true
+	default:
+		return suspicion{}, false
+	}
+}
+
+// check tries connections to a few targets and acts on the results.
+func (pr *Prober) check(ctx context.Context, sp suspicion) {
+	targets := pr.selectTargets()
+	opened := pr.probe(ctx, targets)
+	if ctx.Err() != nil {
+		return
+	}
+	if pr.Cut() {
+		pr.checkRestored(len(targets), opened)
+		return
+	}
+	pr.mu.Lock()
+	pr.checkAt = time.Now().Add(recheckInterval)
+	pr.mu.Unlock()
+	if len(targets) == 0 || opened > 0 || !pr.op.PeersReach(sp.since.Add(peerMargin)) {
+		return
+	}
+	pr.mu.Lock()
+	pr.cut, pr.cutSince, pr.goodRounds = true, time.Now(), 0
+	heardAge := time.Since(pr.heardAt)
+	pr.checkAt = pr.cutSince.Add(recoveryInterval)
+	pr.mu.Unlock()
+	pr.op.Logger.Warn("cut off from targets", "reason", sp.reason, "tried", len(targets), "heard-ms", heardAge.Milliseconds())
+	pr.op.CutOff()
+}
+
+// checkRestored ends a cut after enough rounds in a row in which connections were opened.
+func (pr *Prober) checkRestored(tried, opened int) {
+	pr.mu.Lock()
+	pr.checkAt = time.Now().Add(recoveryInterval)
+	if tried == 0 || opened < max(tried-1, 1) {
+		pr.goodRounds = 0
+		pr.mu.Unlock()
+		return
+	}
+	pr.goodRounds++
+	over := pr.goodRounds >= recoveryRounds
+	lasted := time.Since(pr.cutSince)
+	if over {
+		pr.cut, pr.checkAt = false, time.Now().Add(recheckInterval)
+		clear(pr.failedAt)
+		pr.quietSince = time.Now()
+	}
+	pr.mu.Unlock()
+	if over {
+		pr.op.Logger.Info("targets reached again", "lasted-ms", lasted.Milliseconds())
+		pr.op.Restored()
+	}
+}
+
+// probe tries connections to targets at the same time and returns how many were opened.
+func (pr *Prober) probe(ctx context.Context, targets []string) int {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	results := make(chan error, len(targets))
+	for _, target := range targets {
+		go func() { results <- pr.op.Probe(ctx, target) }()
+	}
+	opened := 0
+	for range targets {
+		if err := <-results; err == nil {
+			opened++
+		}
+	}
+	return opened
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -39,6 +39,7 @@
 		Turn:      su.reserveTurn,
 		GrantSend: su.grantSend,
 		Mirror:    su.mirror,
+		Relay:     su.relayer.Serve,
 		Dial:      su.op.Dial,
 		ExchangeFailed: func(peer string, err error) {
 			su.reporter.AddToCounter("exchange_failures", 1)
@@ -66,6 +67,7 @@
 	su.allotter.Remove(name)
 	su.holdings.removeInstance(name)
 	su.silentPeers.remove(name)
+	su.targetContacts.remove(name)
 	su.profiler.Remove(name)
 	su.teller.Remove(name)
 	su.parts.Remove(name)
@@ -119,6 +121,7 @@
 		Engine:    engine,
 		Holder:    su.settings.IP(),
 		Authority: func() (int64, bool) { return su.keeper.Authority(ta.ID()) },
+		Reachable: func() bool { return !su.prober.Cut() },
 		Newest:    su.releaser.NewestVersion,
 		MayReplace: func(ad balancer.Adapter) bool {
 			return su.releaser.MayReplace(ad, su.balancer.Rank(ta.ID(), ad))
--- a/supervisor/silent.go
+++ b/supervisor/silent.go
@@ -28,3 +28,10 @@
 	delete(sp.peers, peer)
 	return wasSilent
 }
+
+// contains reports whether a peer did not answer lately.
+func (sp *silentPeers) contains(peer string) bool {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	return sp.peers[peer]
+}
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -174,6 +174,9 @@
 	}
 	su.balancer.SetTarget(ta)
 	su.balancer.SetAbsent(ta.Start(), su.reportedDepartures.outdates(id, it.Revision))
+	if ta.Draining() {
+		su.forwarder.DiscardUnread(id)
+	}
 	if !ok || current.Draining() != ta.Draining() || !current.SameStart(ta) {
 		su.logger.Info("target", "target", id, "address", ta.Address(), "service", ta.Service(),
 			"software", ta.Software(), "draining", ta.Draining(), "started", ta.Started().UnixMilli(), "revision", it.Revision)
@@ -191,6 +194,7 @@
 // markTargetLeaving stops sending requests to a target that an answer or a peer has reported as leaving.
 func (su *Supervisor) markTargetLeaving(ts balancer.Start, source string) {
 	if su.balancer.MarkLeaving(ts) {
+		su.forwarder.DiscardUnread(ts.Target)
 		su.logger.Info("target leaving", "target", ts.Target, "started", ts.Started.UnixMilli(), "source", source)
 	}
 }
@@ -204,6 +208,7 @@
 	su.balancer.RemoveTarget(id)
 	su.throttler.Remove(id)
 	su.malformed.remove(id)
+	su.forwarder.DiscardUnread(id)
 	su.forwarder.Remove(id)
 	su.logger.Info("target removed", "target", id, "revision", revision)
 	su.holdings.triggerRefresh()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -30,9 +30,11 @@
 	"lovagebank/keeper"
 	"lovagebank/pauser"
 	"lovagebank/platform"
+	"lovagebank/prober"
 	"lovagebank/profiler"
 	"lovagebank/quarantiner"
 	"lovagebank/recorder"
+	"lovagebank/relayer"
 	"lovagebank/releaser"
 	"lovagebank/reporter"
 	"lovagebank/resumer"
@@ -124,6 +126,8 @@
 	exchanger   *exchanger.Exchanger
 	teller      *teller.Teller
 	follower    *follower.Follower
+	prober      *prober.Prober
+	relayer     *relayer.Relayer
 	acceptor    *acceptor.Acceptor
 	holdings    *holdings
 
@@ -139,6 +143,7 @@
 	// heldUpdate is the part of the state updates that covers the targets that this instance holds.
 	heldUpdate     atomic.Pointer[[]*wire.HeldTarget]
 	peerRevisions  peerRevisions
+	targetContacts targetContacts
 	reportedChange reportedChange
 	// operatorChange is the store's revision of the newest known change of the operator's keys.
 	operatorChange      atomic.Int64
@@ -166,7 +171,6 @@
 		recorder:    recorder.New(op.Out),
 		reporter:    reporter.New(),
 		targets:     platform.NewTargetClient(op.Dial),
-		forwarder:   forwarder.New(forwarder.Options{Dial: op.Dial}),
 		quarantiner: quarantiner.New(),
 		profiler:    profiler.New(),
 		engines:     engineReporter{limited: make(map[string]bool)},
@@ -178,6 +182,9 @@
 	su.throttler = throttler.New(throttler.Options{Ask: su.askSend, Instances: su.instanceCount, Random: rand.Float64})
 	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), OnRollback: su.storeRolledBack, Dial: op.Dial})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
+	su.prober = su.newProber()
+	su.relayer = su.newRelayer()
+	su.forwarder = forwarder.New(forwarder.Options{Dial: op.Dial, Opened: su.prober.Opened, Heard: su.prober.Heard})
 	su.budgeter = budgeter.New(budgeter.Options{
 		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instanceCount,
 	})
@@ -204,6 +211,9 @@
 		RequiredVersion:   su.releaser.MinVersion,
 		LoadAdapter:       su.loadAdapter,
 		RequestTurn:       su.requestTurn,
+		CutOff:            su.prober.Cut,
+		Relay:             su.relayer.Send,
+		Awaiting:          su.prober.Began,
 		TargetLeaving:     func(ts balancer.Start) { su.markTargetLeaving(ts, leavingFromAnswer) },
 		RateLimitAnswered: su.rateLimitAnswered,
 		AnswerBroken:      su.answerBroken,
@@ -280,9 +290,11 @@
 	su.logger.Info("request", ou.LogFields()...)
 }
 
-// ready reports whether the instance can serve: it is not draining and has a configuration and targets.
+// ready reports whether the instance can serve: it is not draining, has a configuration and targets, and reaches targets by itself or
+// through another instance.
 func (su *Supervisor) ready() bool {
-	return !su.draining.Load() && su.configuration.Load() != nil && su.balancer.TargetCount() > 0
+	reaches := !su.prober.Cut() || su.relayer.Available()
+	return !su.draining.Load() && su.configuration.Load() != nil && su.balancer.TargetCount() > 0 && reaches
 }
 
 // Run serves until SIGTERM or SIGINT, then drains. The error reports a listener that could not be opened.
@@ -324,6 +336,7 @@
 	su.tasks.Go(func() { su.exchanger.Run(ctx) })
 	su.tasks.Go(func() { su.holdings.run(ctx) })
 	su.tasks.Go(func() { su.follower.Run(ctx) })
+	su.tasks.Go(func() { su.prober.Run(ctx) })
 	su.tasks.Go(func() { su.resumer.Run(ctx) })
 	su.tasks.Go(func() { su.runUpdates(ctx) })
 }
@@ -361,6 +374,7 @@
 	if err := sv.callers.Shutdown(endCtx); err != nil {
 		su.logger.Warn("requests aborted at shutdown", "serving", su.serving.Load(), "error", err)
 	}
+	su.awaitRelayed(endCtx)
 	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	su.keeper.Leave(leaveCtx)
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -24,6 +24,9 @@
 	own := su.revisions()
 	state.OperatorRevision, state.TargetRevision = own.operator, own.targets
 	state.OperatorChange = su.operatorChange.Load()
+	if age, ok := su.prober.HeardAge(); ok {
+		state.HeardTargetMs = age.Milliseconds() + 1
+	}
 	for name, ta := range su.allotter.Tallies() {
 		state.Tallies = append(state.Tallies, &wire.OrganisationTally{
 			Organisation: name, Admitted: int64(ta.Admitted), Asked: int64(ta.Requested), Requests: int64(ta.Requests),
@@ -148,6 +151,7 @@
 		su.mergePartEvidence(peer, state.GetParts())
 	}
 	su.applyProfiles(peer, state.GetProfiles())
+	su.targetContacts.record(peer, update.GetHeardTargetMs())
 	su.peerRevisions.record(peer, revisions{operator: state.GetOperatorRevision(), targets: state.GetTargetRevision()})
 	su.reportedChange.record(state.GetOperatorChange())
 }
--- a/teller/delta.go
+++ b/teller/delta.go
@@ -52,7 +52,7 @@
 	return &wire.FleetState{
 		Instance: fs.GetInstance(), Start: fs.GetStart(), Leaving: fs.GetLeaving(), Number: fs.GetNumber(),
 		OperatorRevision: fs.GetOperatorRevision(), TargetRevision: fs.GetTargetRevision(),
-		OperatorChange: fs.GetOperatorChange(), SteppedBackMs: fs.GetSteppedBackMs(),
+		OperatorChange: fs.GetOperatorChange(), SteppedBackMs: fs.GetSteppedBackMs(), HeardTargetMs: fs.GetHeardTargetMs(),
 	}
 }
 
--- a/wire/wireconnect/fleet.connect.go
+++ b/wire/wireconnect/fleet.connect.go
@@ -43,6 +43,8 @@
 	FleetServiceTurnProcedure = "/lovagebank.fleet.FleetService/Turn"
 	// FleetServiceSendProcedure is the fully-qualified name of the FleetService's Send RPC.
 	FleetServiceSendProcedure = "/lovagebank.fleet.FleetService/Send"
+	// FleetServiceRelayProcedure is the fully-qualified name of the FleetService's Relay RPC.
+	FleetServiceRelayProcedure = "/lovagebank.fleet.FleetService/Relay"
 )
 
 // FleetServiceClient is a client for the lovagebank.fleet.FleetService service.
@@ -58,6 +60,8 @@
 	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
 	// Send asks the holder of a target that has named a rate limit whether the caller may send it a request now.
 	Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error)
+	// Relay sends a request to a target in place of the caller, which is cut off from the targets, and returns the answer as it arrives.
+	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.ServerStreamForClient[wire.RelayResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the lovagebank.fleet.FleetService service. By
@@ -101,6 +105,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Send")),
 			connect.WithClientOptions(opts...),
 		),
+		relay: connect.NewClient[wire.RelayRequest, wire.RelayResponse](
+			httpClient,
+			baseURL+FleetServiceRelayProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Relay")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -111,6 +121,7 @@
 	mirror   *connect.Client[wire.MirrorRequest, wire.MirrorResponse]
 	turn     *connect.Client[wire.TurnRequest, wire.TurnResponse]
 	send     *connect.Client[wire.SendRequest, wire.SendResponse]
+	relay    *connect.Client[wire.RelayRequest, wire.RelayResponse]
 }
 
 // Exchange calls lovagebank.fleet.FleetService.Exchange.
@@ -138,6 +149,11 @@
 	return c.send.CallUnary(ctx, req)
 }
 
+// Relay calls lovagebank.fleet.FleetService.Relay.
+func (c *fleetServiceClient) Relay(ctx context.Context, req *connect.Request[wire.RelayRequest]) (*connect.ServerStreamForClient[wire.RelayResponse], error) {
+	return c.relay.CallServerStream(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the lovagebank.fleet.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange tells what the caller knows and returns what the callee knows.
@@ -151,6 +167,8 @@
 	Turn(context.Context, *connect.Request[wire.TurnRequest]) (*connect.Response[wire.TurnResponse], error)
 	// Send asks the holder of a target that has named a rate limit whether the caller may send it a request now.
 	Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error)
+	// Relay sends a request to a target in place of the caller, which is cut off from the targets, and returns the answer as it arrives.
+	Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayResponse]) error
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -190,6 +208,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Send")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceRelayHandler := connect.NewServerStreamHandler(
+		FleetServiceRelayProcedure,
+		svc.Relay,
+		connect.WithSchema(fleetServiceMethods.ByName("Relay")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovagebank.fleet.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -202,6 +226,8 @@
 			fleetServiceTurnHandler.ServeHTTP(w, r)
 		case FleetServiceSendProcedure:
 			fleetServiceSendHandler.ServeHTTP(w, r)
+		case FleetServiceRelayProcedure:
+			fleetServiceRelayHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -230,3 +256,7 @@
 func (UnimplementedFleetServiceHandler) Send(context.Context, *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Send is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lovagebank.fleet.FleetService.Relay is not implemented"))
+}
