RECOVER: only sends that may have arrived draw on the retry budget

Cause: every attempt after the first was counted, though the budget limits what reaches targets. Now an attempt counts if an earlier one of the same request was answered, turned away or may have run.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -99,6 +99,13 @@
 }
 
 func newTestInstance(t *testing.T) *testInstance {
+	t.Helper()
+	const manyRetries = 100
+	return newTestInstanceWith(t, manyRetries)
+}
+
+// newTestInstanceWith returns an instance that may make the given number of retries in a second, beside one for each request.
+func newTestInstanceWith(t *testing.T, retries float64) *testInstance {
 	t.Helper()
 	ti := &testInstance{t: t, outcomes: make(chan *acceptor.Outcome, 100)}
 	ti.balancer = balancer.New(balancer.Options{Random: func() float64 { return 0 }})
@@ -144,7 +151,7 @@
 		Forwarder:         fo,
 		Allotter:          allotter.New(allotter.Options{Interval: func() time.Duration { return time.Second }}),
 		Budgeter: budgeter.New(budgeter.Options{
-			Ratio: 1, Extra: 100, Window: time.Second, Instances: func() int { return 1 },
+			Ratio: 1, Extra: retries, Window: time.Second, Instances: func() int { return 1 },
 		}),
 		Quarantiner: quarantiner.New(),
 		Parts:       ti.parts,
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -38,8 +38,9 @@
 	fingerprint uint64
 	cost        float64
 	excluded    map[string]bool
-	// sends counts the sends, ran the sends that a target may have run, and loads the targets asked to load the adapter.
+	// sends counts the sends, arrived those that may have reached a target, ran those that one may have run, and loads the targets asked to load the adapter.
 	sends       int
+	arrived     int
 	ran         int
 	loads       int
 	targetsFull bool
@@ -233,7 +234,7 @@
 	return ex.refusalUnlessRun(refusedNoTarget)
 }
 
-// checkSendLimits returns a refusal if a further send would exceed maxSends or the retry budget.
+// checkSendLimits returns a refusal if a further send would exceed maxSends or, after one that may have arrived, the retry budget.
 func (ex *exchange) checkSendLimits() *refusal {
 	if ex.sends == 0 {
 		return nil
@@ -241,7 +242,7 @@
 	if ex.sends >= maxSends {
 		return ex.noTarget()
 	}
-	if !ex.ac.op.Budgeter.Retry(ex.service.Name()) {
+	if ex.arrived > 0 && !ex.ac.op.Budgeter.Retry(ex.service.Name()) {
 		return ex.refusalUnlessRun(refusedNoBudget)
 	}
 	return nil
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -57,6 +57,7 @@
 		return ex.handleSendError(ta, err)
 	}
 	defer rs.Close()
+	ex.arrived++
 	ex.outcome.via = rs.Via()
 	if tl, ok := platform.ParseTargetLoad(rs.Header()); ok {
 		ex.ac.op.Balancer.SetLoad(ta.ID(), tl.Running+tl.Waiting)
@@ -149,6 +150,7 @@
 	if !mayHaveRun {
 		return notRun
 	}
+	ex.arrived++
 	ex.ran++
 	if ex.blames(err) {
 		ex.recordBroken(ta)
