RECOVER: targets that were silent and have just gone on are no cut

All targets were silent for 1.2 s; the connections that the prober had tried just before the end did not open, and peers heard targets again: it found a cut. Found by TestSilenceOfASecondLosesNothing in virtual time. Now a round of tries in which no connection opened, while targets were heard, is repeated at once before it counts. Where only open connections live on, a cut is found a quarter of a second later.

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -78,6 +78,8 @@
 	checkAt  time.Time
 	cut      bool
 	cutSince time.Time
+	// repeated is true if the last round of tries is repeated because targets were heard during it.
+	repeated bool
 	// goodRounds counts the rounds in a row in which connections were opened during a cut.
 	goodRounds int
 }
@@ -200,6 +202,7 @@
 // check tries connections to a few targets and acts on the results.
 func (pr *Prober) check(ctx context.Context, sp suspicion) {
 	targets := pr.selectTargets()
+	began := time.Now()
 	opened := pr.probe(ctx, targets)
 	if ctx.Err() != nil {
 		return
@@ -208,10 +211,7 @@
 		pr.checkRestored(len(targets), opened)
 		return
 	}
-	pr.mu.Lock()
-	pr.checkAt = time.Now().Add(recheckInterval)
-	pr.mu.Unlock()
-	if len(targets) == 0 || opened > 0 || !pr.op.PeersReach(sp.since.Add(peerMargin)) {
+	if pr.repeats(began, opened) || len(targets) == 0 || opened > 0 || !pr.op.PeersReach(sp.since.Add(peerMargin)) {
 		return
 	}
 	pr.mu.Lock()
@@ -223,6 +223,20 @@
 	pr.op.CutOff()
 }
 
+// repeats sets when connections are tried again, and reports whether that is at once: targets were heard during a round in which no
+// connection opened. They may have been silent until then, or only their open connections live on; another round tells.
+func (pr *Prober) repeats(began time.Time, opened int) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.repeated = !pr.repeated && opened == 0 && pr.heardAt.After(began)
+	if pr.repeated {
+		pr.checkAt = time.Now()
+	} else {
+		pr.checkAt = time.Now().Add(recheckInterval)
+	}
+	return pr.repeated
+}
+
 // checkRestored ends a cut after enough rounds in a row in which connections were opened.
 func (pr *Prober) checkRestored(tried, opened int) {
 	pr.mu.Lock()
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -206,3 +206,20 @@
 		}
 	})
 }
+
+// Guards against a cut that is found when targets that were silent have just gone on: the connections tried before do not open any more.
+func TestRepeatsTriesWhenTargetsAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, pr := newWorld(t)
+		pr.Heard()
+		pr.Began()
+		wo.set(targetCount, true)
+		time.Sleep(450 * time.Millisecond)
+		wo.set(0, false)
+		pr.Heard()
+		time.Sleep(2 * time.Second)
+		if _, cuts, _ := wo.counts(); cuts != 0 {
+			t.Errorf("%d cuts found", cuts)
+		}
+	})
+}
--- a/supervisor/cut_test.go
+++ b/supervisor/cut_test.go
@@ -148,3 +148,64 @@
 		}
 	}
 }
+
+// Guards against requests that are lost because a sound target, or all of them, were silent for a second, which is no cut.
+func TestSilenceOfASecondLosesNothing(t *testing.T) {
+	tests := map[string]func(id string) bool{
+		"one engine":      func(id string) bool { return id == "engine-1" },
+		"one application": func(id string) bool { return id == "application-0" },
+		"all targets":     func(string) bool { return true },
+	}
+	for name, silent := range tests {
+		t.Run(name, func(t *testing.T) {
+			playVirtually(t, 4, emulator.Options{}, func(vf *virtualFleet) {
+				var calls sync.WaitGroup
+				answered := &tries{}
+				began := time.Now()
+				for number := range vf.instances {
+					calls.Go(func() { vf.callUntil(number, began.Add(3*time.Second), answered) })
+				}
+				time.Sleep(time.Second)
+				vf.setPaths(silent, faker.PathSilent)
+				time.Sleep(1200 * time.Millisecond)
+				vf.setPaths(silent, faker.PathOpen)
+				calls.Wait()
+				// A connection that is opened during the silence of all targets fails, and so do requests that need one.
+				if failed := answered.total - answered.served; failed > answered.total/50 && name != "all targets" || answered.statuses[0] > 0 || answered.statuses[502] > 0 {
+					t.Errorf("served %d of %d: %v", answered.served, answered.total, answered.statuses)
+				}
+				for number, vi := range vf.instances {
+					if cuts := vi.log.lines("cut off from targets"); len(cuts) > 0 {
+						t.Errorf("instance %d: %v", number, cuts)
+					}
+				}
+				vf.expectRunOnce()
+			})
+		})
+	}
+}
+
+// setPaths sets the paths from all instances to the targets that the function selects.
+func (vf *virtualFleet) setPaths(selects func(id string) bool, state faker.PathState) {
+	for _, id := range vf.fleet.TargetIDs() {
+		for _, vi := range vf.instances {
+			if selects(id) {
+				vf.network.SetPath(vi.settings.IP(), vf.fleet.Target(id).Address(), state)
+			}
+		}
+	}
+}
+
+// callUntil sends requests of all kinds to an instance until the given time and counts them.
+func (vf *virtualFleet) callUntil(instance int, end time.Time, counted *tries) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for number := 0; time.Now().Before(end); number++ {
+		path, adapter := []string{"/ask/1", "/order/1", "/check/1"}[number%3], ""
+		if number%3 == 0 {
+			adapter = fmt.Sprintf("a%d", number%12)
+		}
+		calls.Go(func() { counted.add(vf.ask(instance, path, adapter)) })
+		time.Sleep(callInterval)
+	}
+}
