Connections survive a silence of a second: TCP_USER_TIMEOUT decides when probes give up

A sound target may be silent for a second. A stream that had been quiet for two seconds was broken off if its target was silent then.

Cause: the user timeout of 1.5 s was set for bytes that stay unacknowledged. On Linux it also decides, in place of the count of probes, when keep-alive gives up: at the first look after it, here 3 s after the last bytes, one unanswered probe after the first. Now it is 2.5 s, longer than the time to the first probe and the interval together, and the first probe comes after 1 s: a quiet connection fails after 3 s as before, but only if its target was silent for 2 s; a request that is not acknowledged fails after 2.5 s instead of 1.5 s.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -16,11 +16,12 @@
 	// dialTimeout limits the time to open a connection.
 	dialTimeout = 300 * time.Millisecond
 	// unacknowledgedTimeoutMs is the TCP user timeout: how long sent bytes may stay unacknowledged before the connection
-	// fails, in milliseconds.
-	unacknowledgedTimeoutMs = 1500
+	// fails, in milliseconds. A sound target may be silent for a second or so. It is longer than probeAfter and probeInterval
+	// together, as it also decides when probes give up, whatever their number.
+	unacknowledgedTimeoutMs = 2500
 	// probeAfter is the idle time before TCP keep-alive probes start, probeInterval the time between two probes, and
 	// probeCount the number of unanswered probes after which the connection fails.
-	probeAfter    = 2 * time.Second
+	probeAfter    = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
 	// readBufferSize is the size of a connection's read buffer, in bytes.
