recorder: a line after Close is dropped

A goroutine that still logged after the recorder had been closed ended the process with a panic (send on closed channel), at a shutdown beside calls that outlive their requests. Now such a line is dropped and counted. TestWritesAfterCloseAreDropped panicked before.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +20,10 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// closing keeps Close from closing the queue while a line is being queued.
+	closing sync.RWMutex
+	closed  bool
 }
 
 // New returns a recorder and starts its goroutine, which Close stops.
@@ -33,9 +38,15 @@
 	return log.NewWithOptions(re, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "15:04:05.000"})
 }
 
-// Write queues a copy of a line. It never blocks and never returns an error; a line that does not fit into the queue is
-// dropped.
+// Write queues a copy of a line. It never blocks and never returns an error; a line that does not fit into the queue, or comes
+// after Close, is dropped.
 func (re *Recorder) Write(line []byte) (int, error) {
+	re.closing.RLock()
+	defer re.closing.RUnlock()
+	if re.closed {
+		re.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case re.lines <- append([]byte(nil), line...):
 	default:
@@ -62,8 +73,11 @@
 	}
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called afterwards.
+// Close writes the queued lines and stops the goroutine.
 func (re *Recorder) Close() {
+	re.closing.Lock()
+	re.closed = true
 	close(re.lines)
+	re.closing.Unlock()
 	<-re.done
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -41,3 +41,12 @@
 		t.Errorf("wrote %.200s", text)
 	}
 }
+
+// Guards against a process that ends with a panic at its shutdown: a goroutine that still logs met a closed queue.
+func TestWritesAfterCloseAreDropped(t *testing.T) {
+	re := recorder.New(&strings.Builder{})
+	re.Close()
+	if _, err := re.Write([]byte("late\n")); err != nil || re.Dropped() != 1 {
+		t.Errorf("error %v, %d dropped", err, re.Dropped())
+	}
+}
