Brittle targets are spared: all instances' rejections add up

Now platform decodes it; the target's holder, the only place that all instances ask, gives a permit for each request (sparer): as many at the same time as the target has slots, fewer once it turns requests away all the same, and more again at half the rate that it bears. The permit is given back when the request ends, and lapses after 15 s. Who cannot ask sends only where much less than half of the slots was in use a moment ago. A request without a permit goes to another target, or is refused at once as 'all targets are full'.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -23,6 +23,7 @@
 	"lovagebank/resumer"
 	"lovagebank/router"
 	"lovagebank/sequencer"
+	"lovagebank/sparer"
 	"lovagebank/throttler"
 )
 
@@ -50,6 +51,9 @@
 	// RateLimitAnswered is called with what a target has said about its rate limit in a response to a request that was sent at
 	// the given time.
 	RateLimitAnswered func(ts balancer.Start, rl platform.RateLimit, sentAt time.Time)
+	// BrittlenessAnswered is called with what a target has said about the rejections that it bears, in a response to a request that was
+	// sent at the given time.
+	BrittlenessAnswered func(ts balancer.Start, br platform.Brittleness, sentAt time.Time)
 	// AnswerBroken is called with each answer of a target that broke off.
 	AnswerBroken func(BrokenAnswer)
 	// ClaimProbe reports whether the request may test a verdict on parts of prompts. All instances together let few requests do so.
@@ -71,6 +75,7 @@
 	Parts       *quarantiner.Parts
 	Profiler    *profiler.Profiler
 	Throttler   *throttler.Throttler
+	Sparer      *sparer.Sparer
 	Streams     *resumer.Resumer
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -29,6 +29,7 @@
 	"lovagebank/resumer"
 	"lovagebank/router"
 	"lovagebank/sequencer"
+	"lovagebank/sparer"
 	"lovagebank/throttler"
 )
 
@@ -52,6 +53,7 @@
 	needed     atomic.Int64
 	profiler   *profiler.Profiler
 	throttler  *throttler.Throttler
+	sparer     *sparer.Sparer
 	parts      *quarantiner.Parts
 	// probes counts the requests that have been let through to test a verdict.
 	probes atomic.Int64
@@ -116,6 +118,11 @@
 			return ti.throttler.Grant(no), nil
 		},
 	})
+	ti.sparer = sparer.New(sparer.Options{
+		Ask:      func(_ context.Context, no sparer.Notice) (sparer.Permit, error) { return ti.sparer.Grant(no), nil },
+		GiveBack: func(pe sparer.Permit, rejected bool) { ti.sparer.GivenBack(pe, rejected) },
+		Load:     ti.balancer.Load,
+	})
 	cf := configuration()
 	fo := forwarder.New(forwarder.Options{Dial: ti.dial})
 	ti.closeIdle = fo.CloseIdle
@@ -158,6 +165,14 @@
 		Streams:     streams,
 		Profiler:    ti.profiler,
 		Throttler:   ti.throttler,
+		Sparer:      ti.sparer,
+		BrittlenessAnswered: func(ts balancer.Start, br platform.Brittleness, sentAt time.Time) {
+			if br.Named {
+				ti.sparer.Named(ts, br.MostRejections)
+				return
+			}
+			ti.sparer.Unnamed(ts, sentAt)
+		},
 	})
 	ti.front = httptest.NewServer(ac)
 	t.Cleanup(ti.front.Close)
--- /dev/null
+++ b/acceptor/brittle.go
@@ -0,0 +1,33 @@
+package acceptor
+
+import (
+	"lovagebank/balancer"
+	"lovagebank/forwarder"
+	"lovagebank/platform"
+	"lovagebank/sparer"
+)
+
+// acquireRoom reports whether the request may be sent to a target that may be brittle. If not, the request does not try the target again.
+func (ex *exchange) acquireRoom(ta *balancer.Target) (sparer.Decision, bool) {
+	de := ex.ac.op.Sparer.Acquire(ex.ctx, ta.Start(), ta.Slots())
+	if de.Brittle {
+		ex.outcome.brittle = de
+	}
+	if de.Admitted {
+		return de, ex.ctx.Err() == nil
+	}
+	ex.targetsFull, ex.spared = true, true
+	ex.skippedForLimit++
+	ex.excluded[ta.ID()] = true
+	ex.ac.op.Balancer.BackOff(ta.ID(), de.Wait)
+	return de, false
+}
+
+// recordBrittleness records what a response says about how many rejections its target bears. Only a success without that word shows that it
+// no longer applies.
+func (ex *exchange) recordBrittleness(ta *balancer.Target, rs *forwarder.Response) {
+	br := platform.ParseBrittleness(rs.Header())
+	if br.Named || rs.Status() < 300 {
+		ex.ac.op.BrittlenessAnswered(ta.Start(), br, ex.sentAt)
+	}
+}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -74,6 +74,8 @@
 	withdrawn atomic.Bool
 	// skippedForLimit counts the targets that were skipped because their rate limits are used up.
 	skippedForLimit int
+	// spared is true once a target was skipped because it is brittle and may have no room.
+	spared bool
 	// skippedForTurn counts the targets that were skipped because the prompt would have had to wait there for its turn.
 	skippedForTurn int
 	outcome        *Outcome
@@ -225,6 +227,9 @@
 	if ex.loads >= maxLoads {
 		return ex.refusalUnlessRun(refusedNoLoad)
 	}
+	if ex.spared {
+		return ex.refusalUnlessRun(refusedFull)
+	}
 	if wait := ex.ac.op.Balancer.BackOffRemaining(ex.service.Name()); wait > 0 || ex.skippedForLimit > 0 {
 		return ex.refusalUnlessRun(ex.refusedForNow(wait))
 	}
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -8,6 +8,7 @@
 	"lovagebank/balancer"
 	"lovagebank/quarantiner"
 	"lovagebank/router"
+	"lovagebank/sparer"
 	"lovagebank/throttler"
 )
 
@@ -41,6 +42,8 @@
 	backOff time.Duration
 	// rateLimit is the last decision on a send to a target that names a rate limit.
 	rateLimit throttler.Decision
+	// brittle is the last decision on a send to a target that is brittle.
+	brittle sparer.Decision
 	// isolated is the part of the prompt for which the request shared one target with others.
 	isolated quarantiner.Isolation
 	// condemned names the parts of the prompt for which the request was refused, and probe is true if it tested that verdict.
@@ -144,6 +147,9 @@
 	if ou.resumes != "" {
 		fields = append(fields, "resumes", ou.resumes, "stream-software", ou.streamSoftware)
 	}
+	if br := ou.brittle; br.Brittle {
+		fields = append(fields, "most-rejections", br.Most, "permitted", br.Admitted, "by-holder", br.Asked)
+	}
 	if is := ou.isolated; is.Crashes > 0 {
 		fields = append(fields, "isolated-part", is.Name, "crashes", is.Crashes)
 	}
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -38,6 +38,12 @@
 	if !ex.awaitTurn(ch) || ex.newlySuspected() || !ex.acquireSend(ta) {
 		return notRun
 	}
+	room, ok := ex.acquireRoom(ta)
+	if !ok {
+		return notRun
+	}
+	rejected := false
+	defer func() { ex.ac.op.Sparer.Done(ta.Start(), room, rejected) }()
 	if ex.claimProbe(); ex.refusedForParts() != nil {
 		return notRun
 	}
@@ -66,6 +72,7 @@
 	ex.recordTargetState(ta, rs)
 	ex.ac.op.Parts.Answered(ta.Start(), ex.sentAt)
 	if platform.NotRun(rs.Status(), rs.Header()) {
+		rejected = rs.Status() == http.StatusServiceUnavailable
 		return ex.handleRejection(ta, rs)
 	}
 	ex.ran++
@@ -92,6 +99,7 @@
 		ex.outcome.backOff = wait
 	}
 	ex.recordRateLimit(ta, rs)
+	ex.recordBrittleness(ta, rs)
 }
 
 func (ex *exchange) forwarderTarget(ta *balancer.Target) forwarder.Target {
--- a/balancer/observe.go
+++ b/balancer/observe.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Load returns the newest known load of a target, as a number of requests running and waiting, and when it was.
+func (ba *Balancer) Load(target string) (int, time.Time) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	if st, ok := ba.states[target]; ok {
+		return st.load, st.loadAt
+	}
+	return 0, time.Time{}
+}
+
 // ConnectionFailed records that a target broke a connection or, if it is unreachable, that no connection to it could be opened.
 func (ba *Balancer) ConnectionFailed(target string, unreachable bool) {
 	ba.mu.Lock()
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	ta.software = old.software
+	ta.software, ta.brittle = old.software, old.brittleAfterRestart()
 	ta.zone, ta.omitsLoad, ta.startNumber = old.zone, old.omitsLoad, old.startNumber+1
 	return fl.register(ta)
 }
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -92,6 +92,7 @@
 	rejectUntil time.Time
 	rejected    int
 	rateLimit   rateLimit
+	brittle     brittleness
 	// leftAt is when it was first announced that the target is leaving; zero if it is not. lateArrivals are the requests that reached it
 	// later than leavingNotice after that.
 	leftAt       time.Time
@@ -172,6 +173,7 @@
 	}
 	ta.announceLeaving(w.Header())
 	ta.announceRateLimit(w.Header())
+	ta.announceBrittle(w.Header())
 	switch r.URL.Path {
 	case "/-/report":
 		ta.report(w)
@@ -189,6 +191,11 @@
 	if ta.reject(w) {
 		return
 	}
+	done, taken := ta.takeRoom(w)
+	if !taken {
+		return
+	}
+	defer done()
 	_, adapter, _ := strings.Cut(r.Header.Get("Model-Name"), "/")
 	if ta.engine && adapter != "" {
 		if !ta.beginRequest(w, adapter, r.Header.Get("Expect-Version")) {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 	"lovagebank/orderer"
 	"lovagebank/platform"
 	"lovagebank/sequencer"
+	"lovagebank/sparer"
 	"lovagebank/throttler"
 	"lovagebank/wire"
 	"lovagebank/wire/wireconnect"
@@ -68,6 +69,9 @@
 	// GrantSend decides whether a peer may send a request to a target that has named a rate limit; holder is false if this
 	// instance may not decide.
 	GrantSend func(no throttler.Notice) (gr throttler.Grant, holder bool)
+	// GrantPermit gives a peer a permit for a brittle target; holder is false if this instance may not decide. GivenBack takes one back.
+	GrantPermit func(no sparer.Notice) (pe sparer.Permit, holder bool)
+	GivenBack   func(pe sparer.Permit, rejected bool)
 	// Mirror returns the changes of this instance's copies of the store's keys; it may wait for a change.
 	Mirror func(ctx context.Context, rq MirrorRequest) MirrorResponse
 	// Relay sends a request to a target for a peer, and calls send with the parts of the answer as they arrive.
--- a/exchanger/send.go
+++ b/exchanger/send.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"lovagebank/balancer"
+	"lovagebank/sparer"
 	"lovagebank/throttler"
 	"lovagebank/wire"
 )
@@ -33,6 +34,15 @@
 
 // Send decides whether a peer may send a request to a target that this instance holds.
 func (se *service) Send(_ context.Context, rq *connect.Request[wire.SendRequest]) (*connect.Response[wire.SendResponse], error) {
+	switch {
+	case rq.Msg.GetBrittle() != nil:
+		pe, holder := se.op.GrantPermit(decodeBrittle(rq.Msg.GetBrittle()))
+		return connect.NewResponse(&wire.SendResponse{Holder: holder, Permit: pe.Number}), nil
+	case rq.Msg.GetGivenBack() != nil:
+		gb := rq.Msg.GetGivenBack()
+		se.op.GivenBack(sparer.Permit{Target: start(gb), Number: gb.GetNumber()}, gb.GetRejected())
+		return connect.NewResponse(&wire.SendResponse{}), nil
+	}
 	gr, holder := se.op.GrantSend(DecodeNotice(rq.Msg.GetLimit()))
 	answer := &wire.SendResponse{Holder: holder, Granted: gr.Granted, WaitMs: int32(gr.Wait.Milliseconds())}
 	if !gr.Notice.Limit.SeenAt.IsZero() {
--- /dev/null
+++ b/sparer/sparer.go
@@ -0,0 +1,272 @@
+// Package sparer keeps brittle targets from having to turn requests away: one that says it is brittle ends if it turns more than a few away
+// in a second, from all instances together. The target's holder, the only place that all instances ask, gives a permit for each
+// request, as many at the same time as the target has slots, or fewer where it turns requests away all the same. The package performs no I/O.
+package sparer
+
+import (
+	"context"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lovagebank/balancer"
+)
+
+const (
+	// permitLifetime is how long a permit counts that is not given back: longer than requests last.
+	permitLifetime = 15 * time.Second
+	// grantLifetime is how long after it was asked for a permit may be used.
+	grantLifetime = 250 * time.Millisecond
+	// deniedWait is how long an instance leaves a target alone whose holder has no permit left, and rejectedWait after the target itself
+	// has turned a request away.
+	deniedWait   = 30 * time.Millisecond
+	rejectedWait = 500 * time.Millisecond
+	// raiseInterval is the time after which one request more is allowed at the same time, for each request that the target may turn away
+	// in a second, and maxRaiseInterval that for targets that may turn none away. It uses half of what they bear.
+	raiseInterval    = 2 * time.Second
+	maxRaiseInterval = 10 * time.Second
+	// ownShareLoad is the share of a target's slots below which an instance sends without its holder's word, and ownShareAge the greatest age
+	// of the load that it goes by.
+	ownShareLoad = 0.5
+	ownShareAge  = time.Second
+)
+
+// Notice is what an instance knows of a brittle target.
+type Notice struct {
+	Target balancer.Start
+	// Most is the number of requests that the target may turn away in a second.
+	Most int
+	// SeenAt is when the target last said so in an answer.
+	SeenAt time.Time
+	// Slots is the number of requests that the target runs at the same time.
+	Slots int
+}
+
+// Permit is a holder's permission to send one request to a target.
+type Permit struct {
+	Target balancer.Start
+	// Number identifies the permit at the holder; 0 stands for none.
+	Number int64
+}
+
+// Decision is whether a request may be sent to a target now.
+type Decision struct {
+	Admitted bool
+	// Wait is when the target may be tried again if not.
+	Wait time.Duration
+	// Most is what the target has named; Brittle is false if it has named nothing.
+	Most    int
+	Brittle bool
+	// Asked reports whether the holder decided, and Permit is what it gave.
+	Asked  bool
+	Permit Permit
+}
+
+// Options configures a Sparer.
+type Options struct {
+	// Ask asks the holder of a target whether this instance may send it a request now. An error means that the holder is not known, did not
+	// answer, or is no holder now.
+	Ask func(ctx context.Context, no Notice) (Permit, error)
+	// GiveBack tells the holder of a target that a request with a permit has ended, and whether the target turned it away.
+	GiveBack func(pe Permit, rejected bool)
+	// Load returns the newest load of a target that this instance knows, and when it was.
+	Load func(target string) (load int, at time.Time)
+}
+
+// Sparer keeps which targets are brittle. It is safe for concurrent use.
+type Sparer struct {
+	op      Options
+	mu      sync.Mutex
+	targets map[string]*targetState
+	// lastPermit is the number of the newest permit.
+	lastPermit int64
+}
+
+// targetState is what is known of one start of a target that has said that it is brittle.
+type targetState struct {
+	started time.Time
+	most    int
+	seenAt  time.Time
+	lapsed  bool
+	// permits are the permits given as its holder that are in use, by when they were given; limit is how many there may be, since changedAt.
+	permits   map[int64]time.Time
+	limit     int
+	changedAt time.Time
+	// rejectedUntil is until when this instance leaves the target alone after a rejection.
+	rejectedUntil time.Time
+}
+
+// New returns a Sparer that knows no brittle targets.
+func New(op Options) *Sparer {
+	// Permits of an earlier holder must not be taken for those of this one.
+	return &Sparer{op: op, targets: make(map[string]*targetState), lastPermit: rand.Int64N(math.MaxInt64 / 2)}
+}
+
+// Remove forgets a target that has been removed from the platform's list.
+func (sp *Sparer) Remove(target string) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	delete(sp.targets, target)
+}
+
+// Named records that a target has said in an answer that it is brittle, and reports whether this is new.
+func (sp *Sparer) Named(ts balancer.Start, most int) bool {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	return sp.named(ts, most, time.Now())
+}
+
+func (sp *Sparer) named(ts balancer.Start, most int, seenAt time.Time) bool {
+	st, ok := sp.targets[ts.Target]
+	if ok && (st.started.After(ts.Started) || st.started.Equal(ts.Started) && st.seenAt.After(seenAt)) {
+		return false
+	}
+	if !ok || !st.started.Equal(ts.Started) {
+		st = &targetState{started: ts.Started, lapsed: true, permits: make(map[int64]time.Time)}
+		sp.targets[ts.Target] = st
+	}
+	changed := st.lapsed || st.most != most
+	st.most, st.seenAt, st.lapsed = most, seenAt, false
+	return changed
+}
+
+// Unnamed records that a target has not said that it is brittle in its answer to a request that was sent at the given time, and reports
+// whether this is new.
+func (sp *Sparer) Unnamed(ts balancer.Start, sentAt time.Time) bool {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	st := sp.state(ts)
+	if st == nil || !sentAt.After(st.seenAt) {
+		return false
+	}
+	st.lapsed = true
+	return true
+}
+
+// state returns what is known of a start of a target that is brittle now; nil for any other.
+func (sp *Sparer) state(ts balancer.Start) *targetState {
+	st, ok := sp.targets[ts.Target]
+	if !ok || !st.started.Equal(ts.Started) || st.lapsed {
+		return nil
+	}
+	return st
+}
+
+// Acquire decides whether a request may be sent to a target with the given number of slots now. It is called directly before the send, and
+// Done when an admitted request has ended.
+func (sp *Sparer) Acquire(ctx context.Context, ts balancer.Start, slots int) Decision {
+	no, left := sp.notice(ts, Notice{Target: ts, Slots: slots})
+	de := Decision{Most: no.Most, Brittle: !no.SeenAt.IsZero()}
+	switch {
+	case !de.Brittle:
+		de.Admitted = true
+		return de
+	case left > 0:
+		de.Wait = left
+		return de
+	}
+	began := time.Now()
+	pe, err := sp.op.Ask(ctx, no)
+	if err == nil && pe.Number != 0 && time.Since(began) > grantLifetime {
+		sp.op.GiveBack(pe, false)
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		de.Admitted, de.Wait = sp.roomForOwnShare(ts, slots), rejectedWait
+		return de
+	}
+	de.Admitted, de.Asked, de.Permit, de.Wait = pe.Number != 0, true, pe, deniedWait
+	return de
+}
+
+// Done ends what Acquire has admitted, and records whether the target has turned the request away for want of room.
+func (sp *Sparer) Done(ts balancer.Start, de Decision, rejected bool) {
+	if rejected {
+		sp.leaveAlone(ts)
+	}
+	if de.Permit.Number != 0 {
+		sp.op.GiveBack(de.Permit, rejected)
+	}
+}
+
+// leaveAlone leaves a target alone that has turned a request of this instance away.
+func (sp *Sparer) leaveAlone(ts balancer.Start) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	if st := sp.state(ts); st != nil {
+		st.rejectedUntil = time.Now().Add(rejectedWait)
+	}
+}
+
+// notice completes a notice of a target by what it has named, without SeenAt if it is not brittle. It also returns for how long the target
+// is to be left alone.
+func (sp *Sparer) notice(ts balancer.Start, no Notice) (Notice, time.Duration) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	st := sp.state(ts)
+	if st == nil {
+		return no, 0
+	}
+	no.Most, no.SeenAt = st.most, st.seenAt
+	return no, time.Until(st.rejectedUntil)
+}
+
+// roomForOwnShare reports whether a target has so much room that an instance may send without its holder's word.
+func (sp *Sparer) roomForOwnShare(ts balancer.Start, slots int) bool {
+	load, at := sp.op.Load(ts.Target)
+	return !at.IsZero() && time.Since(at) < ownShareAge && float64(load) < ownShareLoad*float64(slots)
+}
+
+// Grant gives a permit as the holder of a target, or one without a number if there is none left now. The caller makes sure that this instance
+// is the holder.
+func (sp *Sparer) Grant(no Notice) Permit {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	now := time.Now()
+	sp.named(no.Target, no.Most, no.SeenAt)
+	pe := Permit{Target: no.Target}
+	st := sp.state(no.Target)
+	if st == nil {
+		st = &targetState{permits: make(map[int64]time.Time), limit: math.MaxInt}
+	}
+	maps.DeleteFunc(st.permits, func(_ int64, at time.Time) bool { return now.Sub(at) > permitLifetime })
+	st.raise(no.Slots, now)
+	if len(st.permits) >= st.limit {
+		return pe
+	}
+	sp.lastPermit++
+	pe.Number = sp.lastPermit
+	st.permits[pe.Number] = now
+	return pe
+}
+
+// raise allows one request more at the same time once in a while, up to the target's slots.
+func (st *targetState) raise(slots int, now time.Time) {
+	if st.changedAt.IsZero() {
+		st.limit, st.changedAt = max(slots, 1), now
+	}
+	interval := maxRaiseInterval
+	if st.most > 0 {
+		interval = raiseInterval / time.Duration(st.most)
+	}
+	if st.limit < slots && now.Sub(st.changedAt) >= interval {
+		st.limit, st.changedAt = st.limit+1, now
+	}
+}
+
+// GivenBack records, as the holder of a target, that a request with a permit has ended, and whether the target turned it away: it has less room
+// than was thought.
+func (sp *Sparer) GivenBack(pe Permit, rejected bool) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	st := sp.state(pe.Target)
+	if st == nil {
+		return
+	}
+	if rejected && len(st.permits) <= st.limit {
+		st.limit, st.changedAt = max(len(st.permits)-1, 1), time.Now()
+	}
+	delete(st.permits, pe.Number)
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -11,6 +11,7 @@
 	"lovagebank/orderer"
 	"lovagebank/pauser"
 	"lovagebank/router"
+	"lovagebank/sparer"
 )
 
 const (
@@ -31,16 +32,18 @@
 
 func (su *Supervisor) newExchanger() *exchanger.Exchanger {
 	return exchanger.New(exchanger.Options{
-		Self:      su.settings.IP(),
-		Peers:     su.peers,
-		Compose:   su.composeUpdate,
-		Apply:     su.applyUpdate,
-		Load:      su.loadLocally,
-		Turn:      su.reserveTurn,
-		GrantSend: su.grantSend,
-		Mirror:    su.mirror,
-		Relay:     su.relayer.Serve,
-		Dial:      su.op.Dial,
+		Self:        su.settings.IP(),
+		Peers:       su.peers,
+		Compose:     su.composeUpdate,
+		Apply:       su.applyUpdate,
+		Load:        su.loadLocally,
+		Turn:        su.reserveTurn,
+		GrantSend:   su.grantSend,
+		GrantPermit: su.grantPermit,
+		GivenBack:   func(pe sparer.Permit, rejected bool) { su.sparer.GivenBack(pe, rejected) },
+		Mirror:      su.mirror,
+		Relay:       su.relayer.Serve,
+		Dial:        su.op.Dial,
 		ExchangeFailed: func(peer string, err error) {
 			su.reporter.AddToCounter("exchange_failures", 1)
 			if su.silentPeers.add(peer) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -39,6 +39,7 @@
 	"lovagebank/reporter"
 	"lovagebank/resumer"
 	"lovagebank/router"
+	"lovagebank/sparer"
 	"lovagebank/teller"
 	"lovagebank/throttler"
 	"lovagebank/watcher"
@@ -121,6 +122,7 @@
 	evidence    evidenceEntries
 	profiler    *profiler.Profiler
 	throttler   *throttler.Throttler
+	sparer      *sparer.Sparer
 	resumer     *resumer.Resumer
 	keeper      *keeper.Keeper
 	exchanger   *exchanger.Exchanger
@@ -196,6 +198,7 @@
 	})
 	su.allotter = allotter.New(allotter.Options{Interval: su.exchanger.Interval, Slack: st.QuotaSlack()})
 	su.resumer = su.newResumer()
+	su.sparer = su.newSparer()
 	su.acceptor = su.newAcceptor()
 	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, exchanger.CopyOperator, operatorPace(st.MaxConfigurationDelay()), su.applyOperatorChange)
 	su.targetWatcher = su.newWatcher(platform.TargetPrefix, exchanger.CopyTargets, targetPace, su.applyTargetChange)
@@ -206,31 +209,33 @@
 
 func (su *Supervisor) newAcceptor() *acceptor.Acceptor {
 	return acceptor.New(acceptor.Options{
-		Configuration:     su.configuration.Load,
-		NewestVersion:     su.releaser.NewestVersion,
-		RequiredVersion:   su.releaser.MinVersion,
-		LoadAdapter:       su.loadAdapter,
-		RequestTurn:       su.requestTurn,
-		CutOff:            su.prober.Cut,
-		Relay:             su.relayer.Send,
-		Awaiting:          su.prober.Began,
-		TargetLeaving:     func(ts balancer.Start) { su.markTargetLeaving(ts, leavingFromAnswer) },
-		RateLimitAnswered: su.rateLimitAnswered,
-		AnswerBroken:      su.answerBroken,
-		ClaimProbe:        su.claimProbe,
-		InstanceCount:     su.instanceCount,
-		Draining:          su.draining.Load,
-		RequestEnded:      su.requestEnded,
-		Random:            rand.Float64,
-		Balancer:          su.balancer,
-		Forwarder:         su.forwarder,
-		Allotter:          su.allotter,
-		Budgeter:          su.budgeter,
-		Quarantiner:       su.quarantiner,
-		Parts:             su.parts,
-		Profiler:          su.profiler,
-		Throttler:         su.throttler,
-		Streams:           su.resumer,
+		Configuration:       su.configuration.Load,
+		NewestVersion:       su.releaser.NewestVersion,
+		RequiredVersion:     su.releaser.MinVersion,
+		LoadAdapter:         su.loadAdapter,
+		RequestTurn:         su.requestTurn,
+		CutOff:              su.prober.Cut,
+		Relay:               su.relayer.Send,
+		Awaiting:            su.prober.Began,
+		TargetLeaving:       func(ts balancer.Start) { su.markTargetLeaving(ts, leavingFromAnswer) },
+		RateLimitAnswered:   su.rateLimitAnswered,
+		BrittlenessAnswered: su.brittlenessAnswered,
+		AnswerBroken:        su.answerBroken,
+		ClaimProbe:          su.claimProbe,
+		InstanceCount:       su.instanceCount,
+		Draining:            su.draining.Load,
+		RequestEnded:        su.requestEnded,
+		Random:              rand.Float64,
+		Balancer:            su.balancer,
+		Forwarder:           su.forwarder,
+		Allotter:            su.allotter,
+		Budgeter:            su.budgeter,
+		Quarantiner:         su.quarantiner,
+		Parts:               su.parts,
+		Profiler:            su.profiler,
+		Throttler:           su.throttler,
+		Sparer:              su.sparer,
+		Streams:             su.resumer,
 	})
 }
 
