A refusal that a target writes once more is not believed

A report of other operators: a target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that it was running, or these ran at a second target. It can happen here: a repeated refusal that names no request was taken for the answer to the next one, and one that names it was, when the same request was sent to the same target again, as after its adapter had been loaded there.

Cause: on a reused connection a failure needed to name no request; and connections did not remember which request they had carried. Now a response on a reused connection has to name its request, a connection carries the same request once only, and a request without an ID gets a connection of its own. An answer that cannot be attributed counts as 'may have run'.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -34,6 +34,8 @@
 	limited *limitedReader
 	reader  *bufio.Reader
 	reused  bool
+	// lastID is the ID of the last request; an extra response to it may still come.
+	lastID string
 	aborted atomic.Bool
 	// idleTimeout is how long the connection may stay idle; 0 means that it must not be reused.
 	idleTimeout time.Duration
@@ -133,11 +135,11 @@
 }
 
 // matches reports whether a response belongs to the request. An extra response to an earlier request names that request's
-// ID. On a reused connection only failures (status 300 and above) may name no ID, unless the request has none.
+// ID, or none. So on a reused connection a response has to name the request.
 func (co *connection) matches(rs *http.Response, rq *Request) bool {
 	id := rq.ResponseID(rs.Header)
 	if id == "" {
-		return rq.ID == "" || !co.reused || rs.StatusCode >= http.StatusMultipleChoices
+		return !co.reused
 	}
 	return id == rq.ID
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -201,7 +201,7 @@
 // the context aborts the connection, also while the body is read.
 func (fo *Forwarder) Send(ctx context.Context, ta Target, rq *Request) (*Response, error) {
 	po := fo.pool(ta)
-	co, err := po.get(ctx)
+	co, err := po.get(ctx, rq.ID)
 	if err != nil {
 		return nil, &SendError{cause: err}
 	}
@@ -209,6 +209,7 @@
 		co.keep()
 		return nil, &SendError{cause: ErrUnusable}
 	}
+	co.lastID = rq.ID
 	po.use(co, rq.Repeatable)
 	stop := context.AfterFunc(ctx, co.abort)
 	rs, err := co.roundTrip(rq)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -426,3 +426,79 @@
 		t.Errorf("the target read to the end of the connection: %v", err)
 	}
 }
+
+// Guards against a report of other operators: a target wrote an earlier refusal once more on a connection that was in use again, and callers
+// were told "not run" for requests that it was running.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	refusal := func(id string) string {
+		text := "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+		if id != "" {
+			text += "Request-Id: " + id + "\r\n"
+		}
+		return text + "\r\n"
+	}
+	tests := map[string]struct {
+		// ids are the IDs of two requests, and repeated the ID that the repeated refusal names; empty for none.
+		ids      [2]string
+		repeated string
+	}{
+		"it names its request":                    {[2]string{"1", "2"}, "1"},
+		"it names no request":                     {[2]string{"1", "2"}, ""},
+		"the same request is sent there again":    {[2]string{"1", "1"}, "1"},
+		"the requests have no IDs":                {[2]string{"", ""}, ""},
+		"it names no request, the same one again": {[2]string{"1", "1"}, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			running := make(chan struct{}, 2)
+			st := newScriptedTarget(t, func(st *scriptedTarget, number int, conn net.Conn, reader *bufio.Reader) {
+				rq, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				id := rq.Header.Get("Request-Id")
+				if number > 0 {
+					running <- struct{}{}
+					write(conn, response(id, "ran"))
+					return
+				}
+				write(conn, refusal(id))
+				if _, err = http.ReadRequest(reader); err != nil {
+					return
+				}
+				running <- struct{}{}
+				write(conn, refusal(tt.repeated))
+				write(conn, response(id, "ran"))
+			})
+			fo := forwarder.New(forwarder.Options{})
+			status := func(id string) (int, error) {
+				header := http.Header{}
+				if id != "" {
+					header.Set("Request-Id", id)
+				}
+				rs, err := fo.Send(t.Context(), forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
+					Method: http.MethodGet, URI: "/", Host: "h", Header: header, ID: id,
+					ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+				})
+				if err != nil {
+					return 0, err
+				}
+				defer rs.Close()
+				_, err = io.Copy(io.Discard, rs)
+				return rs.Status(), err
+			}
+			if got, err := status(tt.ids[0]); got != http.StatusServiceUnavailable || err != nil {
+				t.Fatalf("first: status %d, %v", got, err)
+			}
+			got, err := status(tt.ids[1])
+			select {
+			case <-running:
+			default:
+				t.Fatal("the second request did not reach the target")
+			}
+			if got == http.StatusServiceUnavailable || err != nil && !mayHaveRun(t, err) {
+				t.Errorf("status %d, %v for a request that ran", got, err)
+			}
+		})
+	}
+}
