--- a/emulator/store.go
+++ b/emulator/store.go
@@ -99,11 +99,16 @@
 	if err != nil {
 		return err
 	}
+	st.PutBytes(key, text)
+	return nil
+}
+
+// PutBytes writes any bytes to a key without a lease, as another writer may do.
+func (st *Store) PutBytes(key string, value []byte) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.revision++
-	st.write(item{Key: key, Value: text, Revision: st.revision})
-	return nil
+	st.write(item{Key: key, Value: value, Revision: st.revision})
 }
 
 // Remove deletes a key from the store and adds the deletion to the history.
