An instance that is out of step takes up no streams of versions that it may not know

A report of other operators: a front machine that was out of step for some seconds took up streams that had begun on workers of a new version and went on with them at another version. It can happen here: cut off from the store and the other instances, an instance did not hear of new targets; a take-up whose origin it could not read from the store went by the only version that it knew.

Cause: 'the only version for 30 s' was judged by the instance's own copy of the targets, however old. Now it also has to have heard from all instances within two exchanges, and none may have a newer copy of the targets; otherwise the origin is unknown and the take-up refused with 503. An outage of the store that all share changes nothing: they hear each other, and copies are evened out. Evidence: TestInstancesOutOfStepJoinNoVersions/cut off from the store and the rest: 'status 200: a stream of v2 went on at [v1]' before; TestTakeUpsGoOnWithoutTheStore passes before and after. In its course a finding that is not traced: with a silent peer, an organisation that had asked nothing for 45 s was refused with 429 from its second request on for about a second (allowance-left below 0).

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -254,6 +254,13 @@
 	return time.Since(ex.receivedAt[peer]) > time.Duration(lateFactor*float64(interval))
 }
 
+// SilentFor returns the time since the last update of a peer was received.
+func (ex *Exchanger) SilentFor(peer string) time.Duration {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return time.Since(ex.receivedAt[peer])
+}
+
 func (ex *Exchanger) exchange(ctx context.Context, pe *peer) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/resumer/base.go
+++ b/resumer/base.go
@@ -109,8 +109,11 @@
 }
 
 // sole returns the origin of a stream about which the store cannot be asked: it is known only where there was no other one for longer
-// than streams last.
+// than streams last. An instance that is out of step may not have heard of others.
 func (re *Resumer) sole(route string) (Origin, error) {
+	if !re.op.InStep() {
+		return Origin{}, ErrUnknown
+	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	bo, ok := re.bases[route]
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -58,6 +58,9 @@
 	Routes func() []Route
 	// UpToDate reports whether the copies of the store's keys are complete and current.
 	UpToDate func() bool
+	// InStep reports whether this instance knows all targets that other instances know: it hears from all of them, and none has a newer copy
+	// of the store's keys. Nil means that it does.
+	InStep func() bool
 	// StoreFailed reports whether calls to the store failed within the given time.
 	StoreFailed func(time.Duration) bool
 	// Random returns a number in [0, 1).
@@ -103,6 +106,9 @@
 
 // New returns a Resumer; Run does its work.
 func New(op Options) *Resumer {
+	if op.InStep == nil {
+		op.InStep = func() bool { return true }
+	}
 	return &Resumer{
 		op: op, wake: make(chan struct{}, 1), done: make(chan struct{}), startedAt: time.Now(), eraSince: time.Now(),
 		streams: make(map[string]knownStream), bases: make(map[string]*baseOrigin),
--- a/supervisor/revisions.go
+++ b/supervisor/revisions.go
@@ -26,6 +26,13 @@
 	pr.peers[peer] = reported
 }
 
+// of returns the revisions that a peer has reported.
+func (pr *peerRevisions) of(peer string) revisions {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.peers[peer]
+}
+
 // furthestAhead returns the peer whose revisions are the furthest ahead of this instance's, or false if none is ahead.
 func (pr *peerRevisions) furthestAhead(own revisions) (string, bool) {
 	pr.mu.Lock()
--- a/supervisor/streams.go
+++ b/supervisor/streams.go
@@ -25,12 +25,31 @@
 		Era:         su.store.Era,
 		Routes:      su.streamRoutes,
 		UpToDate:    func() bool { return su.ownWatcher.Listed() && su.targetWatcher.Listed() },
+		InStep:      su.inStep,
 		StoreFailed: su.storeFailures.FailedWithin,
 		Random:      rand.Float64,
 		Logger:      su.logger,
 	})
 }
 
+// inStepMargin is how much longer than two exchanges a peer may be silent to count as heard.
+const inStepMargin = 400 * time.Millisecond
+
+// inStep reports whether this instance has lately heard from all instances that the store lists, and none of them has a newer copy of the
+// targets.
+func (su *Supervisor) inStep() bool {
+	own := su.revisions()
+	for _, in := range su.keeper.Instances() {
+		if !in.Present {
+			continue
+		}
+		if su.exchanger.SilentFor(in.Name) > 2*su.exchanger.Interval()+inStepMargin || su.peerRevisions.of(in.Name).targets > own.targets {
+			return false
+		}
+	}
+	return true
+}
+
 // streamRoutes returns the routes with resumable streams.
 func (su *Supervisor) streamRoutes() []resumer.Route {
 	cf := su.configuration.Load()
