DRAIN: only requests that are held on their way are discarded as a target leaves

A request that had been written a moment before its target said that it leaves would have been ended too, as it was not acknowledged yet: found by reading. Now its connection also has to have been silent for 0.3 s. TestDiscardsOnlyUnreadRequests.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -35,7 +35,7 @@
 	reader  *bufio.Reader
 	reused  bool
 	// lastID is the ID of the last request; an extra response to it may still come.
-	lastID string
+	lastID  string
 	aborted atomic.Bool
 	// idleTimeout is how long the connection may stay idle; 0 means that it must not be reused.
 	idleTimeout time.Duration
@@ -109,7 +109,6 @@
 	}
 	co.limited.limit(maxHeadSize)
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		//nolint:bodyclose // The response is read by its Response; closing the body would read a long body to its end.
 		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
 		if err != nil {
 			return nil, &SendError{cause: err, mayHaveRun: true}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -173,10 +173,13 @@
 	return count
 }
 
-// DiscardUnread ends the requests to a target whose bytes have not reached its machine: they would arrive after the target has left.
-func (fo *Forwarder) DiscardUnread(id string) {
+// DiscardUnread ends the requests to a target whose bytes have not reached its machine for the given time: they would arrive after the target
+// has left.
+func (fo *Forwarder) DiscardUnread(id string, silent time.Duration) {
 	for _, po := range fo.poolsOf(id, false) {
-		po.abortUsed(func(co *connection, _ bool) bool { return unacknowledged(co.conn) > 0 })
+		po.abortUsed(func(co *connection, _ bool) bool {
+			return co.limited.silentFor() >= silent && unacknowledged(co.conn) > 0
+		})
 	}
 }
 
@@ -212,6 +215,7 @@
 	co.lastID = rq.ID
 	po.use(co, rq.Repeatable)
 	stop := context.AfterFunc(ctx, co.abort)
+	//nolint:bodyclose // Response.Close ends the exchange; closing the body would read a long body to its end.
 	rs, err := co.roundTrip(rq)
 	if err != nil {
 		stop()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -502,3 +502,66 @@
 		})
 	}
 }
+
+// Requests that a target which leaves has read go on; those whose bytes are held on the way are discarded.
+func TestDiscardsOnlyUnreadRequests(t *testing.T) {
+	tests := map[string]struct {
+		state faker.PathState
+		ended bool
+	}{"the path works": {faker.PathOpen, false}, "the path is silent": {faker.PathSilent, true}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := faker.NewNetwork(time.Millisecond, time.Minute)
+				listener, err := nw.Listen("tcp4", "t:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				address := listener.Addr().String()
+				server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(time.Second)
+					w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				})}
+				go func() { _ = server.Serve(listener) }()
+				fo := forwarder.New(forwarder.Options{Dial: nw.DialFrom("a")})
+				ended := make(chan error, 1)
+				dialled := make(chan struct{})
+				go func() {
+					rs, err := fo.Send(t.Context(), forwarder.Target{ID: "t", Address: address}, &forwarder.Request{
+						Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Request-Id": {"1"}}, ID: "1",
+						ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+						Usable: func() bool {
+							nw.SetPath("a", address, tt.state)
+							close(dialled)
+							return true
+						},
+					})
+					if err == nil {
+						_, err = io.ReadAll(rs)
+						rs.Close()
+					}
+					ended <- err
+				}()
+				<-dialled
+				time.Sleep(400 * time.Millisecond)
+				fo.DiscardUnread("t", 300*time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
+				select {
+				case err := <-ended:
+					if !tt.ended || err == nil {
+						t.Errorf("it ended: %v", err)
+					}
+				default:
+					if tt.ended {
+						t.Error("it goes on")
+					}
+					<-ended
+				}
+				fo.Remove("t")
+				_ = server.Close()
+				nw.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/sparer/fleet_test.go
+++ b/sparer/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -32,7 +31,6 @@
 	load       int
 	rejections []time.Time
 	falls      int
-	served     int
 	ran        int
 }
 
@@ -236,7 +234,7 @@
 		}
 		tasks.Wait()
 		if ta.falls <= 2 {
-			t.Error(fmt.Sprintf("only %d falls", ta.falls))
+			t.Errorf("only %d falls", ta.falls)
 		}
 	})
 }
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -174,8 +174,8 @@
 	}
 	su.balancer.SetTarget(ta)
 	su.balancer.SetAbsent(ta.Start(), su.reportedDepartures.outdates(id, it.Revision))
-	if ta.Draining() {
-		su.forwarder.DiscardUnread(id)
+	if ta.Draining() && (!ok || !current.Draining()) {
+		su.discardUnread(id)
 	}
 	if !ok || current.Draining() != ta.Draining() || !current.SameStart(ta) {
 		su.logger.Info("target", "target", id, "address", ta.Address(), "service", ta.Service(),
@@ -194,11 +194,19 @@
 // markTargetLeaving stops sending requests to a target that an answer or a peer has reported as leaving.
 func (su *Supervisor) markTargetLeaving(ts balancer.Start, source string) {
 	if su.balancer.MarkLeaving(ts) {
-		su.forwarder.DiscardUnread(ts.Target)
+		su.discardUnread(ts.Target)
 		su.logger.Info("target leaving", "target", ts.Target, "started", ts.Started.UnixMilli(), "source", source)
 	}
 }
 
+// unreadTime is how long the bytes of a request may be on their way to a target that leaves: much longer than on a path that works.
+const unreadTime = 300 * time.Millisecond
+
+// discardUnread ends the requests whose bytes have not reached a target that leaves, once they have had the time.
+func (su *Supervisor) discardUnread(target string) {
+	time.AfterFunc(unreadTime, func() { su.forwarder.DiscardUnread(target, unreadTime) })
+}
+
 func (su *Supervisor) removeTarget(id string, revision int64) {
 	ta, ok := su.balancer.Target(id)
 	if !ok {
@@ -209,7 +217,7 @@
 	su.throttler.Remove(id)
 	su.sparer.Remove(id)
 	su.malformed.remove(id)
-	su.forwarder.DiscardUnread(id)
+	su.forwarder.DiscardUnread(id, unreadTime)
 	su.forwarder.Remove(id)
 	su.logger.Info("target removed", "target", id, "revision", revision)
 	su.holdings.triggerRefresh()
