--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -54,7 +54,10 @@
 	profiler   *profiler.Profiler
 	throttler  *throttler.Throttler
 	sparer     *sparer.Sparer
-	parts      *quarantiner.Parts
+	// permits counts the permits for brittle targets in use, and whileAsking is called as one is asked for; nil for no call.
+	permits     atomic.Int64
+	whileAsking func()
+	parts       *quarantiner.Parts
 	// probes counts the requests that have been let through to test a verdict.
 	probes atomic.Int64
 	// malformed counts the rate limits that could not be decoded.
@@ -119,9 +122,18 @@
 		},
 	})
 	ti.sparer = sparer.New(sparer.Options{
-		Ask:      func(_ context.Context, no sparer.Notice) (sparer.Permit, error) { return ti.sparer.Grant(no), nil },
-		GiveBack: func(pe sparer.Permit, rejected bool) { ti.sparer.GivenBack(pe, rejected) },
-		Load:     ti.balancer.Load,
+		Ask: func(_ context.Context, no sparer.Notice) (sparer.Permit, error) {
+			ti.permits.Add(1)
+			if ti.whileAsking != nil {
+				ti.whileAsking()
+			}
+			return ti.sparer.Grant(no), nil
+		},
+		GiveBack: func(pe sparer.Permit, rejected bool) {
+			ti.permits.Add(-1)
+			ti.sparer.GivenBack(pe, rejected)
+		},
+		Load: ti.balancer.Load,
 	})
 	cf := configuration()
 	fo := forwarder.New(forwarder.Options{Dial: ti.dial})
--- a/acceptor/brittle.go
+++ b/acceptor/brittle.go
@@ -1,6 +1,8 @@
 package acceptor
 
 import (
+	"net/http"
+
 	"lovagebank/balancer"
 	"lovagebank/forwarder"
 	"lovagebank/platform"
@@ -13,8 +15,12 @@
 	if de.Brittle {
 		ex.outcome.brittle = de
 	}
+	if de.Admitted && ex.ctx.Err() != nil {
+		ex.ac.op.Sparer.Done(ta.Start(), de, false)
+		return de, false
+	}
 	if de.Admitted {
-		return de, ex.ctx.Err() == nil
+		return de, true
 	}
 	ex.targetsFull, ex.spared = true, true
 	ex.skippedForLimit++
@@ -27,7 +33,7 @@
 // no longer applies.
 func (ex *exchange) recordBrittleness(ta *balancer.Target, rs *forwarder.Response) {
 	br := platform.ParseBrittleness(rs.Header())
-	if br.Named || rs.Status() < 300 {
+	if br.Named || rs.Status() < http.StatusMultipleChoices {
 		ex.ac.op.BrittlenessAnswered(ta.Start(), br, ex.sentAt)
 	}
 }
