--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -555,7 +555,9 @@
 					if tt.ended {
 						t.Error("it goes on")
 					}
-					<-ended
+					if err := <-ended; err != nil {
+						t.Error(err)
+					}
 				}
 				fo.Remove("t")
 				_ = server.Close()
