DRAIN: a reported departure ends with this instance's own copy of the targets

A peer's word that a target's entry was removed kept the target from this instance's requests until the entry changed, which that of an application may not do for long: if the word was wrong, or the entry had come back before, the target was lost for this instance. Now the word ends once the own copy has reached the revision. TestReportedDepartureEndsWithOwnCopy fails without the call that settles it; the tests of DRAIN pass.

--- a/supervisor/departures.go
+++ b/supervisor/departures.go
@@ -69,29 +69,32 @@
 // reportedDepartures are the departures that peers have reported and that this instance's copy of the store's keys does not have yet, by
 // target.
 type reportedDepartures struct {
-	mu        sync.Mutex
-	revisions map[string]int64
+	mu      sync.Mutex
+	removed map[balancer.Start]int64
 }
 
-// record remembers the revision of a target's removal.
-func (rd *reportedDepartures) record(target string, revision int64) {
+// record remembers the revision of the removal of a start of a target.
+func (rd *reportedDepartures) record(ts balancer.Start, revision int64) {
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
-	if rd.revisions == nil {
-		rd.revisions = make(map[string]int64)
+	if rd.removed == nil {
+		rd.removed = make(map[balancer.Start]int64)
 	}
-	rd.revisions[target] = max(rd.revisions[target], revision)
+	rd.removed[ts] = max(rd.removed[ts], revision)
 }
 
-// outdates reports whether an entry of a target is older than its reported removal. It forgets a removal that is older than the entry.
-func (rd *reportedDepartures) outdates(target string, revision int64) bool {
+// reached returns the starts of targets whose removal the copy of the store's keys has reached with the given revision, and forgets them.
+func (rd *reportedDepartures) reached(revision int64) []balancer.Start {
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
-	removed, ok := rd.revisions[target]
-	if ok && revision > removed {
-		delete(rd.revisions, target)
+	var reached []balancer.Start
+	for ts, removed := range rd.removed {
+		if removed <= revision {
+			reached = append(reached, ts)
+			delete(rd.removed, ts)
+		}
 	}
-	return ok && revision < removed
+	return reached
 }
 
 // targetDeparted stops sending requests to a target whose entry, as a peer reports, has been removed at a revision of the store that this
@@ -101,8 +104,15 @@
 		return
 	}
 	ts := balancer.Start{Target: de.GetTarget(), Started: time.UnixMilli(de.GetStartedMs())}
-	su.reportedDepartures.record(ts.Target, de.GetRevision())
+	su.reportedDepartures.record(ts, de.GetRevision())
 	if su.balancer.SetAbsent(ts, true) {
 		su.logger.Info("target leaving", "target", ts.Target, "started", de.GetStartedMs(), "source", leavingFromPeer, "revision", de.GetRevision())
 	}
 }
+
+// settleDepartures goes by this instance's own copy of the store's keys again, for the targets whose reported removal it has reached.
+func (su *Supervisor) settleDepartures() {
+	for _, ts := range su.reportedDepartures.reached(su.targetWatcher.Revision()) {
+		su.balancer.SetAbsent(ts, false)
+	}
+}
--- a/supervisor/leaving_test.go
+++ b/supervisor/leaving_test.go
@@ -10,6 +10,7 @@
 
 	"lovagebank/emulator"
 	"lovagebank/faker"
+	"lovagebank/wire"
 )
 
 const (
@@ -175,3 +176,27 @@
 		})
 	}
 }
+
+// Guards against a target that gets no requests any more because a peer has reported its removal wrongly, or before it came back.
+func TestReportedDepartureEndsWithOwnCopy(t *testing.T) {
+	playVirtually(t, 2, emulator.Options{Applications: 1}, func(vf *virtualFleet) {
+		vi := vf.instances[0]
+		ta, ok := vi.balancer.Target(leavingTarget)
+		if !ok {
+			t.Fatal("the target is not listed")
+		}
+		vi.targetDeparted(&wire.Departure{
+			Target: leavingTarget, StartedMs: ta.Started().UnixMilli(), Revision: vi.targetWatcher.Revision() + 1,
+		})
+		if vi.balancer.Available(ta) {
+			t.Error("it gets requests although a peer knows that it is gone")
+		}
+		if err := vf.fleet.Store().Put("servers/other", "any change"); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+		if !vi.balancer.Available(ta) {
+			t.Error("it gets no requests although the store lists it")
+		}
+	})
+}
--- a/supervisor/peers.go
+++ b/supervisor/peers.go
@@ -158,6 +158,7 @@
 			su.setGauges()
 		}
 		su.dropLaggingReader()
+		su.settleDepartures()
 		if su.storeFailures.FailedWithin(recentFailureWindow) && time.Since(mirrorAt) > mirrorInterval {
 			mirrorAt = time.Now()
 			su.fetchMirror(ctx)
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -173,7 +173,6 @@
 		su.forwarder.Remove(id)
 	}
 	su.balancer.SetTarget(ta)
-	su.balancer.SetAbsent(ta.Start(), su.reportedDepartures.outdates(id, it.Revision))
 	if ta.Draining() && (!ok || !current.Draining()) {
 		su.discardUnread(id)
 	}
