Soak: links that stop listening keep their ports

Links from failure domains have ports now that the kernel does not assign, in the network that only their fleet uses.

--- a/emulator/domainlink.go
+++ b/emulator/domainlink.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -13,6 +15,18 @@
 	address string
 }
 
+// firstLinkPort is the first port of links from failure domains to targets. The kernel assigns none of these ports itself, so that a link
+// can stop listening for a while.
+const firstLinkPort = 10000
+
+// TargetPath is the path from the instances of a failure domain to a target: a link listens at one address and forwards to the other.
+type TargetPath struct {
+	Domain string
+	Target string
+	Listen string
+	To     string
+}
+
 // linkDomains returns the addresses of a target for the instances of each failure domain; none without Options.DomainLink.
 func (fl *Fleet) linkDomains(target, address string) (map[string]string, error) {
 	addresses := make(map[string]string)
@@ -21,15 +35,26 @@
 	}
 	for number := range fl.op.Zones {
 		domain := fl.zone(number)
-		linked, err := fl.op.DomainLink(domain, target, address)
-		if err != nil {
+		tp := TargetPath{Domain: domain, Target: target, Listen: fl.linkAddress(domain, target), To: address}
+		if err := fl.op.DomainLink(tp); err != nil {
 			return nil, err
 		}
-		addresses[domain] = linked
+		addresses[domain] = tp.Listen
 	}
 	return addresses, nil
 }
 
+// linkAddress returns the address of the link from a failure domain to a target, in the network that only this fleet uses.
+func (fl *Fleet) linkAddress(domain, target string) string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	key := domain + "/" + target
+	if _, ok := fl.linkAddresses[key]; !ok {
+		fl.linkAddresses[key] = net.JoinHostPort(fl.network.linkHost(), strconv.Itoa(firstLinkPort+len(fl.linkAddresses)))
+	}
+	return fl.linkAddresses[key]
+}
+
 // storeView returns the address of the store for the instances of a failure domain.
 func (fl *Fleet) storeView(domain string) (string, error) {
 	if fl.op.DomainLink == nil {
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -51,6 +51,8 @@
 	restarting map[string]bool
 	// domainAddresses are the addresses of the targets for the instances of each failure domain, by target.
 	domainAddresses map[string]map[string]string
+	// linkAddresses are the addresses of the links from failure domains to targets, by domain and target.
+	linkAddresses map[string]string
 
 	// seeds are the control addresses of the instances that have been started.
 	seeds []string
@@ -71,9 +73,8 @@
 
 // Options configures a Fleet.
 type Options struct {
-	// DomainLink replaces the address of a target for the instances of one failure domain, so that the paths from them to the target can be
-	// changed; nil leaves it unchanged.
-	DomainLink func(domain, target, address string) (string, error)
+	// DomainLink makes a link from the instances of a failure domain to a target, so that the path can be changed; nil makes none.
+	DomainLink func(tp TargetPath) error
 	// Program is the path of the lovagebank binary, and Folder receives the settings files and logs.
 	Program string
 	Folder  string
@@ -127,8 +128,8 @@
 	fl := &Fleet{
 		op: op, network: ne, store: NewStore(), address: listener.Addr().String(), runLog: &RunLog{}, views: make(map[string]*storeView),
 		targets: make(map[string]*Target), entries: make(map[string]*Instance), restarting: make(map[string]bool),
-		domainAddresses: make(map[string]map[string]string),
-		crashing:        &crashingParts{parts: make(map[string]*crashingPart)}, closing: make(chan struct{}),
+		domainAddresses: make(map[string]map[string]string), linkAddresses: make(map[string]string),
+		crashing: &crashingParts{parts: make(map[string]*crashingPart)}, closing: make(chan struct{}),
 	}
 	fl.server = &http.Server{Handler: fl.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = fl.server.Serve(listener) }()
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -43,5 +43,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", ne.number, 1+instance/hostsPerBlock, 1+instance%hostsPerBlock)
 }
 
+// linkHost returns the IP address of links to targets; no instance has it.
+func (ne *network) linkHost() string { return fmt.Sprintf("127.%d.0.2", ne.number) }
+
 // release frees the network for other fleets.
 func (ne *network) release() { _ = ne.claim.Close() }
--- a/soaker/cut.go
+++ b/soaker/cut.go
@@ -15,9 +15,6 @@
 	// their callers have to be served.
 	cutTime   = 7 * time.Second
 	cutNotice = 3 * time.Second
-	// domainLinkAddress is where links from failure domains listen: no outgoing connection has an address there, so that the port of a link that
-	// refuses connections for a while stays free.
-	domainLinkAddress = "127.0.0.77:0"
 	// calmCutDelay is the time from the last moment at which faults begin to the last cut, by which most of them have ended.
 	calmCutDelay = 6 * time.Second
 	// calmReachDelay is the time from there to the last leaving and the last brittle time, after the last cut.
@@ -55,21 +52,21 @@
 	return plan
 }
 
-// linkDomain returns the address of the link from the instances of a failure domain to a target.
-func (so *Soaker) linkDomain(domain, target, address string) (string, error) {
+// linkDomain makes a link from the instances of a failure domain to a target, or redirects the one that there is.
+func (so *Soaker) linkDomain(tp emulator.TargetPath) error {
 	so.mu.Lock()
 	defer so.mu.Unlock()
-	key := domain + "/" + target
+	key := tp.Domain + "/" + tp.Target
 	if li, ok := so.domainLinks[key]; ok {
-		li.SetTarget(address)
-		return li.Address(), nil
+		li.SetTarget(tp.To)
+		return nil
 	}
-	li, err := newLinkAt(domainLinkAddress, address)
+	li, err := newLinkAt(tp.Listen, tp.To)
 	if err != nil {
-		return "", err
+		return err
 	}
 	so.domainLinks[key] = li
-	return li.Address(), nil
+	return nil
 }
 
 // linksOf returns the links from the instances of a failure domain to all targets.
