Soak: entries are written again before the last cut

Traced: one of the two cut instances reached some targets by the addresses of the other failure domain, the other one all, as they had fetched these entries from a peer while the store failed and such an entry stays until it is written again. So they were not cut off from all targets, which the check takes for granted.

--- a/emulator/domainlink.go
+++ b/emulator/domainlink.go
@@ -55,6 +55,24 @@
 	return fl.linkAddresses[key]
 }
 
+// Reregister writes the entries of all targets that have not left again. An instance that has fetched entries from an instance of another failure
+// domain, as it does while the store fails, has the addresses of that domain until they are written again.
+func (fl *Fleet) Reregister() error {
+	for _, id := range fl.TargetIDs() {
+		ta := fl.Target(id)
+		if ta == nil {
+			continue
+		}
+		if _, leftAt := ta.LateArrivals(); !leftAt.IsZero() {
+			continue
+		}
+		if err := fl.register(ta); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // storeView returns the address of the store for the instances of a failure domain.
 func (fl *Fleet) storeView(domain string) (string, error) {
 	if fl.op.DomainLink == nil {
--- a/soaker/cut.go
+++ b/soaker/cut.go
@@ -15,10 +15,12 @@
 	// their callers have to be served.
 	cutTime   = 7 * time.Second
 	cutNotice = 3 * time.Second
+	// registerTime is the time that instances need to read entries that have been written again.
+	registerTime = 2 * time.Second
 	// calmCutDelay is the time from the last moment at which faults begin to the last cut, by which most of them have ended.
 	calmCutDelay = 6 * time.Second
 	// calmReachDelay is the time from there to the last leaving and the last brittle time, after the last cut.
-	calmReachDelay = calmCutDelay + cutTime + 4*time.Second
+	calmReachDelay = calmCutDelay + registerTime + cutTime + 4*time.Second
 	// meanLeaveGap is the mean time between two targets that leave, and leaveTime how long one goes on serving.
 	meanLeaveGap = 4 * time.Second
 	leaveTime    = 5 * time.Second
@@ -85,6 +87,11 @@
 // cutDomain cuts the instances of a failure domain off from all targets: new connections are refused, open ones reset or not.
 func (so *Soaker) cutDomain(fa Fault) {
 	domain := fa.Subject % emulator.DefaultZones
+	if fa.Start > so.op.FaultPeriod {
+		// Other faults, which replace targets, have ended.
+		so.expectInjected("targets registered again", so.fleet.Reregister())
+		time.Sleep(registerTime)
+	}
 	links := so.linksOf(so.fleet.Zone(domain))
 	began := time.Now()
 	for _, li := range links {
