RECOVER: a connection that is opened and then reset is no sign of a path

Cause: an opened connection, of a request or of a try, spoke against a cut. Where a cut lets connections be opened and then resets them, no instance ever found it. Now connections that break before any byte of an answer raise the suspicion as those that do not open do, only bytes speak against it, and a connection that is tried has to stay open for 20 ms. TestFindsCuts: two new cases.

In the soak, streams with a part that crashes engines, which are refused, no longer count among the first tries.

--- a/faker/network.go
+++ b/faker/network.go
@@ -30,6 +30,8 @@
 	PathReset
 	// PathKeepsOpen means that open connections work, while new ones are never opened.
 	PathKeepsOpen
+	// PathResetsOpened means that connections are opened and then reset, open ones too.
+	PathResetsOpened
 )
 
 // Network is a network in memory for tests with virtual time. Its connections have buffers, deadlines and a delay. It is safe for
@@ -135,6 +137,10 @@
 	nw.open[near], nw.open[far] = key, key
 	nw.opened[key]++
 	nw.mu.Unlock()
+	if state == PathResetsOpened {
+		time.AfterFunc(nw.delay, func() { near.abort(syscall.ECONNRESET) })
+		return near, nil
+	}
 	select {
 	case li.accepted <- far:
 		return near, nil
--- a/faker/network_conn.go
+++ b/faker/network_conn.go
@@ -174,7 +174,7 @@
 // pathChanged applies a new state of the path to an open connection.
 func (co *networkConn) pathChanged(state PathState) {
 	switch state {
-	case PathReset:
+	case PathReset, PathResetsOpened:
 		co.abort(syscall.ECONNRESET)
 	case PathOpen, PathKeepsOpen:
 		co.out.update(func() { co.out.arrived, co.out.held = append(co.out.arrived, co.out.held...), nil })
@@ -201,6 +201,13 @@
 	co.network.forget(co.other)
 }
 
+// Broken reports whether the connection has ended, or bytes have arrived that were not asked for.
+func (co *networkConn) Broken() bool {
+	co.in.mu.Lock()
+	defer co.in.mu.Unlock()
+	return co.in.endError() != nil || len(co.in.arrived) > 0
+}
+
 // SetLinger sets whether Close resets the connection, as with SO_LINGER of 0.
 func (co *networkConn) SetLinger(seconds int) error {
 	co.mu.Lock()
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -83,6 +83,9 @@
 
 // usable reports whether an idle connection is still open and holds no unread bytes.
 func (co *connection) usable() bool {
+	if bc, ok := co.conn.(interface{ Broken() bool }); ok {
+		return !bc.Broken()
+	}
 	sc, ok := co.conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"lovagebank/pauser"
 )
 
 // Errors that Send returns, wrapped in a SendError.
@@ -100,8 +102,10 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called with the result of each attempt to open a connection to a target, by the target's ID; nil for no call.
 	Opened func(target string, err error)
-	// Heard is called when bytes of any target have arrived; nil for no call.
-	Heard func()
+	// Heard is called when bytes of any target have arrived, and Broken when a connection to a target has failed before any of an answer; nil
+	// for no call.
+	Heard  func()
+	Broken func(target string)
 }
 
 // Forwarder holds a pool of connections for each target. It is safe for concurrent use.
@@ -125,6 +129,9 @@
 	if op.Heard == nil {
 		op.Heard = func() {}
 	}
+	if op.Broken == nil {
+		op.Broken = func(string) {}
+	}
 	return &Forwarder{op: op, pools: make(map[poolKey]*pool)}
 }
 
@@ -148,6 +155,12 @@
 	}
 }
 
+// probeTime is how long a connection that was opened to try a path has to stay open.
+const probeTime = 20 * time.Millisecond
+
+// errClosedAtOnce means that a connection was closed as soon as it was opened.
+var errClosedAtOnce = errors.New("the connection was opened and closed at once")
+
 // Probe opens a connection to a target and keeps it for the next request. It returns the error of the attempt, or ErrNoConnection if no
 // further connection may be opened.
 func (fo *Forwarder) Probe(ctx context.Context, ta Target) error {
@@ -155,6 +168,11 @@
 	if err != nil {
 		return err
 	}
+	pauser.For(ctx, probeTime)
+	if !co.usable() {
+		co.close()
+		return errClosedAtOnce
+	}
 	co.keep()
 	return nil
 }
@@ -220,6 +238,9 @@
 	if err != nil {
 		stop()
 		co.close()
+		if ctx.Err() == nil && !co.aborted.Load() {
+			fo.op.Broken(ta.ID)
+		}
 		return nil, err
 	}
 	return newResponse(co, rs, stop), nil
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -73,8 +73,10 @@
 	// heardAt is when bytes or an opened connection of any target last arrived, and lastOpened when each target last let a connection open.
 	heardAt    time.Time
 	lastOpened map[string]time.Time
-	// failedAt is when connections to targets last failed to open, for those that failed since the last one opened.
+	// failedAt is when connections to targets last failed to open, for those that failed since the last one opened, and brokenAt when
+	// connections last broke before any byte of an answer, for those that broke since bytes of any target last arrived.
 	failedAt map[string]time.Time
+	brokenAt map[string]time.Time
 	checkAt  time.Time
 	cut      bool
 	cutSince time.Time
@@ -88,7 +90,7 @@
 func New(op Options) *Prober {
 	return &Prober{
 		op: op, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		lastOpened: make(map[string]time.Time), failedAt: make(map[string]time.Time),
+		lastOpened: make(map[string]time.Time), failedAt: make(map[string]time.Time), brokenAt: make(map[string]time.Time),
 	}
 }
 
@@ -130,6 +132,23 @@
 	defer pr.mu.Unlock()
 	pr.heardAt = time.Now()
 	pr.quietSince = pr.heardAt
+	clear(pr.brokenAt)
+}
+
+// Broken records that a connection to a target has broken before any byte of an answer.
+func (pr *Prober) Broken(target string) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.brokenAt[target] = time.Now()
+	pr.wakeUp()
+}
+
+// wakeUp makes Run look at once.
+func (pr *Prober) wakeUp() {
+	select {
+	case pr.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Opened records the result of an attempt to open a connection to a target.
@@ -139,14 +158,11 @@
 	defer pr.mu.Unlock()
 	if err == nil {
 		clear(pr.failedAt)
-		pr.heardAt, pr.quietSince, pr.lastOpened[target] = now, now, now
+		pr.lastOpened[target] = now
 		return
 	}
 	pr.failedAt[target] = now
-	select {
-	case pr.wake <- struct{}{}:
-	default:
-	}
+	pr.wakeUp()
 }
 
 // Run looks for cuts, and for their ends, until the context ends.
@@ -179,24 +195,32 @@
 	if pr.cut {
 		return suspicion{reason: "cut off", since: pr.cutSince}, true
 	}
+	notOpened, broken := earliest(pr.failedAt, now), earliest(pr.brokenAt, now)
+	switch {
+	case len(pr.failedAt) >= suspectTargets:
+		return suspicion{reason: "connections not opened", since: notOpened}, true
+	case len(pr.brokenAt) >= suspectTargets:
+		return suspicion{reason: "connections broken", since: broken}, true
+	case pr.waiting > 0 && now.Sub(pr.quietSince) >= maxSilence:
+		return suspicion{reason: "no bytes of any target", since: pr.quietSince}, true
+	default:
+		return suspicion{}, false
+	}
+}
+
+// earliest drops the failures that are older than failureWindow and returns the earliest of the others.
+func earliest(failures map[string]time.Time, now time.Time) time.Time {
 	first := now
-	for target, at := range pr.failedAt {
+	for target, at := range failures {
 		if now.Sub(at) > failureWindow {
-			delete(pr.failedAt, target)
+			delete(failures, target)
 			continue
 		}
 		if at.Before(first) {
 			first = at
 		}
 	}
-	switch {
-	case len(pr.failedAt) >= suspectTargets:
-		return suspicion{reason: "connections not opened", since: first}, true
-	case pr.waiting > 0 && now.Sub(pr.quietSince) >= maxSilence:
-		return suspicion{reason: "no bytes of any target", since: pr.quietSince}, true
-	default:
-		return suspicion{}, false
-	}
+	return first
 }
 
 // check tries connections to a few targets and acts on the results.
@@ -252,6 +276,7 @@
 	if over {
 		pr.cut, pr.checkAt = false, time.Now().Add(recheckInterval)
 		clear(pr.failedAt)
+		clear(pr.brokenAt)
 		pr.quietSince = time.Now()
 	}
 	pr.mu.Unlock()
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -128,6 +128,18 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 		}, true},
+		"connections are opened and then broken": {func(wo *world, pr *prober.Prober) {
+			wo.set(targetCount, false)
+			for number := range 2 {
+				pr.Opened(targetID(number), nil)
+				pr.Broken(targetID(number))
+			}
+		}, true},
+		"two targets crash, others answer": {func(wo *world, pr *prober.Prober) {
+			wo.set(2, false)
+			pr.Broken(targetID(0))
+			pr.Broken(targetID(1))
+		}, false},
 		"one target is down": {func(wo *world, pr *prober.Prober) {
 			wo.set(1, false)
 			for range 5 {
--- a/prober/select.go
+++ b/prober/select.go
@@ -50,6 +50,7 @@
 		if !listed[id] {
 			delete(pr.lastOpened, id)
 			delete(pr.failedAt, id)
+			delete(pr.brokenAt, id)
 		}
 	}
 }
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -36,6 +36,8 @@
 	sendErr error
 	// mismatch describes an incorrect body of a successful answer; empty if the body is correct.
 	mismatch string
+	// crashing is true if a part of the prompt crashes engines, so that the request may be refused.
+	crashing bool
 	started  time.Time
 	ended    time.Time
 }
@@ -142,7 +144,7 @@
 func (ca *callers) send(an *answer, adapter string, number int) string {
 	call := emulator.Call{Path: an.path, ID: an.id, Key: an.key, Adapter: adapter, Deadline: requestDeadline}
 	if adapter != "" {
-		call.Parts = ca.promptParts(number)
+		call.Parts, an.crashing = ca.promptParts(number)
 	}
 	return ca.sendCall(an, call)
 }
--- a/soaker/crashingpart.go
+++ b/soaker/crashingpart.go
@@ -61,15 +61,16 @@
 	so.callers.setCrashingPart("")
 }
 
-// promptParts returns the shared parts of the prompt of the stream with the given number.
-func (ca *callers) promptParts(number int) []string {
+// promptParts returns the shared parts of the prompt of the stream with the given number, and whether one of them crashes engines.
+func (ca *callers) promptParts(number int) (parts []string, crashing bool) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	parts := []string{"system", fmt.Sprint("subject-", number/2%subjectCount)}
-	if ca.crashingPart != "" && number%partInterval == 0 {
+	parts = []string{"system", fmt.Sprint("subject-", number/2%subjectCount)}
+	crashing = ca.crashingPart != "" && number%partInterval == 0
+	if crashing {
 		parts = append(parts, ca.crashingPart)
 	}
-	return parts
+	return parts, crashing
 }
 
 func (ca *callers) setCrashingPart(part string) {
--- a/soaker/cut.go
+++ b/soaker/cut.go
@@ -127,7 +127,7 @@
 			served = 1
 		}
 		switch {
-		case an.started.Before(from) || an.started.After(to):
+		case an.crashing || an.started.Before(from) || an.started.After(to):
 		case an.instance%emulator.DefaultZones == domain:
 			cutServed, cutAll = cutServed+served, cutAll+1
 		default:
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -186,7 +186,7 @@
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.prober = su.newProber()
 	su.relayer = su.newRelayer()
-	su.forwarder = forwarder.New(forwarder.Options{Dial: op.Dial, Opened: su.prober.Opened, Heard: su.prober.Heard})
+	su.forwarder = forwarder.New(forwarder.Options{Dial: op.Dial, Opened: su.prober.Opened, Heard: su.prober.Heard, Broken: su.prober.Broken})
 	su.budgeter = budgeter.New(budgeter.Options{
 		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instanceCount,
 	})
