Brittle targets: one that has just started is brittle as the others of its service

Cause, by reading: a target that has fallen is back as another start, of which no instance had heard that it is brittle; all sent without permits until its first answers came, and it fell again. Now what a target says holds for those of its service that have said nothing yet. Also, a rejection lowers the holder's limit to one less than were in use as that permit was given, in place of when it was given back, so that several at a time do not lower it several times; and only those who did not ask the holder leave the target alone after one.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -53,7 +53,7 @@
 	RateLimitAnswered func(ts balancer.Start, rl platform.RateLimit, sentAt time.Time)
 	// BrittlenessAnswered is called with what a target has said about the rejections that it bears, in a response to a request that was
 	// sent at the given time.
-	BrittlenessAnswered func(ts balancer.Start, br platform.Brittleness, sentAt time.Time)
+	BrittlenessAnswered func(ta *balancer.Target, br platform.Brittleness, sentAt time.Time)
 	// AnswerBroken is called with each answer of a target that broke off.
 	AnswerBroken func(BrokenAnswer)
 	// ClaimProbe reports whether the request may test a verdict on parts of prompts. All instances together let few requests do so.
--- a/acceptor/brittle.go
+++ b/acceptor/brittle.go
@@ -11,7 +11,7 @@
 
 // acquireRoom reports whether the request may be sent to a target that may be brittle. If not, the request does not try the target again.
 func (ex *exchange) acquireRoom(ta *balancer.Target) (sparer.Decision, bool) {
-	de := ex.ac.op.Sparer.Acquire(ex.ctx, ta.Start(), ta.Slots())
+	de := ex.ac.op.Sparer.Acquire(ex.ctx, ta.Start(), ta.Service(), ta.Slots())
 	if de.Brittle {
 		ex.outcome.brittle = de
 	}
@@ -34,6 +34,6 @@
 func (ex *exchange) recordBrittleness(ta *balancer.Target, rs *forwarder.Response) {
 	br := platform.ParseBrittleness(rs.Header())
 	if br.Named || rs.Status() < http.StatusMultipleChoices {
-		ex.ac.op.BrittlenessAnswered(ta.Start(), br, ex.sentAt)
+		ex.ac.op.BrittlenessAnswered(ta, br, ex.sentAt)
 	}
 }
--- a/sparer/sparer.go
+++ b/sparer/sparer.go
@@ -20,11 +20,12 @@
 	// grantLifetime is how long after it was asked for a permit may be used.
 	grantLifetime = 250 * time.Millisecond
 	// deniedWait is how long an instance leaves a target alone whose holder has no permit left, and rejectedWait after the target itself
-	// has turned a request away.
-	deniedWait   = 30 * time.Millisecond
+	// has turned a request away that its holder was not asked about.
+	deniedWait   = 15 * time.Millisecond
 	rejectedWait = 500 * time.Millisecond
 	// raiseInterval is the time after which one request more is allowed at the same time, for each request that the target may turn away
-	// in a second, and maxRaiseInterval that for targets that may turn none away. It uses half of what they bear.
+	// in a second, and maxRaiseInterval that for targets that may turn none away. Until the next word one or two requests too many are sent, so
+	// it uses half of what they bear.
 	raiseInterval    = 2 * time.Second
 	maxRaiseInterval = 10 * time.Second
 	// ownShareLoad is the share of a target's slots below which an instance sends without its holder's word, and ownShareAge the greatest age
@@ -80,6 +81,9 @@
 	op      Options
 	mu      sync.Mutex
 	targets map[string]*targetState
+	// services holds what a target of each service last said. It applies to targets of the service that have said nothing yet, such as one
+	// that has just started.
+	services map[string]serviceState
 	// lastPermit is the number of the newest permit.
 	lastPermit int64
 }
@@ -90,18 +94,31 @@
 	most    int
 	seenAt  time.Time
 	lapsed  bool
-	// permits are the permits given as its holder that are in use, by when they were given; limit is how many there may be, since changedAt.
-	permits   map[int64]time.Time
+	// permits are the permits given as its holder that are in use; limit is how many there may be, since changedAt.
+	permits   map[int64]givenPermit
 	limit     int
 	changedAt time.Time
 	// rejectedUntil is until when this instance leaves the target alone after a rejection.
 	rejectedUntil time.Time
 }
 
+// serviceState is what a target of a service last said.
+type serviceState struct {
+	most    int
+	seenAt  time.Time
+	brittle bool
+}
+
+// givenPermit is a permit in use: when it was given, and how many were in use then, itself included.
+type givenPermit struct {
+	at    time.Time
+	inUse int
+}
+
 // New returns a Sparer that knows no brittle targets.
 func New(op Options) *Sparer {
 	// Permits of an earlier holder must not be taken for those of this one.
-	return &Sparer{op: op, targets: make(map[string]*targetState), lastPermit: rand.Int64N(math.MaxInt64 / 2)}
+	return &Sparer{op: op, targets: make(map[string]*targetState), services: make(map[string]serviceState), lastPermit: rand.Int64N(math.MaxInt64 / 2)}
 }
 
 // Remove forgets a target that has been removed from the platform's list.
@@ -111,10 +128,11 @@
 	delete(sp.targets, target)
 }
 
-// Named records that a target has said in an answer that it is brittle, and reports whether this is new.
-func (sp *Sparer) Named(ts balancer.Start, most int) bool {
+// Named records that a target of a service has said in an answer that it is brittle, and reports whether this is new.
+func (sp *Sparer) Named(ts balancer.Start, service string, most int) bool {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
+	sp.services[service] = serviceState{most: most, seenAt: time.Now(), brittle: true}
 	return sp.named(ts, most, time.Now())
 }
 
@@ -124,7 +142,7 @@
 		return false
 	}
 	if !ok || !st.started.Equal(ts.Started) {
-		st = &targetState{started: ts.Started, lapsed: true, permits: make(map[int64]time.Time)}
+		st = &targetState{started: ts.Started, lapsed: true, permits: make(map[int64]givenPermit)}
 		sp.targets[ts.Target] = st
 	}
 	changed := st.lapsed || st.most != most
@@ -132,11 +150,14 @@
 	return changed
 }
 
-// Unnamed records that a target has not said that it is brittle in its answer to a request that was sent at the given time, and reports
-// whether this is new.
-func (sp *Sparer) Unnamed(ts balancer.Start, sentAt time.Time) bool {
+// Unnamed records that a target of a service has not said that it is brittle in its answer to a request that was sent at the given time, and
+// reports whether this is new.
+func (sp *Sparer) Unnamed(ts balancer.Start, service string, sentAt time.Time) bool {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
+	if ss, ok := sp.services[service]; ok && sentAt.After(ss.seenAt) {
+		delete(sp.services, service)
+	}
 	st := sp.state(ts)
 	if st == nil || !sentAt.After(st.seenAt) {
 		return false
@@ -145,6 +166,12 @@
 	return true
 }
 
+// hasSpoken reports whether a start of a target has said that it is brittle, or no longer.
+func (sp *Sparer) hasSpoken(ts balancer.Start) bool {
+	st, ok := sp.targets[ts.Target]
+	return ok && st.started.Equal(ts.Started)
+}
+
 // state returns what is known of a start of a target that is brittle now; nil for any other.
 func (sp *Sparer) state(ts balancer.Start) *targetState {
 	st, ok := sp.targets[ts.Target]
@@ -154,10 +181,10 @@
 	return st
 }
 
-// Acquire decides whether a request may be sent to a target with the given number of slots now. It is called directly before the send, and
+// Acquire decides whether a request may be sent to a target of a service with the given number of slots now. It is called directly before the send, and
 // Done when an admitted request has ended.
-func (sp *Sparer) Acquire(ctx context.Context, ts balancer.Start, slots int) Decision {
-	no, left := sp.notice(ts, Notice{Target: ts, Slots: slots})
+func (sp *Sparer) Acquire(ctx context.Context, ts balancer.Start, service string, slots int) Decision {
+	no, left := sp.notice(ts, service, Notice{Target: ts, Slots: slots})
 	de := Decision{Most: no.Most, Brittle: !no.SeenAt.IsZero()}
 	switch {
 	case !de.Brittle:
@@ -183,7 +210,7 @@
 
 // Done ends what Acquire has admitted, and records whether the target has turned the request away for want of room.
 func (sp *Sparer) Done(ts balancer.Start, de Decision, rejected bool) {
-	if rejected {
+	if rejected && !de.Asked {
 		sp.leaveAlone(ts)
 	}
 	if de.Permit.Number != 0 {
@@ -202,9 +229,12 @@
 
 // notice completes a notice of a target by what it has named, without SeenAt if it is not brittle. It also returns for how long the target
 // is to be left alone.
-func (sp *Sparer) notice(ts balancer.Start, no Notice) (Notice, time.Duration) {
+func (sp *Sparer) notice(ts balancer.Start, service string, no Notice) (Notice, time.Duration) {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
+	if ss := sp.services[service]; ss.brittle && !sp.hasSpoken(ts) {
+		sp.named(ts, ss.most, ss.seenAt)
+	}
 	st := sp.state(ts)
 	if st == nil {
 		return no, 0
@@ -229,16 +259,16 @@
 	pe := Permit{Target: no.Target}
 	st := sp.state(no.Target)
 	if st == nil {
-		st = &targetState{permits: make(map[int64]time.Time), limit: math.MaxInt}
+		st = &targetState{permits: make(map[int64]givenPermit), limit: math.MaxInt}
 	}
-	maps.DeleteFunc(st.permits, func(_ int64, at time.Time) bool { return now.Sub(at) > permitLifetime })
+	maps.DeleteFunc(st.permits, func(_ int64, gp givenPermit) bool { return now.Sub(gp.at) > permitLifetime })
 	st.raise(no.Slots, now)
 	if len(st.permits) >= st.limit {
 		return pe
 	}
 	sp.lastPermit++
 	pe.Number = sp.lastPermit
-	st.permits[pe.Number] = now
+	st.permits[pe.Number] = givenPermit{at: now, inUse: len(st.permits) + 1}
 	return pe
 }
 
@@ -265,8 +295,8 @@
 	if st == nil {
 		return
 	}
-	if rejected && len(st.permits) <= st.limit {
-		st.limit, st.changedAt = max(len(st.permits)-1, 1), time.Now()
+	if gp, ok := st.permits[pe.Number]; ok && rejected {
+		st.limit, st.changedAt = min(st.limit, max(gp.inUse-1, 1)), time.Now()
 	}
 	delete(st.permits, pe.Number)
 }
--- a/supervisor/brittle.go
+++ b/supervisor/brittle.go
@@ -19,17 +19,18 @@
 
 // brittlenessAnswered records what a target has said about the rejections that it bears in its answer to a request sent at the given time. A
 // malformed number leaves in force what was known before.
-func (su *Supervisor) brittlenessAnswered(ts balancer.Start, br platform.Brittleness, sentAt time.Time) {
+func (su *Supervisor) brittlenessAnswered(ta *balancer.Target, br platform.Brittleness, sentAt time.Time) {
+	ts, service := ta.Start(), ta.Service()
 	switch {
 	case br.Err != nil:
 		if su.malformed.due(ts.Target) {
 			su.logger.Warn("target brittleness malformed, ignored", "target", ts.Target, "error", br.Err)
 		}
 	case br.Named:
-		if _, listed := su.balancer.Target(ts.Target); listed && su.sparer.Named(ts, br.MostRejections) {
+		if _, listed := su.balancer.Target(ts.Target); listed && su.sparer.Named(ts, service, br.MostRejections) {
 			su.logger.Info("target brittle", "target", ts.Target, "started", ts.Started.UnixMilli(), "most-rejections", br.MostRejections)
 		}
-	case su.sparer.Unnamed(ts, sentAt):
+	case su.sparer.Unnamed(ts, service, sentAt):
 		su.logger.Info("target no longer brittle", "target", ts.Target, "started", ts.Started.UnixMilli())
 	}
 }
