Observability: how a target framed an answer, and how its break was recognised

Cause: neither logs nor metrics tell the hypotheses on broken-off answers that looked complete apart: no line says whether an answer had a length or chunks, what a break was recognised by, or whether the caller's own protocol knows chunks. Change: the request's line has unframed and caller-protocol, the line of a broken answer unframed and cause; answers_unframed counts answers whose only end was that of their connection. Result: no decision changes; go test ./acceptor passes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -173,7 +173,7 @@
 		caller:   platform.ParseCallerRequest(r.Header),
 		excluded: make(map[string]bool),
 		untrack:  func() {},
-		outcome:  &Outcome{arrived: time.Now()},
+		outcome:  &Outcome{arrived: time.Now(), protocol: r.Proto},
 	}
 	ex.outcome.id, ex.outcome.resumes = ex.caller.ID, ex.caller.Resumes
 	return ex
--- a/acceptor/broken.go
+++ b/acceptor/broken.go
@@ -10,18 +10,22 @@
 	Target balancer.Start
 	// Begun reports whether the target had begun to send its answer.
 	Begun bool
+	// Unframed is set if the answer had neither a length nor chunks. Cause is how its end was recognised.
+	Unframed bool
+	Cause    error
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []balancer.PromptPart
 }
 
 // recordBroken records that a target broke off while it may have been running the request.
-func (ex *exchange) recordBroken(ta *balancer.Target) {
+func (ex *exchange) recordBroken(ta *balancer.Target, cause error) {
 	if !ex.proven {
 		ex.ac.op.Quarantiner.Crashed(ex.fingerprint)
 		ex.ac.op.Parts.BrokeOff(ta.Start(), ex.caller.ID, ex.parts)
 	}
 	ex.ac.op.AnswerBroken(BrokenAnswer{
-		ID: ex.caller.ID, Target: ta.Start(), Begun: !ex.begunAt.IsZero(), Parts: ex.sharedParts(),
+		ID: ex.caller.ID, Target: ta.Start(), Begun: !ex.begunAt.IsZero(), Unframed: ex.outcome.unframed, Cause: cause,
+		Parts: ex.sharedParts(),
 	})
 }
 
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -75,8 +75,11 @@
 	// loadTargets holds the IDs of the targets that were asked to load the adapter.
 	loadTargets []string
 	events      int
-	timing      streamTiming
-	firstError  error
+	// unframed is true if the last answer of a target had neither a length nor chunks, and protocol is the caller's.
+	unframed   bool
+	protocol   string
+	timing     streamTiming
+	firstError error
 }
 
 func (ou *Outcome) recordError(err error) {
@@ -99,6 +102,10 @@
 // Reason returns why the instance responded itself or aborted the response; empty for a target's response.
 func (ou *Outcome) Reason() string { return ou.reason }
 
+// Unframed reports whether the last answer of a target had neither a length nor chunks, so that only the end of its connection
+// was its end.
+func (ou *Outcome) Unframed() bool { return ou.unframed }
+
 // TimeToFirstByte returns the time from arrival to the header of the target's response; 0 without one.
 func (ou *Outcome) TimeToFirstByte() time.Duration {
 	if ou.firstAt.IsZero() {
@@ -143,6 +150,12 @@
 	if ou.relayed {
 		fields = append(fields, "relayed", true, "via", ou.via)
 	}
+	if ou.unframed {
+		fields = append(fields, "unframed", true)
+	}
+	if ou.protocol == "HTTP/1.0" {
+		fields = append(fields, "caller-protocol", ou.protocol)
+	}
 	if st := ou.timing; st.longestPause > 0 {
 		fields = append(fields, "pause-ms", st.longestPause.Milliseconds(),
 			"pause-at-ms", st.longestPauseEnd.Sub(ou.arrived).Milliseconds(), "passing-ms", st.slowestRelay.Milliseconds())
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -91,7 +91,7 @@
 	ex.excluded[ta.ID()] = true
 	if ex.blames(err) {
 		ex.connectionFailed(ta, false)
-		ex.recordBroken(ta)
+		ex.recordBroken(ta, err)
 	}
 	return interrupted
 }
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -51,6 +51,7 @@
 	ex.outcome.tries, ex.outcome.target, ex.outcome.software = ex.sends, ta.ID(), ta.Software()
 	ex.outcome.load, ex.outcome.loadAge = ch.Load(), ch.LoadAge()
 	ex.sentAt, ex.begunAt, ex.gaps = time.Now(), time.Time{}, nil
+	ex.outcome.unframed = false
 	ex.recordSlowness(ta)
 	ex.outcome.prefix = ex.newPrefixOutcome(ch)
 	ex.outcome.sentAfter = ex.sentAt.Sub(ex.outcome.arrived)
@@ -67,7 +68,7 @@
 	}
 	defer rs.Close()
 	ex.arrived++
-	ex.outcome.via = rs.Via()
+	ex.outcome.via, ex.outcome.unframed = rs.Via(), rs.Unframed()
 	ex.recordTargetState(ta, rs)
 	ex.ac.op.Parts.Answered(ta.Start(), ex.sentAt)
 	if platform.NotRun(rs.Status(), rs.Header()) {
@@ -173,7 +174,7 @@
 	ex.arrived++
 	ex.ran++
 	if ex.blames(err) {
-		ex.recordBroken(ta)
+		ex.recordBroken(ta, err)
 	}
 	return interrupted
 }
--- a/supervisor/broken.go
+++ b/supervisor/broken.go
@@ -11,7 +11,7 @@
 func (su *Supervisor) answerBroken(ba acceptor.BrokenAnswer) {
 	su.reporter.AddToCounter("answers_broken", 1)
 	su.logger.Info("answer broken off", "id", ba.ID, "target", ba.Target.Target, "started", ba.Target.Started.UnixMilli(),
-		"begun", ba.Begun, "parts", partIDs(ba.Parts))
+		"begun", ba.Begun, "unframed", ba.Unframed, "cause", ba.Cause, "parts", partIDs(ba.Parts))
 }
 
 // partIDs returns the IDs of parts of a prompt for the log.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -343,6 +343,9 @@
 	if result := ou.Comparison(); result != "" {
 		su.reporter.AddToCounter("target_comparisons_"+result, 1)
 	}
+	if ou.Unframed() {
+		su.reporter.AddToCounter("answers_unframed", 1)
+	}
 	su.countPrefix(ou)
 	su.logger.Info("request", ou.LogFields()...)
 }
