--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -24,6 +24,7 @@
 	"lovagebank/cacher"
 	"lovagebank/estimator"
 	"lovagebank/forwarder"
+	"lovagebank/listener"
 	"lovagebank/orderer"
 	"lovagebank/permitter"
 	"lovagebank/platform"
@@ -245,7 +246,11 @@
 		},
 	}
 	change(&ti.options)
-	ti.front = httptest.NewServer(acceptor.New(ti.options))
+	ti.front = httptest.NewUnstartedServer(acceptor.New(ti.options))
+	bounded := listener.Wrap(ti.front.Listener, listener.Options{})
+	bounded.Attach(ti.front.Config)
+	ti.front.Listener = bounded
+	ti.front.Start()
 	t.Cleanup(ti.front.Close)
 	return ti
 }
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -57,6 +57,8 @@
 	// headSent reports whether the header of a response has been relayed; lastEventID is the ID of the last event.
 	headSent    bool
 	lastEventID string
+	// unframed is true once the head of an answer whose end only the connection marks has been relayed.
+	unframed bool
 	// sentAt is the time of the last send. queueEmpty reports whether the target had no waiting requests when it began
 	// its response.
 	sentAt     time.Time
@@ -151,7 +153,7 @@
 // look complete.
 func (ex *exchange) abortStream(rf *refusal) {
 	ex.outcome.reason = "broken off: " + rf.reason
-	panic(http.ErrAbortHandler)
+	ex.abort()
 }
 
 func (ex *exchange) charge() bool {
--- a/acceptor/readahead.go
+++ b/acceptor/readahead.go
@@ -218,5 +218,6 @@
 // abortSlowCaller ends a stream whose caller reads too slowly by closing the caller's connection. It does not return.
 func (ex *exchange) abortSlowCaller() sendResult {
 	ex.outcome.recordError(errSlowCaller)
-	panic(http.ErrAbortHandler)
+	ex.abort()
+	return finished
 }
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -81,7 +81,9 @@
 	ex.writeHeader(rs)
 	if _, err := ex.w.Write(body); err != nil {
 		ex.outcome.recordError(err)
+		return finished
 	}
+	ex.endAnswer()
 	return finished
 }
 
@@ -111,8 +113,9 @@
 	}
 	if _, err := io.Copy(w, ra.reader(rs)); err != nil {
 		ex.outcome.recordError(err)
-		panic(http.ErrAbortHandler)
+		ex.abort()
 	}
+	ex.endAnswer()
 	return finished
 }
 
@@ -134,6 +137,7 @@
 }
 
 func (ex *exchange) writeHeader(rs *forwarder.Response) {
+	ex.beginAnswer()
 	ex.w.WriteHeader(rs.Status())
 	ex.outcome.status = rs.Status()
 	ex.outcome.firstAt = time.Now()
@@ -202,7 +206,9 @@
 	ex.recordBegun(time.Now(), true)
 	ex.recordStreamEnd()
 	ex.writeStreamHeader(rs)
-	ex.writeEvents(rs, scanner.rest())
+	if ex.writeEvents(rs, scanner.rest()) {
+		ex.endAnswer()
+	}
 	return finished
 }
 
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -190,6 +190,21 @@
 	_ = co.SetWriteDeadline(time.Unix(1, 0))
 }
 
+// BeginUnframed begins an answer whose end only the end of the connection marks: however the connection ends before EndUnframed
+// is called, with the process too, it is reset, so that the answer does not look whole.
+func (co *Conn) BeginUnframed() { co.setLinger(0) }
+
+// EndUnframed makes the connection end in the ordinary way again.
+func (co *Conn) EndUnframed() { co.setLinger(-1) }
+
+// setLinger sets what Close does with bytes that were not sent: 0 discards them and resets the connection, a negative number
+// sends them.
+func (co *Conn) setLinger(seconds int) {
+	if lc, ok := co.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lc.SetLinger(seconds)
+	}
+}
+
 // Track names the holder of the memory of the response that is written from now on, whose progress is recorded there;
 // nil for none. A stall other than 0 is how long its client may take no bytes.
 func (co *Conn) Track(ho *reserver.Holder, stall time.Duration) {
