--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -75,7 +75,7 @@
 		ex.recordBegun(time.Now(), true)
 	}
 	ex.copyHeader(rs)
-	if ex.r.Method != http.MethodHead {
+	if ex.r.Method != http.MethodHead && !rs.Unframed() {
 		ex.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	ex.writeHeader(rs)
@@ -137,7 +137,7 @@
 }
 
 func (ex *exchange) writeHeader(rs *forwarder.Response) {
-	ex.beginAnswer()
+	ex.beginAnswer(rs)
 	ex.w.WriteHeader(rs.Status())
 	ex.outcome.status = rs.Status()
 	ex.outcome.firstAt = time.Now()
@@ -175,6 +175,9 @@
 			if brokenOff(rs, scanner) {
 				return ex.handleTruncation(ta, errInsideEvent)
 			}
+			if rs.Unframed() && ex.headSent && !ex.unframed {
+				return ex.handleUnknownEnd(ta)
+			}
 			return ex.endStream(rs, scanner)
 		}
 		if errors.Is(err, errSlowCaller) {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -40,7 +40,7 @@
 	co.idleTimeout = idleTimeout(rs)
 	return NewResponse(ResponseOptions{
 		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength,
-		Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, Body: rs.Body, Abort: co.abort,
+		Unframed: unframed(rs), Body: rs.Body, Abort: co.abort,
 		Close: func(complete bool) {
 			stop()
 			if complete {
@@ -52,6 +52,12 @@
 	})
 }
 
+// unframed reports whether the end of a response's body is the end of its connection.
+func unframed(rs *http.Response) bool {
+	hasBody := rs.Request == nil || rs.Request.Method != http.MethodHead
+	return hasBody && rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
+}
+
 // Status returns the HTTP status code.
 func (rs *Response) Status() int { return rs.op.Status }
 
