--- a/acceptor/events.go
+++ b/acceptor/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 )
 
 // maxEventSize limits the buffered part of an incomplete event, in bytes.
@@ -17,6 +18,12 @@
 // eventScanner splits a stream into server-sent events. If wholeOnly is set, it returns complete events only.
 type eventScanner struct {
 	wholeOnly bool
+	// after is the ID of the last event that the caller has of this stream; empty for a stream that begins. repeats is true once the
+	// first event does not come after it.
+	after   string
+	repeats bool
+	// anonymous is true once an event with data had no ID, so that no later event can be asked for.
+	anonymous bool
 	pending   []byte
 	// tail holds the last bytes of the stream.
 	tail   []byte
@@ -28,6 +35,7 @@
 	eventEnd     = []byte("\n\n")
 	eventEndCRLF = []byte("\r\n\r\n")
 	idField      = []byte("id:")
+	dataField    = []byte("data:")
 )
 
 // add appends a chunk of the stream and returns the bytes to relay.
@@ -45,6 +53,9 @@
 			break
 		}
 		es.record(es.pending[end : end+length])
+		if es.repeats {
+			break
+		}
 		end += length
 	}
 	out := es.pending[:end:end]
@@ -80,11 +91,31 @@
 	}
 }
 
+// record records an event: its ID, and whether the event comes after those that the caller has.
 func (es *eventScanner) record(event []byte) {
-	es.events++
+	id, hasData := "", false
 	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			es.lastID = string(bytes.TrimSpace(id))
+		if text, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(text))
 		}
+		hasData = hasData || bytes.HasPrefix(line, dataField)
+	}
+	if es.after != "" && es.lastID == "" && (id != "" || hasData) {
+		es.repeats = !follows(es.after, id)
+	}
+	es.events++
+	es.anonymous = es.anonymous || hasData && id == ""
+	if id != "" {
+		es.lastID = id
+	}
+}
+
+// follows reports whether an event with the given ID comes after one with the ID last. IDs that are no numbers only have to differ.
+func follows(last, id string) bool {
+	before, errBefore := strconv.ParseInt(last, 10, 64)
+	number, err := strconv.ParseInt(id, 10, 64)
+	if errBefore != nil || err != nil {
+		return id != "" && id != last
 	}
+	return number > before
 }
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -57,6 +57,10 @@
 	// headSent reports whether the header of a response has been relayed; lastEventID is the ID of the last event.
 	headSent    bool
 	lastEventID string
+	// streamHead is that of the stream's first answer. anonymous is true once an event without an ID was relayed, after which the
+	// stream cannot go on elsewhere.
+	streamHead streamHead
+	anonymous  bool
 	// unframed is true once the head of an answer whose end only the connection marks has been relayed.
 	unframed bool
 	// sentAt is the time of the last send. queueEmpty reports whether the target had no waiting requests when it began
@@ -219,7 +223,7 @@
 		case noPath:
 			return ex.refusalUnlessRun(refusedCutOff)
 		case interrupted:
-			if !ex.route.Repeatable() || ex.ran >= ex.route.Attempts() || ex.mayCrashTargets() {
+			if !ex.mayGoOn() {
 				return ex.failureAfterRun()
 			}
 		}
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -46,10 +46,9 @@
 		ex.drain(rs)
 		return interrupted
 	}
-	if ex.headSent && rs.Status() != http.StatusOK {
-		ex.excluded[ta.ID()] = true
+	if !ex.joins(rs) {
 		ex.drain(rs)
-		return interrupted
+		return ex.handleNotTheRest(ta)
 	}
 	if ex.route.Kind() == router.Stream && rs.Status() < http.StatusMultipleChoices {
 		return ex.relayStream(ta, rs, sent)
@@ -152,7 +151,7 @@
 	ex.ahead = ex.newReadAhead(rs, sent)
 	defer ex.ahead.close()
 	source := ex.ahead.reader(rs)
-	scanner := &eventScanner{wholeOnly: ex.route.Resumable()}
+	scanner := &eventScanner{wholeOnly: ex.route.Resumable(), after: ex.lastKnownEvent()}
 	buffer := make([]byte, copyBufferSize)
 	for {
 		count, err := source.Read(buffer)
@@ -168,6 +167,9 @@
 			if scanner.tooLong() {
 				return ex.handleTruncation(ta, errEventTooLong)
 			}
+			if scanner.repeats {
+				return ex.handleNotTheRest(ta)
+			}
 			ex.outcome.timing.relayed(time.Now())
 			ex.recordEvents(scanner)
 		}
@@ -200,6 +202,7 @@
 	if scanner.lastID != "" {
 		ex.lastEventID = scanner.lastID
 	}
+	ex.anonymous = ex.anonymous || scanner.anonymous
 	ex.outcome.events = scanner.events
 }
 
@@ -220,7 +223,7 @@
 	if ex.headSent {
 		return
 	}
-	ex.headSent = true
+	ex.headSent, ex.streamHead = true, newStreamHead(rs)
 	ex.copyHeader(rs)
 	ex.writeHeader(rs)
 }
