--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -145,7 +145,8 @@
 	}
 	if ex.r.Context().Err() != nil {
 		ex.outcome.reason = "the caller left"
-		return
+		// The caller may have closed its side only and still read: a return would complete the answer, or write an empty one.
+		ex.abort()
 	}
 	if ex.headSent {
 		ex.abortStream(rf)
