--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -73,8 +73,10 @@
 	ClaimProbe func(ctx context.Context, ve quarantiner.Verdict) bool
 	// InstanceCount returns the number of instances that share the targets' connections.
 	InstanceCount func() int
-	// Draining reports whether the instance is shutting down, so that callers should close their connections.
-	Draining func() bool
+	// Shutdown returns how the instance shuts down; nil while it does not. Ending is done once the requests in progress have to be
+	// answered at once, because it ends; nil for never.
+	Shutdown func() *Shutdown
+	Ending   context.Context
 	// RequestEnded is called with the outcome of each request when it ends.
 	RequestEnded func(*Outcome)
 	// PrefixCache reports whether the parts of prompts that a service's engines have cached count in the choice among them;
@@ -141,6 +143,12 @@
 		op.Reserve = func(int64) bool { return true }
 		op.Release = func(int64) {}
 	}
+	if op.Shutdown == nil {
+		op.Shutdown = func() *Shutdown { return nil }
+	}
+	if op.Ending == nil {
+		op.Ending = context.Background()
+	}
 	if op.Reserver == nil {
 		op.Reserver = reserver.New(reserver.Options{})
 	}
@@ -153,11 +161,12 @@
 // ServeHTTP handles one request of a caller.
 func (ac *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ex := ac.newExchange(w, r)
-	if ac.op.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	defer ac.op.RequestEnded(ex.outcome)
 	defer ex.release()
+	if rf := ex.refusedForShutdown(); rf != nil {
+		ex.refuse(rf)
+		return
+	}
 	if rf := ex.admit(); rf != nil {
 		ex.refuse(rf)
 		return
@@ -233,7 +242,7 @@
 	if ex.caller.MaxWait > 0 {
 		limit = min(limit, ex.caller.MaxWait)
 	}
-	ex.deadline = ex.outcome.arrived.Add(limit)
+	ex.deadline = ex.beforeShutdown(ex.outcome.arrived.Add(limit))
 }
 
 // uri returns the request's path and query as the caller sent them.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -212,7 +212,6 @@
 		AnswerBroken:      func(acceptor.BrokenAnswer) {},
 		ClaimProbe:        ti.claimProbe,
 		InstanceCount:     func() int { return 1 },
-		Draining:          func() bool { return false },
 		RequestEnded:      func(ou *acceptor.Outcome) { ti.outcomes <- ou },
 		Random:            func() float64 { return 0 },
 		Balancer:          ti.balancer,
@@ -406,7 +405,7 @@
 func TestNoConfigurationYet(t *testing.T) {
 	ac := acceptor.New(acceptor.Options{
 		Configuration: func() *router.Configuration { return nil },
-		Draining:      func() bool { return true },
+		Shutdown:      func() *acceptor.Shutdown { return &acceptor.Shutdown{TakeUntil: time.Now().Add(time.Hour)} },
 		RequestEnded:  func(*acceptor.Outcome) {},
 	})
 	rec := httptest.NewRecorder()
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -113,6 +113,7 @@
 func (ex *exchange) serve() {
 	ctx, cancel := context.WithDeadline(ex.r.Context(), ex.deadline)
 	defer cancel()
+	defer context.AfterFunc(ex.ac.op.Ending, cancel)()
 	ex.ctx = ctx
 	ex.fingerprint = quarantiner.Fingerprint(ex.outcome.organisation, ex.r.Method, ex.uri(), ex.body)
 	if refused, _ := ex.ac.op.Quarantiner.Refused(ex.fingerprint); refused {
--- a/acceptor/refusal.go
+++ b/acceptor/refusal.go
@@ -29,6 +29,7 @@
 
 var (
 	refusedNotReady   = &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", wait: startWait}
+	refusedShutdown   = &refusal{status: http.StatusServiceUnavailable, reason: "the instance is shutting down", wait: shortWait}
 	refusedNoRoute    = &refusal{status: http.StatusNotFound, reason: "no route"}
 	refusedUnknownKey = &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	refusedNoService  = &refusal{
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -117,6 +117,9 @@
 	prefixCache PrefixCache
 	// endlessPart is the part of the response in which the target sends bytes without end.
 	endlessPart EndlessPart
+	// answerEnd is how the answers of the target end, and answerDelay how long an application takes for one.
+	answerEnd   AnswerEnd
+	answerDelay time.Duration
 	// reports is the recent state, oldest first, because reports lag by reportLag.
 	reports []recordedReport
 }
@@ -252,6 +255,10 @@
 
 // answer writes the body of the answer: the events of a stream, or the answer of an application.
 func (ta *Target) answer(w http.ResponseWriter, r *http.Request, adapter string) {
+	ta.awaitAnswer(r)
+	if ta.endAnswer(w, r, adapter) {
+		return
+	}
 	if !ta.engine && strings.HasSuffix(r.URL.Path, LargePath) {
 		_, _ = io.WriteString(w, strings.Repeat("large ", largeBytes/len("large ")))
 		return
--- a/supervisor/cut.go
+++ b/supervisor/cut.go
@@ -13,7 +13,6 @@
 	"lovagebank/platform"
 	"lovagebank/prober"
 	"lovagebank/relayer"
-	"lovagebank/sleeper"
 	"lovagebank/wire"
 )
 
@@ -23,8 +22,6 @@
 	// contactTime is how long a peer counts as one that reaches targets after it has received bytes of a target, plus
 	// the time of two exchanges with it.
 	contactTime = 2 * time.Second
-	// relayedCheckInterval is the time between two checks during a shutdown whether relayed requests have ended.
-	relayedCheckInterval = 20 * time.Millisecond
 )
 
 // targetContacts keeps when peers last received bytes of a target, as they report.
@@ -125,7 +122,7 @@
 		Call: func(ctx context.Context, address string, rq *wire.RelayRequest) (relayer.Stream, error) {
 			return su.exchanger.Relay(ctx, address, rq)
 		},
-		Refuses: func() bool { return su.prober.Cut() || su.draining.Load() },
+		Refuses: func() bool { return su.prober.Cut() || su.draining() },
 		Forward: su.forwardForPeer,
 		Random:  rand.Float64,
 	})
@@ -194,9 +191,3 @@
 		su.balancer.BackOff(ta.ID(), wait)
 	}
 }
-
-// awaitRelayed waits until the requests that this instance relays have ended, or the context ends.
-func (su *Supervisor) awaitRelayed(ctx context.Context) {
-	for su.relayer.Relayed() > 0 && sleeper.For(ctx, relayedCheckInterval) {
-	}
-}
--- a/supervisor/listeners.go
+++ b/supervisor/listeners.go
@@ -22,6 +22,9 @@
 	bounded []*listener.Listener
 }
 
+// stopAccepting closes the listener of callers. Their open connections are served.
+func (sv *servers) stopAccepting() { _ = sv.bounded[0].Close() }
+
 func (sv *servers) close() {
 	for _, other := range sv.others {
 		_ = other.Close()
@@ -149,7 +152,7 @@
 		bounded.Attach(ep.server)
 		sv.bounded = append(sv.bounded, bounded)
 		go func() {
-			if err := ep.server.Serve(bounded); err != http.ErrServerClosed {
+			if err := ep.server.Serve(bounded); err != http.ErrServerClosed && !su.draining() {
 				su.logger.Error("listener failed", "address", ep.server.Addr, "error", err)
 			}
 		}()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -175,9 +175,13 @@
 	// contended is set where callers compete for targets without room for all of them.
 	contended bool
 	startedAt time.Time
-	draining  atomic.Bool
-	serving   atomic.Int64
-	tasks     sync.WaitGroup
+	// shutdown says how the instance shuts down; nil while it does not. ending is done once the requests in progress have to be
+	// answered at once, and endRequests does that.
+	shutdown    atomic.Pointer[acceptor.Shutdown]
+	ending      context.Context
+	endRequests context.CancelFunc
+	serving     atomic.Int64
+	tasks       sync.WaitGroup
 }
 
 // New returns an instance with its components; Run starts it.
@@ -202,6 +206,7 @@
 		contended:   st.HasContract(platform.PressureContract),
 		startedAt:   time.Now(),
 	}
+	su.ending, su.endRequests = context.WithCancel(context.Background())
 	su.encoder = encoder.New(su.start)
 	su.parts = quarantiner.NewParts(su.start)
 	su.throttler = throttler.New(throttler.Options{
@@ -254,7 +259,8 @@
 		AnswerBroken:        su.answerBroken,
 		ClaimProbe:          su.claimProbe,
 		InstanceCount:       su.instanceCount,
-		Draining:            su.draining.Load,
+		Shutdown:            su.shutdown.Load,
+		Ending:              su.ending,
 		RequestEnded:        su.requestEnded,
 		PrefixCache:         su.prefixCache,
 		Random:              rand.Float64,
@@ -354,7 +360,7 @@
 // targets by itself or through another instance.
 func (su *Supervisor) ready() bool {
 	reaches := !su.prober.Cut() || su.relayer.Available()
-	return !su.draining.Load() && su.configuration.Load() != nil && su.balancer.TargetCount() > 0 && reaches
+	return !su.draining() && su.configuration.Load() != nil && su.balancer.TargetCount() > 0 && reaches
 }
 
 // Run serves until SIGTERM or SIGINT, then drains. The error reports a listener that could not be opened.
@@ -416,36 +422,6 @@
 	su.logger.Info("reload")
 }
 
-const (
-	// drainNoticeTime is how long a draining instance continues to accept connections: the time in which the platform
-	// probes its readiness twice.
-	drainNoticeTime = 2500 * time.Millisecond
-	// leaveTimeout limits the call that ends the lease in the store.
-	leaveTimeout = 300 * time.Millisecond
-	// killMargin is the time between the end of the drain and the SIGKILL at the end of the grace period.
-	killMargin = 700 * time.Millisecond
-)
-
-// drain reports not ready, continues to serve until the platform has noticed, lets requests end, and gives up the lease.
-// Until then the instance gives orders to its targets; the next process on this machine takes them over.
-func (su *Supervisor) drain(ctx context.Context, sv *servers) {
-	su.draining.Store(true)
-	began := time.Now()
-	su.logger.Info("draining", "serving", su.serving.Load())
-	sleeper.For(ctx, drainNoticeTime-time.Since(began))
-	left := su.settings.ShutdownGrace() - killMargin - time.Since(began)
-	endCtx, cancelEnd := context.WithTimeout(ctx, left)
-	defer cancelEnd()
-	if err := sv.callers.Shutdown(endCtx); err != nil {
-		su.logger.Warn("requests aborted at shutdown", "serving", su.serving.Load(), "error", err)
-	}
-	su.awaitRelayed(endCtx)
-	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	su.keeper.Leave(leaveCtx)
-	sv.close()
-}
-
 func (su *Supervisor) serveCaller(w http.ResponseWriter, r *http.Request) {
 	su.serving.Add(1)
 	defer su.serving.Add(-1)
--- a/supervisor/update.go
+++ b/supervisor/update.go
@@ -20,7 +20,7 @@
 
 // state returns the full state that this instance reports to a peer.
 func (su *Supervisor) state(peer string) *wire.FleetState {
-	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining.Load()}
+	state := &wire.FleetState{Instance: su.settings.IP(), Start: su.start, Leaving: su.draining()}
 	own := su.revisions()
 	state.OperatorRevision, state.TargetRevision = own.operator, own.targets
 	state.OperatorChange = su.operatorChange.Load()
--- a/supervisor/virtual_test.go
+++ b/supervisor/virtual_test.go
@@ -44,6 +44,7 @@
 type virtualInstance struct {
 	*Supervisor
 	callers string
+	servers *servers
 	log     *lockedBuffer
 	stop    context.CancelFunc
 }
@@ -119,6 +120,7 @@
 	if err != nil {
 		vf.t.Fatal(err)
 	}
+	vi.servers = sv
 	vi.startTasks(ctx)
 	vi.stop = sync.OnceFunc(func() {
 		stop()
