--- a/invoker/answer.go
+++ b/invoker/answer.go
@@ -112,7 +112,11 @@
 
 // relayService forwards a service's answer unchecked as it arrives.
 func (ca *call) relayService(response *http.Response, sink requester.Sink) error {
-	if err := sink.Head(response.StatusCode, copyHeaders(response.Header, forwardedToCaller)); err != nil {
+	header := copyHeaders(response.Header, forwardedToCaller)
+	if unframed(response) {
+		requester.MarkUnframed(header)
+	}
+	if err := sink.Head(response.StatusCode, header); err != nil {
 		return errCallerLeft
 	}
 	buffer := make([]byte, relayBufferBytes)
@@ -132,3 +136,9 @@
 		}
 	}
 }
+
+// unframed reports whether only the end of its connection marks the end of an answer, so that one that broke off may look whole.
+func unframed(response *http.Response) bool {
+	hasBody := response.Request == nil || response.Request.Method != http.MethodHead
+	return hasBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"lovagebank/listener"
 	"lovagebank/requester"
 )
 
@@ -72,12 +73,21 @@
 	controller *http.ResponseController
 	stream     bool
 	headSent   bool
+	// conn is the caller's connection; nil if it is not one of a Listener. unframed is true once the head of an answer has been sent
+	// whose end only that of the connection marks.
+	conn     *listener.Conn
+	unframed bool
+	// chunks is true if the caller's version of HTTP knows them.
+	chunks bool
 	// writeTimeout applies to each part of the answer: a caller that accepts no byte for this long is dropped.
 	writeTimeout time.Duration
 }
 
-func (rc *Receiver) newAnswer(rw http.ResponseWriter, stream bool) *answer {
-	return &answer{rw: rw, controller: http.NewResponseController(rw), stream: stream, writeTimeout: rc.options.Limits.WriteTimeout}
+func (rc *Receiver) newAnswer(rw http.ResponseWriter, hr *http.Request, stream bool) *answer {
+	return &answer{
+		rw: rw, controller: http.NewResponseController(rw), stream: stream, writeTimeout: rc.options.Limits.WriteTimeout,
+		conn: listener.FromContext(hr.Context()), chunks: hr.ProtoAtLeast(1, 1),
+	}
 }
 
 func (an *answer) sink() requester.Sink {
@@ -94,10 +104,24 @@
 		}
 	}
 	an.headSent = true
+	an.unframed = requester.Unframed(header) || !an.chunks
+	if requester.Unframed(header) {
+		requester.MarkUnframed(an.rw.Header())
+	}
+	if an.unframed && an.conn != nil {
+		an.conn.BeginUnframed()
+	}
 	an.rw.WriteHeader(status)
 	return nil
 }
 
+// end is called when the whole answer has been written.
+func (an *answer) end() {
+	if an.unframed && an.conn != nil {
+		an.conn.EndUnframed()
+	}
+}
+
 // writeData writes a part of the answer. A caller that accepts no byte within the write timeout is treated as
 // disconnected, which frees its slot on the target.
 func (an *answer) writeData(chunk []byte) error {
@@ -123,5 +147,6 @@
 	}
 	if encoded, err := json.Marshal(newErrorBody(rf)); err == nil {
 		_ = an.writeData([]byte("data: " + string(encoded) + "\n\n"))
+		an.end()
 	}
 }
--- a/receiver/run.go
+++ b/receiver/run.go
@@ -18,13 +18,15 @@
 		rc.deferRequest(rw, hr, rq)
 		return
 	}
-	an := rc.newAnswer(rw, rq.Stream())
+	an := rc.newAnswer(rw, hr, rq.Stream())
 	us, err := rc.chargeAndDispatch(rc.options.StartTrace(hr.Context(), rq), rq, an.sink())
 	rf := requester.AsRefusal(err)
 	rc.options.OnFinished(rq, us, rf, time.Since(started))
 	if rf != nil {
 		an.fail(rf)
+		return
 	}
+	an.end()
 }
 
 func (rc *Receiver) chargeAndDispatch(ctx context.Context, rq *requester.Request, sink requester.Sink) (requester.Usage, error) {
@@ -78,8 +80,11 @@
 		_ = json.NewEncoder(rw).Encode(deferredBody{ID: id, Status: "running"})
 		return
 	}
-	an := rc.newAnswer(rw, false)
-	if err := an.writeHead(de.status, de.header); err == nil {
-		_ = an.writeData(de.body)
+	an := rc.newAnswer(rw, hr, false)
+	if err := an.writeHead(de.status, de.header); err != nil {
+		return
+	}
+	if err := an.writeData(de.body); err == nil {
+		an.end()
 	}
 }
--- a/requester/sink.go
+++ b/requester/sink.go
@@ -12,6 +12,20 @@
 	Data func(chunk []byte) error
 }
 
+// headerTransfer with the value identity marks an answer without framing in a head. net/http understands it, too: it adds neither a
+// length nor chunks then, and closes the connection after the answer.
+const (
+	headerTransfer = "Transfer-Encoding"
+	identity       = "identity"
+)
+
+// MarkUnframed marks a head of an answer that had neither a length nor chunks, so that only the end of its connection marked its
+// end.
+func MarkUnframed(header http.Header) { header.Set(headerTransfer, identity) }
+
+// Unframed reports whether a head is marked as that of an answer without framing.
+func Unframed(header http.Header) bool { return header.Get(headerTransfer) == identity }
+
 // Usage is the tokens and waiting times of a finished request.
 type Usage struct {
 	promptTokens    int64
