--- a/receiver/framing_test.go
+++ b/receiver/framing_test.go
@@ -47,6 +47,9 @@
 		"broken off":                    {"HTTP/1.1", false, lost, false, false, false},
 		"broken off, HTTP/1.0":          {"HTTP/1.0", false, lost, false, false, false},
 		"broken off without framing":    {"HTTP/1.1", true, lost, false, false, false},
+		"the handler panics":            {"HTTP/1.1", false, nil, true, false, false},
+		"the handler panics, HTTP/1.0":  {"HTTP/1.0", false, nil, true, false, false},
+		"the handler panics, unframed":  {"HTTP/1.1", true, nil, true, false, false},
 		"broken off, HTTP/1.0 unframed": {"HTTP/1.0", true, lost, false, false, false},
 	}
 	for name, tt := range tests {
--- a/receiver/middleware.go
+++ b/receiver/middleware.go
@@ -9,6 +9,8 @@
 	"strings"
 	"unicode/utf8"
 
+	"github.com/go-chi/chi/v5/middleware"
+
 	"lovagebank/requester"
 )
 
@@ -37,9 +39,10 @@
 }
 
 // recover turns a panic of a handler into a refusal that does not disclose the stack. It passes on
-// http.ErrAbortHandler, on which net/http aborts the connection.
+// http.ErrAbortHandler, on which net/http aborts the connection, and aborts an answer that has begun.
 func (rc *Receiver) recover(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, hr *http.Request) {
+	return http.HandlerFunc(func(plain http.ResponseWriter, hr *http.Request) {
+		rw := middleware.NewWrapResponseWriter(plain, hr.ProtoMajor)
 		defer func() {
 			cause := recover()
 			if cause == nil {
@@ -49,6 +52,9 @@
 				panic(cause)
 			}
 			rc.options.Logger.Error("handler panicked", "request", requestID(hr.Context()), "cause", cause)
+			if rw.Status() != 0 {
+				panic(http.ErrAbortHandler)
+			}
 			writeRefusal(rw, requester.RefuseUnknown(requester.CodeInternal, "The request failed inside the instance.", 0))
 		}()
 		next.ServeHTTP(rw, hr)
