--- a/receiver/middleware.go
+++ b/receiver/middleware.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5/middleware"
 
+	"lovagebank/listener"
 	"lovagebank/requester"
 )
 
@@ -61,6 +62,18 @@
 	})
 }
 
+// admit refuses requests that the instance does not take any more.
+func (rc *Receiver) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, hr *http.Request) {
+		if err := rc.options.Admit(); err != nil {
+			listener.RefuseBody(rw)
+			writeRefusal(rw, requester.AsRefusal(err))
+			return
+		}
+		next.ServeHTTP(rw, hr)
+	})
+}
+
 // rejectAmbiguousPaths refuses paths that a target could interpret differently from this instance.
 func rejectAmbiguousPaths(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, hr *http.Request) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -15,7 +15,7 @@
 	"lovagebank/reserver"
 )
 
-// Options configures a Receiver. All function fields are required.
+// Options configures a Receiver. All function fields but Admit are required.
 type Options struct {
 	// Snapshot returns the configuration in force, or nil if none has been received yet.
 	Snapshot func() *configurer.Snapshot
@@ -36,6 +36,8 @@
 	OnFinished func(rq *requester.Request, us requester.Usage, refusal *requester.Refusal, took time.Duration)
 	// Ready returns nil if the instance can serve requests, and otherwise an error that gives the reason.
 	Ready func() error
+	// Admit returns a refusal if the instance takes no requests any more; nil for an instance that always does.
+	Admit func() error
 	// Limits holds the limits on requests and on slow callers.
 	Limits Limits
 	// Reserver holds the budget of request bodies; nil for no limit.
@@ -88,6 +90,9 @@
 	if options.Reserver == nil {
 		options.Reserver = reserver.New(reserver.Options{})
 	}
+	if options.Admit == nil {
+		options.Admit = func() error { return nil }
+	}
 	rc := &Receiver{options: options}
 	rc.router = rc.routes()
 	return rc
@@ -107,12 +112,13 @@
 	})
 	router.Get("/healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", rc.serveReady)
-	router.Get("/v1/models", rc.serveModels)
-	router.Post("/v1/chat/completions", rc.modelHandler(requester.KindChat))
-	router.Post("/v1/completions", rc.modelHandler(requester.KindCompletion))
-	router.Get("/v1/deferred/{id}", rc.serveDeferred)
-	router.HandleFunc("/services/{service}", rc.serveService)
-	router.HandleFunc("/services/{service}/*", rc.serveService)
+	admitted := router.With(rc.admit)
+	admitted.Get("/v1/models", rc.serveModels)
+	admitted.Post("/v1/chat/completions", rc.modelHandler(requester.KindChat))
+	admitted.Post("/v1/completions", rc.modelHandler(requester.KindCompletion))
+	admitted.Get("/v1/deferred/{id}", rc.serveDeferred)
+	admitted.HandleFunc("/services/{service}", rc.serveService)
+	admitted.HandleFunc("/services/{service}/*", rc.serveService)
 	return router
 }
 
--- a/server/build.go
+++ b/server/build.go
@@ -88,6 +88,7 @@
 		FindDeferred: sv.lookupDeferred,
 		OnFinished:   sv.recordFinished,
 		Ready:        sv.ready,
+		Admit:        func() error { return sv.listeners.requests.admit() },
 		Limits: receiver.Limits{
 			MaxBodyBytes:     lim.BodyBytes(),
 			BodyTimeout:      lim.BodyTime(),
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -18,6 +18,7 @@
 	caller   *http.Server
 	peer     *http.Server
 	operator *http.Server
+	requests *callerRequests
 	sockets  []net.Listener
 	bounded  []*listener.Listener
 	failed   chan error
@@ -71,8 +72,10 @@
 func listen(
 	st *configurer.Settings, caller, peer, operator http.Handler, secure *tls.Config, re *reserver.Reserver,
 ) (*listeners, error) {
+	requests := newCallerRequests()
 	li := &listeners{
-		caller:   newHTTPServer(st, caller),
+		requests: requests,
+		caller:   newHTTPServer(st, requests.handler(caller)),
 		peer:     newHTTPServer(st, peer),
 		operator: newHTTPServer(st, operator),
 		failed:   make(chan error, 3),
@@ -114,7 +117,7 @@
 func (li *listeners) serve() {
 	for at, hs := range li.servers() {
 		go func() {
-			if err := hs.Serve(li.sockets[at]); !errors.Is(err, http.ErrServerClosed) {
+			if err := hs.Serve(li.sockets[at]); !errors.Is(err, http.ErrServerClosed) && !(at == 0 && li.requests.refusing.Load()) {
 				li.failed <- err
 			}
 		}()
@@ -134,8 +137,17 @@
 
 func (li *listeners) servers() []*http.Server { return []*http.Server{li.caller, li.peer, li.operator} }
 
-// drainCallers stops accepting callers' connections and waits for their requests in progress.
-func (li *listeners) drainCallers(ctx context.Context) error { return li.caller.Shutdown(ctx) }
+// drainCallers stops accepting callers' connections and waits for their requests in progress. The server stays until then: after
+// its Shutdown, net/http would drop a request on a connection that was opened before, without an answer.
+func (li *listeners) drainCallers(ctx context.Context) error {
+	li.requests.refusing.Store(true)
+	_ = li.sockets[0].Close()
+	err := li.requests.drain(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	_ = li.caller.Shutdown(ctx)
+	return err
+}
 
 func (li *listeners) close() {
 	for _, hs := range li.servers() {
