--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -113,7 +113,7 @@
 	}
 	co.limited.limit(maxHeadSize)
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
+		rs, err := co.readResponse(rq.Method)
 		if err != nil {
 			return nil, &SendError{cause: err, mayHaveRun: true}
 		}
