Soak and emulator: answers that break off, that have no framing, and rests that are none

Cause: neither played the class of the incident: targets answered with chunks, ended with a reset or a crash, and all streams could be resumed. Change: targets of the emulator end their answers in nine ways (within the head, within and between events, in chunks or without framing, with a reset or in order, a text or a repeated stream for a rest); the soak draws times of them by itself (broken-answers) and asks beside for streams that may not be resumed, in HTTP/1.1 and 1.0. An answer without framing that ends between two events is allowed to look whole only while a target ends its answers so; others have a length or chunks. A text that a target gives for a rest does not count as a taken-up stream. Three deliberate faults: framing-added, break-closed-in-order, anything-joined. The soak's links turned a reset into an ordinary end, and ended in order a connection that had lost bytes, which TCP never does: they reset now.

--- a/emulator/breaking.go
+++ b/emulator/breaking.go
@@ -22,6 +22,9 @@
 	EndBetweenEvents
 	EndUnframedInEvent
 	EndUnframedReset
+	// EndUnframedBetweenEvents breaks off like EndUnframedReset, but the connection ends in the ordinary way, so that nobody can tell
+	// it from a whole answer.
+	EndUnframedBetweenEvents
 	// EndAsText answers a request for the rest of a stream with a text, EndAsRepeat with the stream from its first event; both with
 	// status 200. Other answers break off like EndBetweenEvents.
 	EndAsText
@@ -90,8 +93,8 @@
 		ra.cut = len(text) - 3
 	case EndBetweenEvents:
 		ra.chunked, ra.cut = true, ta.betweenEvents(text, adapter, first)
-	case EndUnframedReset:
-		ra.reset, ra.cut = true, ta.betweenEvents(text, adapter, first)
+	case EndUnframedReset, EndUnframedBetweenEvents:
+		ra.reset, ra.cut = end == EndUnframedReset, ta.betweenEvents(text, adapter, first)
 	case EndAsText, EndAsRepeat:
 		if ra.chunked = true; !resumed {
 			ra.cut = ta.betweenEvents(text, adapter, first)
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -1,10 +1,13 @@
 package emulator
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +38,8 @@
 	// brought its first event; empty for a new stream.
 	LastEvent string
 	Resumes   string
+	// Framed, if not nil, is set to whether the answer had a length or chunks.
+	Framed *bool
 }
 
 // Send sends the call to an instance and returns the status and the body of the response. If the connection breaks before
@@ -69,6 +74,9 @@
 		return 0, "", err
 	}
 	defer func() { _ = rs.Body.Close() }()
+	if ca.Framed != nil {
+		*ca.Framed = rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0
+	}
 	body, err := ca.read(rs.Body)
 	if err != nil {
 		return 0, string(body), err
@@ -76,6 +84,32 @@
 	return rs.StatusCode, string(body), nil
 }
 
+// SendOld sends the call on a connection of its own in HTTP/1.0, which knows no chunks. It returns what Send does.
+func (ca Call) SendOld(ctx context.Context, address string) (status int, text string, err error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
+	body := "body of " + ca.ID
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: %s\r\nDeadline-Ms: %d\r\nModel-Name: %s/%s\r\nContent-Length: %d\r\n\r\n%s",
+		ca.Path, Host, ca.ID, ca.Key, ca.Deadline.Milliseconds(), Model, ca.Adapter, len(body), body)
+	if err != nil {
+		return 0, "", err
+	}
+	rs, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	read, err := io.ReadAll(rs.Body)
+	if err != nil {
+		return 0, string(read), err
+	}
+	return rs.StatusCode, string(read), nil
+}
+
 // read reads a response as fast as the caller does.
 func (ca Call) read(rd io.Reader) ([]byte, error) {
 	if ca.ReadPause == 0 {
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -301,6 +301,7 @@
 		"version": version,
 		"routes": []any{
 			route("ask", "/ask/", "stream", "engines", true),
+			route("tell", "/tell/", "stream", "engines", false),
 			route("order", "/order/", "unsafe", "applications", false),
 			route("check", "/check/", "safe", "applications", false),
 			local,
--- a/faker/link.go
+++ b/faker/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -266,12 +267,12 @@
 	due   time.Time
 }
 
-// pump forwards one direction of a connection. It forwards the end of the stream too, unless the connection is frozen.
+// pump forwards one direction of a connection. It forwards the end of the stream too, and a reset, unless the connection is frozen.
 func (lk *Link) pump(lc *linkConnection, from, to net.Conn, dir direction) {
 	queue := make(chan delayedChunk, linkQueueChunks)
 	var writer sync.WaitGroup
 	writer.Go(func() { lc.write(queue, to) })
-	silent := false
+	silent, wasReset := false, false
 	for {
 		buffer := make([]byte, linkChunkBytes)
 		count, err := from.Read(buffer)
@@ -286,11 +287,16 @@
 			}
 		}
 		if err != nil {
+			wasReset = errors.Is(err, syscall.ECONNRESET)
 			break
 		}
 	}
 	close(queue)
 	writer.Wait()
+	if wasReset && !silent {
+		lc.reset()
+		return
+	}
 	for silent && lk.isDropping(dir) {
 		select {
 		case <-time.After(lossPollInterval):
@@ -304,6 +310,11 @@
 		<-lc.done
 	default:
 	}
+	if silent {
+		// A connection that has lost bytes cannot end in order.
+		lc.reset()
+		return
+	}
 	lc.close()
 }
 
--- a/soaker/breakages.go
+++ b/soaker/breakages.go
@@ -20,7 +20,7 @@
 		old: "if len(iv.slots) >= iv.engine.AdapterSlots {", new: "if len(iv.slots) > iv.engine.AdapterSlots {",
 	},
 	{
-		name: "stream-resumed-from-start", file: "platform/headers.go", promise: "an answer that looks whole is right",
+		name: "stream-resumed-from-start", file: "platform/headers.go", promise: wholePromise,
 		old: `if di.LastEvent != "" {`, new: `if di.LastEvent == "never" {`,
 	},
 	{
@@ -71,6 +71,18 @@
 		name: "leaving-ignored", file: "balancer/leaving.go", promise: "no request reaches a target that has left",
 		old: "return st.leaving || st.absent || st.target.Draining()", new: "return st.leaving && st.absent && st.target.Draining()",
 	},
+	{
+		name: "framing-added", file: "acceptor/framing.go", promise: wholePromise,
+		old: "	if rs.Unframed() {\n		// With", new: "	if rs.Unframed() && ex.w == nil {\n		// With",
+	},
+	{
+		name: "break-closed-in-order", file: "listener/conn.go", promise: wholePromise,
+		old: "{ co.setLinger(0) }", new: "{ co.setLinger(-1) }",
+	},
+	{
+		name: "anything-joined", file: "acceptor/rest.go", promise: wholePromise,
+		old: "return !ex.headSent || newStreamHead(rs) == ex.streamHead", new: "return !ex.headSent || newStreamHead(rs) != streamHead{}",
+	},
 	{
 		name: "budget-off", file: "reserver/reserver.go", promise: "misbehaving clients do not exhaust the memory of an instance",
 		old: "if re.op.Total <= 0 {", new: "if re.op.Total >= 0 {",
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -36,6 +36,9 @@
 	sendErr error
 	// mismatch describes an incorrect body of a successful answer; empty if the body is correct.
 	mismatch string
+	// framed is true if the answer had a length or chunks, and partial if its body is the right one up to the end of an event.
+	framed  bool
+	partial bool
 	// crashing is true if a part of the prompt crashes engines, so that the request may be refused.
 	crashing bool
 	started  time.Time
@@ -122,10 +125,7 @@
 	}
 	text := ca.send(&an, adapter, number)
 	an.ended = time.Now()
-	if an.status == http.StatusOK {
-		an.mismatch = answerMismatch(an, adapter, text)
-	}
-	ca.record(an)
+	ca.recordText(an, adapter, text)
 	if _, versions := emulator.SplitStream(text); len(versions) > 1 {
 		ca.recordJoined(fmt.Sprintf("%s has events of %v", an.id, versions))
 	}
@@ -135,6 +135,15 @@
 	return an
 }
 
+// recordText records an answer with its body.
+func (ca *callers) recordText(an answer, adapter, text string) {
+	if an.status == http.StatusOK {
+		an.mismatch = answerMismatch(an, adapter, text)
+		an.partial = endsBetweenEvents(adapter, text)
+	}
+	ca.record(an)
+}
+
 func (ca *callers) record(an answer) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
@@ -154,6 +163,7 @@
 func (ca *callers) sendCall(an *answer, call emulator.Call) string {
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+lateTolerance)
 	defer cancel()
+	call.Framed = &an.framed
 	status, text, err := call.Send(ctx, ca.client, ca.addresses[an.instance])
 	an.status, an.sendErr = status, err
 	return text
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -45,6 +45,9 @@
 	// KindMisuse is a time in which clients that keep to no limits call an instance. PlanMisuse draws it separately
 	// from the others.
 	KindMisuse Kind = "misbehaving-clients"
+	// KindBrokenAnswer is a time in which answers of targets break off, or have no framing. PlanBrokenAnswers draws it separately
+	// from the other kinds.
+	KindBrokenAnswer Kind = "broken-answers"
 	// KindUneven gives engines unequal speeds. PlanUneven draws it separately from the other kinds.
 	KindUneven Kind = "uneven"
 )
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -69,6 +69,7 @@
 	plan = append(plan, PlanSoftwareChanges(op.Seed, op.FaultPeriod)...)
 	plan = append(plan, PlanReach(op.Seed, op.FaultPeriod)...)
 	plan = append(plan, PlanMisuse(op.Seed, op.FaultPeriod)...)
+	plan = append(plan, PlanBrokenAnswers(op.Seed, op.FaultPeriod)...)
 	plan = append(plan, PlanUneven(op.Seed, op.FaultPeriod)...)
 	if op.StoreRollbacks {
 		plan = append(plan, PlanRollbacks(op.Seed, op.FaultPeriod)...)
@@ -272,6 +273,8 @@
 		so.leaveTarget(fa)
 	case KindMisuse:
 		so.misuse(fa)
+	case KindBrokenAnswer:
+		so.breakAnswers(fa)
 	case KindKeyChange:
 		so.changeKey()
 	case KindLinkDelay, KindLinkReset, KindLinkSilent, KindCutRequests, KindCutAnswers:
--- a/soaker/software.go
+++ b/soaker/software.go
@@ -71,7 +71,11 @@
 			Path: more.path, ID: more.id, Key: more.key, Adapter: adapter, Deadline: requestDeadline, LastEvent: last, Resumes: an.id,
 		}
 		rest := ca.sendCall(&more, call)
-		if more.status != 0 && more.status != 200 {
+		if more.status == 200 && rest != "" && !strings.HasPrefix(rest, "id: ") && !strings.HasPrefix(rest, "software: ") {
+			// A target has answered with a text, whose type is not that of a stream.
+			more.status = 0
+		}
+		if more.status != 0 && more.status != 200 || !strings.Contains(rest, "id: ") {
 			rest = ""
 		}
 		text = whole + rest
@@ -79,7 +83,9 @@
 			ca.recordJoined(fmt.Sprintf("%s was taken up as %s and has events of %v", an.id, more.id, versions))
 		}
 		if more.status == 200 {
-			ca.recordTakenUp(answerMismatch(an, adapter, text))
+			if more.framed || !endsBetweenEvents(adapter, text) {
+				ca.recordTakenUp(answerMismatch(an, adapter, text))
+			}
 			return
 		}
 	}
