--- a/acceptor/framing_test.go
+++ b/acceptor/framing_test.go
@@ -150,7 +150,9 @@
 			"/resume/1", []string{"HTTP/1.1", "HTTP/1.0"}, answerRaw(chunkedHead, chunk(firstEvent), false), failure, firstEvent,
 		},
 		"a resumable stream in chunks, whose rest comes without framing": {
-			"/resume/1", []string{"HTTP/1.1"}, answerRaw(chunkedHead, chunk(firstEvent), false), answerRaw(bareHead, secondEvent, false),
+			"/resume/1",
+			[]string{"HTTP/1.1"},
+			answerRaw(chunkedHead, chunk(firstEvent), false), answerRaw(bareHead, secondEvent, false),
 			firstEvent + secondEvent,
 		},
 	}
--- a/acceptor/joined_test.go
+++ b/acceptor/joined_test.go
@@ -33,7 +33,7 @@
 		"a refusal":                               {broken, answer(404, "text/plain", message), false},
 		"a refusal that says not run":             {broken, notRun, false},
 		"another status of success":               {broken, answer(206, events, secondEvent), false},
-		"no content":                              {broken, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }, false},
+		"no content":                              {broken, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, false},
 		"a failure's text with status 200":        {broken, answer(200, "text/plain", message), false},
 		"a text without a blank line, status 200": {broken, answer(200, "text/plain", "no such stream"), false},
 		"a page with status 200":                  {broken, answer(200, "text/html", "<html>\n\n</html>"), false},
@@ -57,7 +57,8 @@
 			if (an.err == nil) != tt.whole {
 				t.Errorf("got %q, %v", an.text, an.err)
 			}
-			if !strings.HasPrefix(firstEvent+secondEvent, an.text) && !strings.HasPrefix("data: x1\n\ndata: x2\n\n", an.text) {
+			whole, anonymous := firstEvent+secondEvent, "data: x1\n\ndata: x2\n\n"
+			if !strings.HasPrefix(whole, an.text) && !strings.HasPrefix(anonymous, an.text) {
 				t.Errorf("joined to the stream: %q", an.text)
 			}
 		})
--- a/faker/link.go
+++ b/faker/link.go
@@ -272,7 +272,8 @@
 	queue := make(chan delayedChunk, linkQueueChunks)
 	var writer sync.WaitGroup
 	writer.Go(func() { lc.write(queue, to) })
-	silent, wasReset := false, false
+	silent := false
+	var end error
 	for {
 		buffer := make([]byte, linkChunkBytes)
 		count, err := from.Read(buffer)
@@ -287,13 +288,13 @@
 			}
 		}
 		if err != nil {
-			wasReset = errors.Is(err, syscall.ECONNRESET)
+			end = err
 			break
 		}
 	}
 	close(queue)
 	writer.Wait()
-	if wasReset && !silent {
+	if errors.Is(end, syscall.ECONNRESET) && !silent {
 		lc.reset()
 		return
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -288,3 +288,57 @@
 		}
 	}
 }
+
+// Guards against an answer that broke off, or has no framing, and that looks whole or framed once it has come through another instance.
+func TestRelayedAnswersKeepTheirEnds(t *testing.T) {
+	broken := errors.New("broken off")
+	tests := map[string]struct {
+		unframed bool
+		end      error
+		// dies is set if the relaying instance dies within the answer.
+		dies bool
+	}{
+		"framed":                             {false, nil, false},
+		"without framing":                    {true, nil, false},
+		"broken off":                         {false, broken, false},
+		"without framing, broken off":        {true, broken, false},
+		"the instance dies":                  {false, nil, true},
+		"without framing, the instance dies": {true, nil, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			head := &wire.RelayResponse{Head: &wire.RelayHead{Status: http.StatusOK, Length: -1, Unframed: tt.unframed}}
+			re := relayer.New(relayer.Options{
+				Peers: func() []relayer.Peer { return []relayer.Peer{{Name: "b", Address: "b"}} },
+				Call: func(context.Context, string, *wire.RelayRequest) (relayer.Stream, error) {
+					ho := &hop{messages: make(chan *wire.RelayResponse, 4)}
+					ho.messages <- head
+					ho.messages <- &wire.RelayResponse{Body: []byte("part")}
+					switch {
+					case tt.dies:
+						ho.err = io.ErrUnexpectedEOF
+					case tt.end != nil:
+						ho.messages <- &wire.RelayResponse{Failure: &wire.RelayFailure{MayHaveRun: true, Reason: tt.end.Error()}}
+					default:
+						ho.messages <- &wire.RelayResponse{Complete: true}
+					}
+					close(ho.messages)
+					return ho, nil
+				},
+				Random: func() float64 { return 0 },
+			})
+			rs, err := re.Send(t.Context(), balancer.Start{Target: "t"}, &forwarder.Request{ID: "r"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rs.Close()
+			text, err := io.ReadAll(rs)
+			if string(text) != "part" || (err == nil) != (tt.end == nil && !tt.dies) {
+				t.Errorf("got %q, %v", text, err)
+			}
+			if rs.Unframed() != tt.unframed {
+				t.Errorf("without framing: %t, want %t", rs.Unframed(), tt.unframed)
+			}
+		})
+	}
+}
--- a/server/callers_test.go
+++ b/server/callers_test.go
@@ -68,23 +68,20 @@
 				return conn
 			}
 			held, first := dial(), dial()
-			answered := make(chan int, 1)
+			answered := make(chan int, 2)
 			go func() { answered <- ask(first, "/first") }()
 			<-runs
 			ctx, cancel := context.WithTimeout(t.Context(), drainTime)
 			defer cancel()
 			drained := make(chan error, 1)
 			go func() { drained <- li.drainCallers(ctx) }()
-			status, ran := 0, true
+			for tt.late && !cr.refusing.Load() {
+				time.Sleep(time.Millisecond)
+			}
 			if tt.late {
-				for !cr.refusing.Load() {
-					time.Sleep(time.Millisecond)
-				}
-				status = ask(held, "/held")
-				ran = len(runs) > 0
-			} else {
-				status = <-answered
+				answered <- ask(held, "/held")
 			}
+			status, ran := <-answered, !tt.late || len(runs) > 0
 			if status != tt.status || ran != tt.runs {
 				t.Errorf("status %d, ran %t", status, ran)
 			}
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -117,13 +117,18 @@
 func (li *listeners) serve() {
 	for at, hs := range li.servers() {
 		go func() {
-			if err := hs.Serve(li.sockets[at]); !errors.Is(err, http.ErrServerClosed) && !(at == 0 && li.requests.refusing.Load()) {
+			if err := hs.Serve(li.sockets[at]); !li.closedInOrder(at, err) {
 				li.failed <- err
 			}
 		}()
 	}
 }
 
+// closedInOrder reports whether a socket whose server has ended with an error was closed by this instance.
+func (li *listeners) closedInOrder(at int, err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || at == 0 && li.requests.refusing.Load()
+}
+
 // closed returns the number of connections that were closed or refused to protect the instance, by reason.
 func (li *listeners) closed() map[listener.Reason]int64 {
 	counts := make(map[listener.Reason]int64)
--- a/soaker/brokenanswer.go
+++ b/soaker/brokenanswer.go
@@ -102,7 +102,7 @@
 	call := emulator.Call{Path: an.path, ID: an.id, Key: an.key, Adapter: adapter, Deadline: requestDeadline, Framed: &an.framed}
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+lateTolerance)
 	defer cancel()
-	text := ""
+	var text string
 	if number%4 == 0 {
 		an.status, text, an.sendErr = call.SendOld(ctx, ca.addresses[an.instance])
 	} else {
