serve logs the steps of its end; the end of a request in a function of its own

What ends a request without an answer stood at the end of a long function. Change: a line when the leases are handed over and one when the callers have ended, and one for each part that takes over a second to end; exchange.fail. No decision changes. Result: go test ./acceptor ./server passes.

--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -141,9 +141,13 @@
 	if ex.ran == 0 {
 		ex.refund()
 	}
-	if rf == nil {
-		return
+	if rf != nil {
+		ex.fail(rf)
 	}
+}
+
+// fail ends a request that no target has answered to its end: with a failure, or within the answer if that has begun.
+func (ex *exchange) fail(rf *refusal) {
 	if ex.r.Context().Err() != nil {
 		ex.outcome.reason = "the caller left"
 		// The caller may have closed its side only and still read: a return would complete the answer, or write an empty one.
--- a/server/drain.go
+++ b/server/drain.go
@@ -8,6 +8,9 @@
 // handOverTimeout limits the handover of leases.
 const handOverTimeout = 5 * time.Second
 
+// slowStep is how long the end of a part may take without a line in the log.
+const slowStep = time.Second
+
 // leaveTimeout limits the notification of peers that this instance leaves.
 const leaveTimeout = time.Second
 
@@ -19,6 +22,7 @@
 	defer cancel()
 	sv.leave(ctx)
 	sv.handOver(ctx)
+	sv.logger.Info("leases handed over", "instance", sv.identity)
 	notice := time.NewTimer(sv.settings.Limits().DrainNotice())
 	defer notice.Stop()
 	sv.schedulers.drain(ctx)
@@ -27,6 +31,7 @@
 	case <-ctx.Done():
 	}
 	err := sv.listeners.drainCallers(ctx)
+	sv.logger.Info("callers drained", "instance", sv.identity, "serving", sv.listeners.requests.serving.Load())
 	sv.drainJobs(ctx)
 	return err
 }
@@ -50,13 +55,24 @@
 
 // shutDown waits for the components, which have been signalled to stop, and closes everything.
 func (sv *Server) shutDown() {
-	sv.listeners.close()
-	sv.schedulers.close()
-	sv.components.Wait()
-	sv.reporter.Close()
-	sv.connector.Close()
-	sv.invoker.Close()
-	sv.store.Close()
-	sv.list.Close()
+	for _, st := range []struct {
+		name string
+		end  func()
+	}{
+		{"listeners", sv.listeners.close},
+		{"schedulers", sv.schedulers.close},
+		{"components", sv.components.Wait},
+		{"metrics", sv.reporter.Close},
+		{"peers", sv.connector.Close},
+		{"targets", sv.invoker.Close},
+		{"store", sv.store.Close},
+		{"list", sv.list.Close},
+	} {
+		began := time.Now()
+		st.end()
+		if took := time.Since(began); took > slowStep {
+			sv.logger.Warn("slow end of a part", "instance", sv.identity, "part", st.name, "took", took)
+		}
+	}
 	sv.logger.Info("instance stopped", "instance", sv.identity)
 }
