--- a/acceptor/framing.go
+++ b/acceptor/framing.go
@@ -27,11 +27,18 @@
 	}
 }
 
-// endAnswer is called when the whole answer has been written.
+// endAnswer is called when the whole answer has been written. What net/http still buffers is sent before the connection may end in
+// the ordinary way.
 func (ex *exchange) endAnswer() {
-	if co := ex.unframedConn(); co != nil {
-		co.EndUnframed()
+	co := ex.unframedConn()
+	if co == nil {
+		return
+	}
+	if err := http.NewResponseController(ex.w).Flush(); err != nil {
+		ex.outcome.recordError(err)
+		return
 	}
+	co.EndUnframed()
 }
 
 // unframedConn returns the caller's connection if only its end marks the end of the answer; nil otherwise.
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -115,9 +115,13 @@
 	return nil
 }
 
-// end is called when the whole answer has been written.
+// end is called when the whole answer has been written. What net/http still buffers is sent before the connection may end in the
+// ordinary way.
 func (an *answer) end() {
-	if an.unframed && an.conn != nil {
+	if !an.unframed || an.conn == nil {
+		return
+	}
+	if err := an.controller.Flush(); err == nil {
 		an.conn.EndUnframed()
 	}
 }
