--- a/emulator/breaking.go
+++ b/emulator/breaking.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -123,7 +124,11 @@
 	chunked bool
 }
 
+// send writes the answer, with the fields that the target states of itself in each.
 func (ra rawAnswer) send(w http.ResponseWriter) {
+	var stated bytes.Buffer
+	// A buffer takes all that is written.
+	_ = w.Header().WriteSubset(&stated, map[string]bool{"Request-Id": true, "Response-Seal": true, "Content-Type": true})
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -136,7 +141,8 @@
 			body += "0\r\n\r\n"
 		}
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: %s\r\n%s\r\n", ra.id, ra.id, ra.kind, framing)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: %s\r\n%s%s\r\n",
+		ra.id, ra.id, ra.kind, stated.String(), framing)
 	if ra.cutHead {
 		head, body = head[:len(head)/2], ""
 	}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -184,6 +184,8 @@
 		"places": {2000, 6 * time.Second, 4, true},
 		// A target named its rate limit with 19 characters, and the instances took it for malformed.
 		"rate-limit-of-many-digits": {701, 12 * time.Second, 4, false},
+		// Broken answers of a target that named a rate limit lacked it, so that the limit lapsed while it was still expected to bind.
+		"broken-answers-amid-a-rate-limit": {3047, 12 * time.Second, 4, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
