--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -406,14 +406,20 @@
 
 // The same over TCP: the bytes that a target has not read when the request ends are discarded by a reset.
 func TestDiscardsUnacknowledgedBytes(t *testing.T) {
-	ended, read := make(chan struct{}), make(chan error, 1)
+	accepted, ended, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
 	st := newScriptedTarget(t, func(_ *scriptedTarget, _ int, _ net.Conn, reader *bufio.Reader) {
+		close(accepted)
 		<-ended
 		_, err := io.Copy(io.Discard, reader)
 		read <- err
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	// The time runs from the opening of the connection, which may take long beside other work.
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	go func() {
+		<-accepted
+		time.AfterFunc(50*time.Millisecond, cancel)
+	}()
 	_, err := forwarder.New(forwarder.Options{}).Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
 		Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20), HasBody: true,
 		ResponseID: func(http.Header) string { return "" },
