review: case 4, a machine cut off from the workers loses requests with a header that is not UTF-8

Cause: sends through another instance carry headers in protobuf strings, which cannot hold other bytes; the call fails and counts as one after which the request may have run.

--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -37,6 +37,8 @@
 	store   *emulator.Store
 	gate    *watchGate
 	address string
+	// views are the addresses of the store for the machines of single zones; the others use address.
+	views   map[string]string
 	entries []*entry
 	record  *record
 	closers []func()
@@ -229,6 +231,10 @@
 		front: net.JoinHostPort(ip, strconv.Itoa(ports[0])), ready: net.JoinHostPort(ip, strconv.Itoa(ports[1])),
 		path: filepath.Join(wo.folder, fmt.Sprintf("node-%d.conf", number)), log: filepath.Join(wo.folder, fmt.Sprintf("node-%d.log", number)),
 	}
+	store := wo.address
+	if view, ok := wo.views[zone]; ok {
+		store = view
+	}
 	settings := fmt.Sprintf(`nodeName=%s
 role=entry
 machineClass=front
@@ -293,7 +299,7 @@
 platform.historyWindowS=20
 platform.valueBytes=1048576
 platform.minTtlMs=1000
-`, en.name, ip, zone, en.front, en.ready, net.JoinHostPort(ip, strconv.Itoa(ports[2])), ports[3], ports[3], memoryMB, wo.address)
+`, en.name, ip, zone, en.front, en.ready, net.JoinHostPort(ip, strconv.Itoa(ports[2])), ports[3], ports[3], memoryMB, store)
 	return en, os.WriteFile(en.path, []byte(settings), 0o600)
 }
 
