review: case 5, prompts of very many short parts exceed an instance's memory

Cause: a part of a prompt takes 4 bytes of the header and about 75 in memory while its request lasts; neither their number is bounded nor their memory reserved.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 		os.Exit(cannotRun)
 	}
 	cases := map[string]func(wo *world, trouble bool) (int, error){
-		"cut-watches": cutWatches, "latin": latin, "long-ids": longIDs, "poison": poison,
+		"cut-watches": cutWatches, "latin": latin, "long-ids": longIDs, "many-parts": manyParts, "poison": poison,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -20,10 +20,14 @@
 	service string
 	zone    string
 	slots   int
-	engine  bool
-	born    int64
+	// queue is how many requests may wait beside those that run.
+	queue  int
+	engine bool
+	born   int64
 	// work is how long an application's request runs.
-	work    time.Duration
+	work time.Duration
+	// stream is how long a stream lasts after its first event.
+	stream  time.Duration
 	world   *world
 	server  *http.Server
 	address string
@@ -98,7 +102,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get("Request-Id")
 	header.Set("Request-Id", id)
-	if int(wk.running.Add(1)) > wk.slots {
+	if int(wk.running.Add(1)) > wk.slots+wk.queue {
 		wk.running.Add(-1)
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -111,6 +115,9 @@
 		header.Set("Weight-Versions", "1")
 		header.Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		if wk.stream > 0 {
+			wk.sendEvents(w, r)
+		}
 		wk.end(at, "whole")
 		return
 	}
@@ -123,6 +130,20 @@
 	}
 }
 
+// sendEvents sends the other events of a stream, at even intervals.
+func (wk *worker) sendEvents(w http.ResponseWriter, r *http.Request) {
+	const events = 14
+	for number := 2; number <= events; number++ {
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(wk.stream / (events - 1)):
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", number)
+	}
+}
+
 func (wk *worker) begin(id string) int {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
