review: case 4, the same with a header of the workers' answers

Cause: the head of an answer travels in protobuf strings too. Change: review/4 can play it (HEADER=answer); the claim names the result.

--- a/review/standin/latin.go
+++ b/review/standin/latin.go
@@ -151,6 +151,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if os.Getenv("HEADER") == "answer" {
+			wk.dealer = strings.TrimPrefix(latinHeader, "X-Dealer: ")
+		}
 		workers = append(workers, wk)
 		if links[wk.id], err = newLink(wk.address); err != nil {
 			return 0, err
@@ -171,7 +174,8 @@
 		return 0, err
 	}
 	header := latinHeader
-	if os.Getenv("HEADER") == "ascii" {
+	// HEADER=ascii sends it in ASCII; HEADER=answer does too, and has the workers send it in ISO 8859-1 in their answers.
+	if os.Getenv("HEADER") != "" {
 		header = asciiHeader
 	}
 	stop := make(chan struct{})
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -20,6 +20,8 @@
 	service string
 	zone    string
 	slots   int
+	// dealer is sent as the header X-Dealer of each answer; empty for none.
+	dealer string
 	// queue is how many requests may wait beside those that run.
 	queue  int
 	engine bool
@@ -111,6 +113,9 @@
 	defer wk.running.Add(-1)
 	at := wk.begin(id)
 	header.Set("Response-Seal", "seal-"+strconv.Itoa(at))
+	if wk.dealer != "" {
+		header.Set("X-Dealer", wk.dealer)
+	}
 	if wk.engine {
 		header.Set("Weight-Versions", "1")
 		header.Set("Content-Type", "text/event-stream")
