--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,12 +42,24 @@
 	mu     sync.Mutex
 	start  int
 	server *http.Server
+	id     string
+	entry  map[string]any
+}
+
+// runningAt is where the request last ran without harm.
+type runningAt struct {
+	worker *poisonedWorker
+	server *http.Server
+	id     string
 }
 
 // poisonState is what the workers of the case share.
 type poisonState struct {
 	mu       sync.Mutex
 	arrivals []time.Time
+	// harmless is true while the workers' software runs the request without a crash.
+	harmless atomic.Bool
+	busy     atomic.Pointer[runningAt]
 	// lostRuns counts the sound orders that were running at a worker that crashed.
 	lostRuns atomic.Int64
 }
@@ -64,10 +77,14 @@
 	var running atomic.Int64
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { pw.serve(w, r, id, server, &running) })
 	go func() { _ = server.Serve(listener) }()
-	return pw.wo.store.Put("servers/"+id, map[string]any{
+	entry := map[string]any{
 		"service": "bodega", "addr": listener.Addr().String(), "zone": "gt-central-" + string(rune('a'+pw.number%3)), "version": "v1",
 		"slots": 6, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
-	})
+	}
+	pw.mu.Lock()
+	pw.id, pw.entry = id, entry
+	pw.mu.Unlock()
+	return pw.wo.store.Put("servers/"+id, entry)
 }
 
 func (pw *poisonedWorker) serve(w http.ResponseWriter, r *http.Request, id string, server *http.Server, running *atomic.Int64) {
@@ -80,7 +97,10 @@
 	body, _ := io.ReadAll(r.Body)
 	header.Set("Request-Id", r.Header.Get("Request-Id"))
 	header.Set("Response-Seal", "seal-"+r.Header.Get("Request-Id"))
-	if string(body) == poisonBody {
+	if string(body) == poisonBody && pw.state.harmless.Load() {
+		pw.wo.record.line("%s runs the request without harm", id)
+		pw.state.busy.Store(&runningAt{worker: pw, server: server, id: id})
+	} else if string(body) == poisonBody {
 		pw.state.mu.Lock()
 		pw.state.arrivals = append(pw.state.arrivals, time.Now())
 		count := len(pw.state.arrivals)
@@ -136,11 +156,13 @@
 // poison plays a rolling restart of the machines while a request that crashes workers comes again and again.
 func poison(wo *world, trouble bool) (int, error) {
 	state := &poisonState{}
+	var workers []*poisonedWorker
 	for number := range poisonWorkers {
 		pw := &poisonedWorker{wo: wo, number: number, state: state}
 		if err := pw.begin(); err != nil {
 			return 0, err
 		}
+		workers = append(workers, pw)
 		wo.closers = append(wo.closers, func() {
 			pw.mu.Lock()
 			defer pw.mu.Unlock()
@@ -159,6 +181,17 @@
 	var background sync.WaitGroup
 	var served, refused, failed atomic.Int64
 	background.Go(func() { sendSound(wo, stop, &served, &refused, &failed) })
+	if os.Getenv("MODE") == "software" {
+		retries, err := newSoftware(wo, state, workers, trouble)
+		close(stop)
+		background.Wait()
+		wo.record.line("%d sound orders were running at workers that crashed", state.lostRuns.Load())
+		wo.record.line("the request reached workers %d times, later than contactMs after its third crash; %d are allowed", retries, mostRetries)
+		if err == nil && retries > mostRetries {
+			return broken, nil
+		}
+		return held, err
+	}
 	attempt := 0
 	come := func(en *entry) {
 		attempt++
@@ -182,7 +215,13 @@
 		}
 	}
 	round()
+	if os.Getenv("MODE") == "minute" {
+		comeTogether(wo, third)
+	}
 	for _, en := range wo.entries {
+		if os.Getenv("MODE") == "minute" {
+			break
+		}
 		if trouble {
 			if err := wo.restart(en); err != nil {
 				return 0, err
@@ -213,6 +252,83 @@
 	return held, nil
 }
 
+// release replaces all workers by ones whose software crashes when it begins to run the request: a new one starts, then the old one drains and ends.
+func release(wo *world, workers []*poisonedWorker) error {
+	for _, pw := range workers {
+		pw.mu.Lock()
+		old, id, entry := pw.server, pw.id, pw.entry
+		pw.mu.Unlock()
+		if err := pw.begin(); err != nil {
+			return err
+		}
+		entry["state"] = "draining"
+		if err := wo.store.Put("servers/"+id, entry); err != nil {
+			return err
+		}
+		go func() {
+			time.Sleep(drainTime + 500*time.Millisecond)
+			wo.store.Remove("servers/" + id)
+			_ = old.Close()
+		}()
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(drainTime + time.Second)
+	return nil
+}
+
+// newSoftware plays a release whose software crashes on a request that ran well before, and during which a worker once crashed by itself.
+func newSoftware(wo *world, state *poisonState, workers []*poisonedWorker, trouble bool) (int, error) {
+	en := wo.entries[0]
+	attempt := 0
+	come := func() {
+		attempt++
+		result := orderWith(en.front, fmt.Sprintf("dddd%012x", attempt), poisonBody)
+		wo.record.line("the request comes at %s: %s", en.name, result)
+		time.Sleep(poisonPause)
+	}
+	state.harmless.Store(true)
+	if trouble {
+		go func() {
+			time.Sleep(poisonWork / 2)
+			at := state.busy.Load()
+			wo.record.line("%s crashes for a reason of its own", at.id)
+			at.worker.crash(at.server, at.id)
+		}()
+	}
+	come()
+	come()
+	time.Sleep(poisonBack + inTouch)
+	if err := release(wo, workers); err != nil {
+		return 0, err
+	}
+	state.harmless.Store(false)
+	wo.record.line("all workers have the new software")
+	for range 3 {
+		come()
+	}
+	time.Sleep(inTouch)
+	for range 10 {
+		come()
+	}
+	return max(len(state.arrivals)-3, 0), nil
+}
+
+// comeTogether has the request come twice at each machine at once, a minute after its third crash. Nothing is restarted.
+func comeTogether(wo *world, third time.Time) {
+	const after, times = 61 * time.Second, 2
+	time.Sleep(time.Until(third.Add(after)))
+	var requests sync.WaitGroup
+	for number, en := range wo.entries {
+		for time := range times {
+			requests.Go(func() {
+				wo.record.line("the request comes at %s: %s", en.name, orderWith(en.front, fmt.Sprintf("cccc%06x%06x", number, time), poisonBody))
+			})
+		}
+	}
+	requests.Wait()
+	time.Sleep(time.Second)
+}
+
 // sendSound sends sound orders to machines that are ready, as the platform does.
 func sendSound(wo *world, stop chan struct{}, served, refused, failed *atomic.Int64) {
 	var orders sync.WaitGroup
