--- a/review/driver/lab.go
+++ b/review/driver/lab.go
@@ -40,7 +40,9 @@
 	store   *emulator.Store
 	storeAt string
 	servers []*http.Server
+	// network is the second byte of the instances' addresses, and claim what holds it.
 	network int
+	claim   net.Listener
 
 	mu        sync.Mutex
 	record    *bufio.Writer
@@ -57,7 +59,9 @@
 	}
 	la := &lab{
 		dir: dir, began: time.Now(), store: emulator.NewStore(), record: bufio.NewWriter(record), runs: make(map[string][]string),
-		network: 100 + os.Getpid()%100,
+	}
+	if err := la.claimNetwork(); err != nil {
+		return nil, err
 	}
 	li, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -68,6 +72,18 @@
 	return la, nil
 }
 
+// claimNetwork takes the first free network of the loopback range: 127.1 to 127.254. A listener marks it as taken, as for the project's own fleets.
+func (la *lab) claimNetwork() error {
+	for number := 1; number <= 254; number++ {
+		claim, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:1025", number))
+		if err == nil {
+			la.network, la.claim = number, claim
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: no loopback network is free", errCannotRun)
+}
+
 func (la *lab) serve(li net.Listener, handler http.Handler) *http.Server {
 	hs := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	la.mu.Lock()
@@ -120,6 +136,7 @@
 		_ = hs.Close()
 	}
 	la.store.Close()
+	_ = la.claim.Close()
 	la.mu.Lock()
 	_ = la.record.Flush()
 	la.mu.Unlock()
