--- a/review/driver/split.go
+++ b/review/driver/split.go
@@ -94,8 +94,8 @@
 // takeLong asks an instance for a stream and, if that breaks off, takes it up at another one.
 func takeLong(la *lab, in, other *instance, number int) (kind string, versions map[string]int) {
 	id, again := fmt.Sprintf("%016x", 0x5c41d07b00000000+number), fmt.Sprintf("%016x", 0x6c41d07b00000000+number)
-	sentAt := time.Since(la.began)
-	versions, last, status, err := readStream(in.front, id, "", 0)
+	began, sentAt := time.Now(), time.Since(la.began)
+	versions, last, status, err := readStream(in.front, id, "", 0, askDeadline)
 	la.mu.Lock()
 	ran := strings.Join(la.runs[id], ",")
 	la.mu.Unlock()
@@ -107,7 +107,7 @@
 		return fmt.Sprintf("none, status %d", status), versions
 	}
 	time.Sleep(100 * time.Millisecond)
-	more, lastMore, statusMore, errMore := readStream(other.front, again, id, last)
+	more, lastMore, statusMore, errMore := readStream(other.front, again, id, last, askDeadline-time.Since(began))
 	first := maps.Clone(versions)
 	for version, count := range more {
 		versions[version] += count
--- a/review/driver/versions.go
+++ b/review/driver/versions.go
@@ -72,9 +72,9 @@
 	return next, wo.la.store.Put("servers/"+wo.id, next.entry("ready"))
 }
 
-// readStream sends a request and returns the versions of its events and whether it came whole.
-func readStream(address, id, resumes string, after int) (versions map[string]int, last int, status int, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), askDeadline)
+// readStream sends a request with the given time left and returns the versions of its events and whether it came whole.
+func readStream(address, id, resumes string, after int, left time.Duration) (versions map[string]int, last int, status int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+askPath+id, strings.NewReader("body of "+id))
 	if err != nil {
@@ -82,7 +82,7 @@
 	}
 	rq.Host = host
 	rq.Header = http.Header{
-		"Request-Id": {id}, "X-Api-Key": {key}, "Deadline-Ms": {strconv.FormatInt(askDeadline.Milliseconds(), 10)}, "Model-Name": {"m0"}, "Token-Counts": {"600,200"},
+		"Request-Id": {id}, "X-Api-Key": {key}, "Deadline-Ms": {strconv.FormatInt(left.Milliseconds(), 10)}, "Model-Name": {"m0"}, "Token-Counts": {"600,200"},
 	}
 	if resumes != "" {
 		rq.Header.Set("Last-Event-Id", strconv.Itoa(after))
@@ -207,7 +207,8 @@
 // events came from each version.
 func takeStream(la *lab, in, other *instance, number int) (kind string, versions map[string]int) {
 	id, again := fmt.Sprintf("%016x", 0x5c41d07b00000000+number), fmt.Sprintf("%016x", 0x6c41d07b00000000+number)
-	versions, last, status, err := readStream(in.front, id, "", 0)
+	began := time.Now()
+	versions, last, status, err := readStream(in.front, id, "", 0, askDeadline)
 	la.mu.Lock()
 	ran := strings.Join(la.runs[id], ",")
 	la.mu.Unlock()
@@ -220,7 +221,7 @@
 	}
 	time.Sleep(time.Duration(reconnect+number*131%reconnectSpread) * time.Millisecond)
 	sentAt := time.Since(la.began)
-	more, lastMore, statusMore, errMore := readStream(other.front, again, id, last)
+	more, lastMore, statusMore, errMore := readStream(other.front, again, id, last, askDeadline-time.Since(began))
 	first := maps.Clone(versions)
 	for version, count := range more {
 		versions[version] += count
