The log says how the origin of a resumed stream was found

Cause: a request that takes a stream up logs the version to which it is bound, not whether this came from memory, from the stream's own entry, from the base origin or from the only origin that serves. Change: resumer.Lookup returns the source, the request line has origin-source. No decision changes. Tests of resumer and acceptor pass.

--- a/acceptor/origin.go
+++ b/acceptor/origin.go
@@ -19,7 +19,8 @@
 	if !ex.resumable() || ex.caller.LastEvent == "" {
 		return nil
 	}
-	og, err := ex.ac.op.Streams.Lookup(ex.ctx, ex.caller.Resumes, ex.route.Key())
+	og, source, err := ex.ac.op.Streams.Lookup(ex.ctx, ex.caller.Resumes, ex.route.Key())
+	ex.outcome.originSource = source
 	if err != nil {
 		ex.outcome.recordError(err)
 		return refusedUnknownOrigin
--- a/acceptor/outcome.go
+++ b/acceptor/outcome.go
@@ -9,6 +9,7 @@
 	"lovagebank/balancer"
 	"lovagebank/permitter"
 	"lovagebank/quarantiner"
+	"lovagebank/resumer"
 	"lovagebank/router"
 	"lovagebank/throttler"
 )
@@ -69,7 +70,9 @@
 	resumes  string
 	// streamSoftware is the version to which the stream is bound; empty if it is to none.
 	streamSoftware string
-	adapter        balancer.Adapter
+	// originSource is how the origin of the stream that the caller resumes was found.
+	originSource resumer.Source
+	adapter      balancer.Adapter
 	// prefix is what was expected and measured of cached parts of the prompt; nil where they do not count.
 	prefix *prefixOutcome
 	// loadTargets holds the IDs of the targets that were asked to load the adapter.
@@ -209,7 +212,7 @@
 		fields = append(fields, "cold", true)
 	}
 	if ou.resumes != "" {
-		fields = append(fields, "resumes", ou.resumes, "stream-software", ou.streamSoftware)
+		fields = append(fields, "resumes", ou.resumes, "stream-software", ou.streamSoftware, "origin-source", ou.originSource)
 	}
 	if br := ou.brittle; br.Brittle {
 		fields = append(fields, "most-rejections", br.Most, "permitted", br.Admitted, "by-holder", br.Asked)
--- a/resumer/base.go
+++ b/resumer/base.go
@@ -93,19 +93,20 @@
 
 // originWithoutEntry returns the origin of a stream without an entry. It is unknown for a time after the store has come back from an older
 // copy, as its entry may be lost. The store is asked, as this instance may not have received the newest base origin.
-func (re *Resumer) originWithoutEntry(ctx context.Context, route string) (Origin, error) {
+func (re *Resumer) originWithoutEntry(ctx context.Context, route string) (Origin, Source, error) {
 	it, err := re.op.Get(ctx, basePrefix+route)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		return Origin{}, ErrUnknown
+		return Origin{}, FromBase, ErrUnknown
 	case err != nil:
-		return re.sole(route)
+		og, err := re.sole(route)
+		return og, FromSole, err
 	}
 	var entry wire.BaseOrigin
 	if err := proto.Unmarshal(it.Value, &entry); err != nil || entry.GetEra() != re.op.Era() {
-		return Origin{}, errors.Join(ErrUnknown, err)
+		return Origin{}, FromBase, errors.Join(ErrUnknown, err)
 	}
-	return Origin{Service: entry.GetService(), Software: entry.GetSoftware()}, nil
+	return Origin{Service: entry.GetService(), Software: entry.GetSoftware()}, FromBase, nil
 }
 
 // sole returns the origin of a stream about which the store cannot be asked: it is known only where there was no other one for longer
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -46,6 +46,19 @@
 	Software string
 }
 
+// Source is how the origin of a stream was found, for logs.
+type Source string
+
+const (
+	// FromMemory means that this instance has seen the stream, and FromEntry that the store has an entry of it.
+	FromMemory Source = "memory"
+	FromEntry  Source = "entry"
+	// FromBase means that the stream has no entry and the store has a base origin for it.
+	FromBase Source = "base"
+	// FromSole means that no other origin has served for longer than streams last.
+	FromSole Source = "only-origin"
+)
+
 // Options configures a Resumer.
 type Options struct {
 	// Get reads a key of the store, and List all keys below a prefix. Transact executes a transaction.
@@ -174,25 +187,28 @@
 	re.streams[id] = knownStream{origin: og, at: time.Now()}
 }
 
-// Lookup returns where a stream of the route with the given key began whose first event the request with the given ID brought. It returns
-// ErrUnknown rather than a guess.
-func (re *Resumer) Lookup(ctx context.Context, id, route string) (Origin, error) {
+// Lookup returns where a stream of the route with the given key began whose first event the request with the given ID brought, and how it
+// was found. It returns ErrUnknown rather than a guess.
+func (re *Resumer) Lookup(ctx context.Context, id, route string) (Origin, Source, error) {
 	if og, ok := re.known(id); ok {
-		return og, nil
+		return og, FromMemory, nil
 	}
 	if id == "" {
-		return re.sole(route)
+		og, err := re.sole(route)
+		return og, FromSole, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	it, err := re.op.Get(ctx, platform.StreamPrefix+id)
 	switch {
 	case err == nil:
-		return re.decode(id, it)
+		og, err := re.decode(id, it)
+		return og, FromEntry, err
 	case errors.Is(err, platform.ErrNotFound):
 		return re.originWithoutEntry(ctx, route)
 	default:
-		return re.sole(route)
+		og, err := re.sole(route)
+		return og, FromSole, err
 	}
 }
 
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -345,7 +345,7 @@
 				defer fl.close()
 				fl.wait(5 * time.Second)
 				tt.play(fl)
-				og, err := fl.members[0].resumer.Lookup(t.Context(), tt.id, route)
+				og, _, err := fl.members[0].resumer.Lookup(t.Context(), tt.id, route)
 				if tt.software == "" {
 					if !errors.Is(err, resumer.ErrUnknown) {
 						t.Errorf("found %+v, want none", og)
@@ -372,7 +372,7 @@
 			fl.begin(1, fmt.Sprint("x", number), "v2")
 		}
 		expect := func(id, want string) {
-			og, err := fl.members[0].resumer.Lookup(t.Context(), id, route)
+			og, _, err := fl.members[0].resumer.Lookup(t.Context(), id, route)
 			if err != nil || og.Software != want {
 				t.Errorf("stream %s: found %+v, %v, want %s", id, og, err, want)
 			}
@@ -472,7 +472,7 @@
 						continue
 					}
 					asked++
-					og, err := fl.members[fl.random.IntN(3)].resumer.Lookup(t.Context(), earlier, route)
+					og, _, err := fl.members[fl.random.IntN(3)].resumer.Lookup(t.Context(), earlier, route)
 					if err != nil {
 						continue
 					}
