--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -203,6 +203,7 @@
 		return refusedNoRoute
 	}
 	ex.configuration, ex.route, ex.outcome.route, ex.outcome.version = cf, rt, rt, cf.Version()
+	ex.place = resumer.NewPlace(router.CanonicalHost(ex.r.Host), path)
 	if rf := ex.authenticate(cf); rf != nil {
 		return rf
 	}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -12,6 +12,7 @@
 	"lovagebank/estimator"
 	"lovagebank/platform"
 	"lovagebank/quarantiner"
+	"lovagebank/resumer"
 	"lovagebank/router"
 )
 
@@ -31,8 +32,10 @@
 	// configuration is the configuration that was in force on arrival.
 	configuration *router.Configuration
 	route         *router.Route
-	organisation  *router.Organisation
-	service       *router.Service
+	// place is the request's host and path, by which the origin of its stream is found.
+	place        resumer.Place
+	organisation *router.Organisation
+	service      *router.Service
 	// regions are the regions that the request may reach; nil for no restriction.
 	regions  []string
 	deadline time.Time
--- a/acceptor/origin.go
+++ b/acceptor/origin.go
@@ -19,7 +19,7 @@
 	if !ex.resumable() || ex.caller.LastEvent == "" {
 		return nil
 	}
-	og, source, err := ex.ac.op.Streams.Lookup(ex.ctx, ex.caller.Resumes, ex.route.Key())
+	og, source, err := ex.ac.op.Streams.Lookup(ex.ctx, ex.caller.Resumes, ex.place)
 	ex.outcome.originSource = source
 	if err != nil {
 		ex.outcome.recordError(err)
@@ -43,13 +43,16 @@
 }
 
 // beginStream makes sure that a stream's origin will be found when its caller takes it up again, before its first event is
-// passed on.
+// passed on. A stream that may not be taken up does not wait for that: the operators may make its route resumable while it lasts.
 func (ex *exchange) beginStream(ta *balancer.Target, rs *forwarder.Response) error {
-	if ex.pinned && ex.caller.LastEvent != "" || ex.headSent || !ex.resumable() {
+	if ex.pinned && ex.caller.LastEvent != "" || ex.headSent {
 		return nil
 	}
 	og := resumer.Origin{Service: ta.Service(), Software: ta.Software()}
-	rc := ex.ac.op.Streams.Begin(ex.caller.ID, ex.route.Key(), og)
+	rc := ex.ac.op.Streams.Begin(ex.caller.ID, ex.place, og)
+	if !ex.resumable() {
+		return nil
+	}
 	ex.pin(og.Software)
 	if err := rc.Wait(ex.ctx); err != nil {
 		rs.Abort()
@@ -61,12 +64,20 @@
 // errStreamNotRecorded means that a stream was ended before its first event, as it could not have been taken up again.
 var errStreamNotRecorded = errors.New("the stream was not passed on")
 
+// preferredOrigin returns the origin at which a new stream should rather begin, if there is one.
+func (ex *exchange) preferredOrigin() (resumer.Origin, bool) {
+	if ex.pinned || !ex.resumable() {
+		return resumer.Origin{}, false
+	}
+	return ex.ac.op.Streams.Preferred(ex.place)
+}
+
 // choose picks a target for the request. While the store does not answer, a new stream rather begins at a version that needs no
 // entry there.
 func (ex *exchange) choose() (*balancer.Choice, bool) {
 	ex.outcome.isolated = ex.isolation()
 	ne := ex.requirements()
-	if og, ok := ex.ac.op.Streams.Preferred(ex.route.Key()); ok && og.Service == ne.Service && !ex.pinned && ex.resumable() {
+	if og, ok := ex.preferredOrigin(); ok && og.Service == ne.Service {
 		preferred := ne
 		preferred.SameSoftware, preferred.Software = true, og.Software
 		if ch, ok := ex.ac.op.Balancer.Choose(preferred); ok {
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -277,8 +277,9 @@
 // Runs returns the requests that the targets have run.
 func (fl *Fleet) Runs() []Run { return fl.runLog.Runs() }
 
-// Configure writes a version of the operator's configuration in which only the given API key is valid.
-func (fl *Fleet) Configure(version int, key string) error {
+// Configure writes a version of the operator's configuration in which only the given API key is valid. It has further routes with resumable
+// streams at the given prefixes.
+func (fl *Fleet) Configure(version int, key string, prefixes ...string) error {
 	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "prefix": prefix, "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 800,
@@ -297,15 +298,19 @@
 	if fl.op.Places {
 		local["allowedRegions"], cold = []string{LocalRegion}, coldTime.Seconds()
 	}
+	routes := make([]any, 0, len(prefixes))
+	for number, prefix := range prefixes {
+		routes = append(routes, route(fmt.Sprint("ask-", number), prefix, "stream", "engines", true))
+	}
+	routes = append(routes,
+		route("ask", "/ask/", "stream", "engines", true),
+		route("tell", "/tell/", "stream", "engines", false),
+		route("order", "/order/", "unsafe", "applications", false),
+		route("check", "/check/", "safe", "applications", false),
+		local,
+	)
 	return fl.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("ask", "/ask/", "stream", "engines", true),
-			route("tell", "/tell/", "stream", "engines", false),
-			route("order", "/order/", "unsafe", "applications", false),
-			route("check", "/check/", "safe", "applications", false),
-			local,
-		},
+		"version": version, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "applications", "healthPath": health, "maxConns": 100, "coldS": cold, "coldPerS": coldRate},
 			map[string]any{"name": "engines", "healthPath": health, "maxConns": 100, "coldS": cold, "coldPerS": coldRate, "engine": map[string]any{
--- a/emulator/software_test.go
+++ b/emulator/software_test.go
@@ -31,13 +31,18 @@
 
 // streamOf reads one stream and takes it up again where it breaks off, each time at another instance.
 func (us *user) streamOf(number int, adapter string) stream {
+	return us.streamAt("/ask/1", number, adapter)
+}
+
+// streamAt does the same at a path.
+func (us *user) streamAt(path string, number int, adapter string) stream {
 	first := fmt.Sprintf("v%d", number)
 	var st stream
 	id, began := first, time.Now()
 	for try := 0; ; try++ {
 		last, whole := emulator.LastEvent(st.text)
 		st.text = whole
-		call := emulator.Call{Path: "/ask/1", ID: id, Key: emulator.Key, Adapter: adapter, Deadline: takeUpTime, LastEvent: last, Resumes: first}
+		call := emulator.Call{Path: path, ID: id, Key: emulator.Key, Adapter: adapter, Deadline: takeUpTime, LastEvent: last, Resumes: first}
 		status, text, err := call.Send(us.t.Context(), http.DefaultClient, us.entries[(number+try)%len(us.entries)].Address())
 		if err != nil || status == http.StatusOK {
 			st.text += text
@@ -123,14 +128,49 @@
 				}
 			}
 			tasks.Wait()
-			checkStreams(t, streams, tt.gone)
+			checkStreams(t, streams, tt.gone, longStream)
 			us.showLog("resumes=", "software")
 		})
 	}
 }
 
+// Guards against the incident ORDER of review/1: the operator adds a route with a longer prefix while streams are open and most targets have
+// another version than the one that began them, an instance is lost, and the streams that this broke off go on at the other version.
+func TestStreamsOutliveRoutes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const (
+		streams = 40
+		// events is the number of events of a stream, which lasts for almost its route's timeout, and routeTime how long the new route is there
+		// before an instance is lost.
+		events    = 320
+		routeTime = 4 * time.Second
+	)
+	fl, us := newFleetWith(t, emulator.Options{Engines: 5, Software: []string{"v1", "v2"}, StreamEvents: events}, 3)
+	time.Sleep(routeTime)
+	// Two of the three targets with v1 leave.
+	fl.RemoveTarget("engine-0")
+	fl.RemoveTarget("engine-2")
+	time.Sleep(time.Second)
+	var tasks sync.WaitGroup
+	taken := make([]stream, streams)
+	for number := range streams {
+		tasks.Go(func() { taken[number] = us.streamAt("/ask/long/1", number, fmt.Sprint("a", number%3)) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := fl.Configure(2, emulator.Key, "/ask/long/"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(routeTime)
+	restartAll(t, us.entries[:1])
+	tasks.Wait()
+	checkStreams(t, taken, "", events)
+	us.showLog("resumes=", "software", "base origin")
+}
+
 // checkStreams fails the test if streams hold events of several versions, or too few of those go on whose version still serves.
-func checkStreams(t *testing.T, streams []stream, gone string) {
+func checkStreams(t *testing.T, streams []stream, gone string, events int) {
 	t.Helper()
 	joined, takenUp, wentOn := 0, 0, 0
 	for _, st := range streams {
@@ -138,7 +178,7 @@
 		if len(versions) > 1 {
 			joined++
 		}
-		if st.whole && strings.Count(plain, "id: ") != longStream {
+		if st.whole && strings.Count(plain, "id: ") != events {
 			t.Errorf("a stream that ended well has %d events", strings.Count(plain, "id: "))
 		}
 		if st.takeUps == 0 || slices.Contains(versions, gone) {
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -2,10 +2,11 @@
 // stream may go on only at the version that began it. Its caller may take it up again at any instance, also after all instances have
 // been lost, so the knowledge lies in the store.
 //
-// A route has a base origin, which all instances agree on. A stream that begins elsewhere gets an entry in the store before its first
-// event is passed on; a stream without an entry began at the base origin of its route, whatever services the route has by then. So streams
-// cost no call to the store while one version serves. The base origin changes only after it has served no stream for longer than one may be
-// taken up again.
+// All instances agree on base origins, one for the prefix of each route. A stream that begins elsewhere gets an entry in the store before its
+// first event is passed on; a stream without an entry began at the base origin of the longest prefix that covers its host and path. So streams
+// cost no call to the store while one version serves. The base origin of a place does not depend on the routes that there are, and it changes
+// only after it has served no stream there for longer than one may be taken up again: a new prefix takes over that of the prefix around it, and
+// that of a route that was removed stays.
 package resumer
 
 import (
@@ -50,9 +51,10 @@
 type Source string
 
 const (
-	// FromMemory means that this instance has seen the stream, and FromEntry that the store has an entry of it.
+	// FromMemory means that this instance has seen the stream.
 	FromMemory Source = "memory"
-	FromEntry  Source = "entry"
+	// FromEntry means that the store has an entry of the stream.
+	FromEntry Source = "entry"
 	// FromBase means that the stream has no entry and the store has a base origin for it.
 	FromBase Source = "base"
 	// FromSole means that no other origin has served for longer than streams last.
@@ -67,13 +69,16 @@
 	Transact func(context.Context, platform.Transaction) (int64, error)
 	// Era returns the newest known era of the store.
 	Era func() int64
-	// Routes returns the routes with resumable streams.
+	// Routes returns the routes with streams.
 	Routes func() []Route
-	// UpToDate reports whether the copies of the store's keys are complete and current.
+	// UpToDate reports whether the copies of the store's keys are complete and current. Nil means that they are.
 	UpToDate func() bool
 	// InStep reports whether this instance knows all targets that other instances know: it hears from all of them, and none has a newer copy
 	// of the store's keys. Nil means that it does.
 	InStep func() bool
+	// Current reports whether the copies of the store's keys are kept up to date, so that what another instance has written arrives soon. Nil
+	// means that they are.
+	Current func() bool
 	// StoreFailed reports whether calls to the store failed within the given time.
 	StoreFailed func(time.Duration) bool
 	// Random returns a number in [0, 1).
@@ -90,19 +95,22 @@
 
 	mu        sync.Mutex
 	startedAt time.Time
-	// longest is the longest timeout that a route with resumable streams has had.
+	// currentAt is when the copies of the store's keys were last known to be current.
+	currentAt time.Time
+	// longest is the longest timeout that a route with streams has had.
 	longest time.Duration
 	streams map[string]knownStream
-	// bases holds what is known of base origins, by the key of the route. basesDueAt is when this instance writes those that are to
+	// bases holds what is known of base origins, by the key of the prefix. basesDueAt is when this instance writes those that are to
 	// change; zero if none are.
 	bases      map[string]*baseOrigin
 	basesDueAt time.Time
 	// pending are the entries that are to be written, and written those that are to be deleted later, oldest first.
 	pending []*Record
 	written []writtenEntry
-	// era is the store's era as last seen, and eraSince when this instance first saw it.
-	era      int64
-	eraSince time.Time
+	// era is the store's era as last seen, and eraSince when this instance first saw it. eraChanged is true once it has seen an earlier one.
+	era        int64
+	eraSince   time.Time
+	eraChanged bool
 }
 
 // knownStream is the origin of a stream that this instance has seen.
@@ -119,8 +127,10 @@
 
 // New returns a Resumer; Run does its work.
 func New(op Options) *Resumer {
-	if op.InStep == nil {
-		op.InStep = func() bool { return true }
+	for _, report := range []*func() bool{&op.UpToDate, &op.InStep, &op.Current} {
+		if *report == nil {
+			*report = func() bool { return true }
+		}
 	}
 	return &Resumer{
 		op: op, wake: make(chan struct{}, 1), done: make(chan struct{}), startedAt: time.Now(), eraSince: time.Now(),
@@ -147,14 +157,14 @@
 	}
 }
 
-// Begin records where a stream of the route with the given key begins. Its first event may be passed on once Wait has returned without an
-// error. The stream gets an entry in the store unless it begins at the route's base origin.
-func (re *Resumer) Begin(id, route string, og Origin) *Record {
+// Begin records where a stream at a place begins. Its first event may be passed on once Wait has returned without an error. The stream
+// gets an entry in the store unless it begins at the base origin.
+func (re *Resumer) Begin(id string, pl Place, og Origin) *Record {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	re.remember(id, og)
 	rc := &Record{id: id, origin: og, confirmed: make(chan struct{}), until: time.Now().Add(recordTimeout)}
-	if re.isBase(route, og) {
+	if re.isBase(pl, og) {
 		close(rc.confirmed)
 		return rc
 	}
@@ -187,14 +197,14 @@
 	re.streams[id] = knownStream{origin: og, at: time.Now()}
 }
 
-// Lookup returns where a stream of the route with the given key began whose first event the request with the given ID brought, and how it
-// was found. It returns ErrUnknown rather than a guess.
-func (re *Resumer) Lookup(ctx context.Context, id, route string) (Origin, Source, error) {
+// Lookup returns where a stream at a place began whose first event the request with the given ID brought, and how it was found. It returns
+// ErrUnknown rather than a guess.
+func (re *Resumer) Lookup(ctx context.Context, id string, pl Place) (Origin, Source, error) {
 	if og, ok := re.known(id); ok {
 		return og, FromMemory, nil
 	}
 	if id == "" {
-		og, err := re.sole(route)
+		og, err := re.sole(pl)
 		return og, FromSole, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
@@ -205,9 +215,9 @@
 		og, err := re.decode(id, it)
 		return og, FromEntry, err
 	case errors.Is(err, platform.ErrNotFound):
-		return re.originWithoutEntry(ctx, route)
+		return re.originWithoutEntry(ctx, pl)
 	default:
-		og, err := re.sole(route)
+		og, err := re.sole(pl)
 		return og, FromSole, err
 	}
 }
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -111,22 +111,32 @@
 	copied map[string]int64
 }
 
-// route is the key of the only route.
-const route = "r"
+// prefix is that of the first route, and requestPath a path of a request that it serves.
+const (
+	host        = "h.example"
+	prefix      = "/r/"
+	requestPath = "/r/1"
+)
 
 // fleet is a number of instances before targets of several versions, at one service or several.
 type fleet struct {
 	store   *fakeStore
 	members []*member
-	// software is the number of targets of each service of the route, by version, and timeout the route's timeout.
-	software map[string]map[string]int
+	// software is the number of targets of each service of the first route, by version, and timeout the route's timeout.
+	software software
 	timeout  time.Duration
-	random   *rand.Rand
+	// without is true while the first route is removed, and more holds other routes, by prefix.
+	without bool
+	more    map[string]software
+	random  *rand.Rand
 }
 
-func newFleet(seed uint64, members int, software map[string]int) *fleet {
+// software is the number of targets of a route, by service and version.
+type software map[string]map[string]int
+
+func newFleet(seed uint64, members int, versions map[string]int) *fleet {
 	fl := &fleet{
-		store: newFakeStore(), software: map[string]map[string]int{"s": software}, random: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // a seed must reproduce its run
+		store: newFakeStore(), software: software{"s": versions}, random: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // a seed must reproduce its run
 	}
 	for range members {
 		fl.members = append(fl.members, &member{})
@@ -154,13 +164,7 @@
 		Routes: func() []resumer.Route {
 			fl.store.mu.Lock()
 			defer fl.store.mu.Unlock()
-			targets := make(map[resumer.Origin]int)
-			for service, software := range fl.software {
-				for version, count := range software {
-					targets[resumer.Origin{Service: service, Software: version}] = count
-				}
-			}
-			return []resumer.Route{{Key: route, Name: route, Timeout: fl.timeout, Targets: targets}}
+			return fl.routes()
 		},
 		UpToDate: func() bool {
 			fl.store.mu.Lock()
@@ -180,6 +184,30 @@
 	go me.resumer.Run(ctx)
 }
 
+// routes returns the routes; the lock of the store is held.
+func (fl *fleet) routes() []resumer.Route {
+	var routes []resumer.Route
+	if !fl.without {
+		routes = append(routes, fl.route(prefix, fl.software))
+	}
+	for path, more := range fl.more {
+		routes = append(routes, fl.route(path, more))
+	}
+	return routes
+}
+
+func (fl *fleet) route(path string, sw software) resumer.Route {
+	targets := make(map[resumer.Origin]int)
+	for service, software := range sw {
+		for version, count := range software {
+			targets[resumer.Origin{Service: service, Software: version}] = count
+		}
+	}
+	return resumer.Route{
+		Prefix: resumer.NewPlace(host, path), Name: path, Timeout: fl.timeout, Targets: targets,
+	}
+}
+
 // copy tells an instance of the keys that have changed.
 func (fl *fleet) copy(me *member) {
 	for _, it := range fl.changedItems(me) {
@@ -242,7 +270,7 @@
 }
 
 func (fl *fleet) beginAt(at int, id string, og resumer.Origin) bool {
-	return fl.members[at].resumer.Begin(id, route, og).Wait(context.Background()) == nil
+	return fl.members[at].resumer.Begin(id, resumer.NewPlace(host, requestPath), og).Wait(context.Background()) == nil
 }
 
 // Guards against the incident ORDER: a stream that is taken up again is sent to a version of the software that did not begin it, or to
@@ -345,7 +373,7 @@
 				defer fl.close()
 				fl.wait(5 * time.Second)
 				tt.play(fl)
-				og, _, err := fl.members[0].resumer.Lookup(t.Context(), tt.id, route)
+				og, _, err := fl.members[0].resumer.Lookup(t.Context(), tt.id, resumer.NewPlace(host, requestPath))
 				if tt.software == "" {
 					if !errors.Is(err, resumer.ErrUnknown) {
 						t.Errorf("found %+v, want none", og)
@@ -372,7 +400,7 @@
 			fl.begin(1, fmt.Sprint("x", number), "v2")
 		}
 		expect := func(id, want string) {
-			og, _, err := fl.members[0].resumer.Lookup(t.Context(), id, route)
+			og, _, err := fl.members[0].resumer.Lookup(t.Context(), id, resumer.NewPlace(host, requestPath))
 			if err != nil || og.Software != want {
 				t.Errorf("stream %s: found %+v, %v, want %s", id, og, err, want)
 			}
@@ -400,7 +428,7 @@
 		if !fl.begin(0, "y", "v1") {
 			t.Error("a stream at the base version did not begin")
 		}
-		if og, ok := fl.members[0].resumer.Preferred(route); !ok || og.Software != "v1" {
+		if og, ok := fl.members[0].resumer.Preferred(resumer.NewPlace(host, requestPath)); !ok || og.Software != "v1" {
 			t.Errorf("prefers %+v", og)
 		}
 	})
@@ -472,7 +500,7 @@
 						continue
 					}
 					asked++
-					og, _, err := fl.members[fl.random.IntN(3)].resumer.Lookup(t.Context(), earlier, route)
+					og, _, err := fl.members[fl.random.IntN(3)].resumer.Lookup(t.Context(), earlier, resumer.NewPlace(host, requestPath))
 					if err != nil {
 						continue
 					}
--- a/router/configuration.go
+++ b/router/configuration.go
@@ -61,8 +61,7 @@
 		problems:      op.Problems,
 	}
 	for _, rt := range op.Routes {
-		host := strings.ToLower(rt.op.Host)
-		cf.hosts[host] = append(cf.hosts[host], rt)
+		cf.hosts[rt.Host()] = append(cf.hosts[rt.Host()], rt)
 	}
 	for _, routes := range cf.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].op.Prefix) > len(routes[j].op.Prefix) })
@@ -127,10 +126,7 @@
 // Match returns the route for a host and path, and whether there is one. The host may include a port, which is ignored,
 // and is compared without regard to case. Of several matching routes, the one with the longest prefix wins.
 func (cf *Configuration) Match(host, path string) (*Route, bool) {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
-		host = host[:at]
-	}
-	for _, rt := range cf.hosts[strings.ToLower(host)] {
+	for _, rt := range cf.hosts[CanonicalHost(host)] {
 		if strings.HasPrefix(path, rt.op.Prefix) {
 			return rt, true
 		}
@@ -138,6 +134,14 @@
 	return nil, false
 }
 
+// CanonicalHost returns a request's host as routes name it: without its port and in lower case.
+func CanonicalHost(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
 // Authenticate returns the organisation that a key belongs to and whether there is one.
 func (cf *Configuration) Authenticate(key string) (*Organisation, bool) {
 	og, ok := cf.byKey[key]
--- a/router/route.go
+++ b/router/route.go
@@ -1,10 +1,8 @@
 package router
 
 import (
-	"fmt"
+	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Kind classifies a route's requests, and thereby whether they may be repeated.
@@ -70,13 +68,12 @@
 // Route is a host and path prefix with the options for its requests.
 type Route struct {
 	op    RouteOptions
-	key   string
 	total float64
 }
 
 // NewRoute returns a route. Fewer than one attempt counts as one.
 func NewRoute(op RouteOptions) *Route {
-	rt := &Route{op: op, key: fmt.Sprintf("%016x", xxhash.Sum64String(op.Host+"\x00"+op.Prefix))}
+	rt := &Route{op: op}
 	for _, sh := range op.Shares {
 		rt.total += sh.Weight
 	}
@@ -89,8 +86,11 @@
 // Name returns the operators' name of the route.
 func (rt *Route) Name() string { return rt.op.Name }
 
-// Key identifies the route, whatever its other options are: host and prefix, as 16 hexadecimal digits.
-func (rt *Route) Key() string { return rt.key }
+// Host returns the route's host, in lower case.
+func (rt *Route) Host() string { return strings.ToLower(rt.op.Host) }
+
+// Prefix returns the prefix of the paths that the route covers.
+func (rt *Route) Prefix() string { return rt.op.Prefix }
 
 // Kind returns the kind of the route's requests.
 func (rt *Route) Kind() Kind { return rt.op.Kind }
--- a/supervisor/streams.go
+++ b/supervisor/streams.go
@@ -26,6 +26,7 @@
 		Routes:      su.streamRoutes,
 		UpToDate:    func() bool { return su.ownWatcher.Listed() && su.targetWatcher.Listed() },
 		InStep:      su.inStep,
+		Current:     su.current,
 		StoreFailed: su.storeFailures.FailedWithin,
 		Random:      rand.Float64,
 		Logger:      su.logger,
@@ -36,21 +37,34 @@
 const inStepMargin = 400 * time.Millisecond
 
 // inStep reports whether this instance has recently received updates from all instances that the store lists, and none
-// of them has a newer copy of the targets.
+// of them has a newer copy of the targets or of the operator's keys.
 func (su *Supervisor) inStep() bool {
 	own := su.revisions()
 	for _, in := range su.keeper.Instances() {
 		if !in.Present {
 			continue
 		}
-		if su.exchanger.SilentFor(in.Name) > 2*su.exchanger.Interval()+inStepMargin || su.peerRevisions.of(in.Name).targets > own.targets {
+		if su.exchanger.SilentFor(in.Name) > 2*su.exchanger.Interval()+inStepMargin {
 			return false
 		}
+		if peer := su.peerRevisions.of(in.Name); peer.targets > own.targets || peer.operator > own.operator {
+			return false
+		}
+	}
+	return true
+}
+
+// current reports whether the store or a reader keeps this instance's copies of the store's keys up to date, or no other instance has newer ones.
+func (su *Supervisor) current() bool {
+	for index, wa := range su.watchers() {
+		if !wa.Current() && !su.follower.Follows(index) {
+			return su.inStep()
+		}
 	}
 	return true
 }
 
-// streamRoutes returns the routes with resumable streams.
+// streamRoutes returns the routes with streams.
 func (su *Supervisor) streamRoutes() []resumer.Route {
 	cf := su.configuration.Load()
 	if cf == nil {
@@ -58,8 +72,11 @@
 	}
 	var routes []resumer.Route
 	for _, rt := range cf.Routes() {
-		if rt.Kind() == router.Stream && rt.Resumable() {
-			routes = append(routes, resumer.Route{Key: rt.Key(), Name: rt.Name(), Timeout: rt.Timeout(), Targets: su.streamTargets(rt)})
+		if rt.Kind() == router.Stream {
+			routes = append(routes, resumer.Route{
+				Prefix: resumer.NewPlace(rt.Host(), rt.Prefix()), Name: rt.Name(), Timeout: rt.Timeout(),
+				Targets: su.streamTargets(rt),
+			})
 		}
 	}
 	return routes
