--- a/exchanger/mirror.go
+++ b/exchanger/mirror.go
@@ -88,6 +88,12 @@
 			Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetDeleted(),
 		})
 	}
+	for _, dr := range cp.GetDeferred() {
+		ch.Deferred = append(ch.Deferred, watcher.DeferredRemoval{
+			Item: platform.Item{Key: dr.GetKey(), Revision: dr.GetRevision(), Deleted: true},
+			Left: time.Duration(dr.GetLeftMs()) * time.Millisecond,
+		})
+	}
 	return ch
 }
 
@@ -96,5 +102,8 @@
 	for _, it := range ch.Items {
 		cp.Items = append(cp.Items, &wire.MirrorItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
 	}
+	for _, dr := range ch.Deferred {
+		cp.Deferred = append(cp.Deferred, &wire.DeferredRemoval{Key: dr.Item.Key, Revision: dr.Item.Revision, LeftMs: dr.Left.Milliseconds()})
+	}
 	return cp
 }
--- a/supervisor/departures.go
+++ b/supervisor/departures.go
@@ -83,14 +83,14 @@
 	rd.removed[ts] = max(rd.removed[ts], revision)
 }
 
-// reached returns the starts of targets whose removal the copy of the store's keys has reached with the given revision,
-// and forgets them.
-func (rd *reportedDepartures) reached(revision int64) []balancer.Start {
+// reached returns the starts of targets whose removal the copy of the store's keys has reached with the given revision, and
+// forgets them, except those for which the copy still defers the removal.
+func (rd *reportedDepartures) reached(revision int64, deferred func(target string) bool) []balancer.Start {
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
 	var reached []balancer.Start
 	for ts, removed := range rd.removed {
-		if removed <= revision {
+		if removed <= revision && !deferred(ts.Target) {
 			reached = append(reached, ts)
 			delete(rd.removed, ts)
 		}
@@ -113,9 +113,10 @@
 }
 
 // settleDepartures goes by this instance's own copy of the store's keys again, for the targets whose reported removal
-// it has reached.
+// it has reached. A copy that defers the removal has received it as well.
 func (su *Supervisor) settleDepartures() {
-	for _, ts := range su.reportedDepartures.reached(su.targetWatcher.Revision()) {
+	deferred := func(target string) bool { return su.targetWatcher.DefersRemoval(platform.TargetKey(target)) }
+	for _, ts := range su.reportedDepartures.reached(su.targetWatcher.Revision(), deferred) {
 		su.balancer.SetAbsent(ts, false)
 	}
 }
--- a/supervisor/leaving_test.go
+++ b/supervisor/leaving_test.go
@@ -200,3 +200,29 @@
 		}
 	})
 }
+
+// Guards against the incident DRAIN of review/4: a target whose departure peers have reported gets requests again, as this instance's copy has passed
+// the removal and still defers it.
+func TestReportedDepartureLastsWhileRemovalIsDeferred(t *testing.T) {
+	playVirtually(t, 2, emulator.Options{}, func(vf *virtualFleet) {
+		vi := vf.instances[0]
+		ta, ok := vi.balancer.Target(leavingTarget)
+		if !ok {
+			t.Fatal("the target is not listed")
+		}
+		vi.storeFailures.RecordFailureAt(time.Now())
+		vi.targetDeparted(&wire.Departure{
+			Target: leavingTarget, StartedMs: ta.Started().UnixMilli(), Revision: vi.targetWatcher.Revision() + 1,
+		})
+		vf.fleet.Deregister(leavingTarget)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if vi.balancer.Available(ta) {
+				t.Fatal("it gets requests although it has left")
+			}
+		}
+		if _, ok := vi.balancer.Target(leavingTarget); ok {
+			t.Error("it is still listed")
+		}
+	})
+}
--- a/watcher/history.go
+++ b/watcher/history.go
@@ -1,6 +1,10 @@
 package watcher
 
-import "lovagebank/platform"
+import (
+	"time"
+
+	"lovagebank/platform"
+)
 
 // maxRemoved is the maximum number of removed keys in a history.
 const maxRemoved = 1024
@@ -13,8 +17,17 @@
 	Whole bool
 	// Cursor identifies this state of the copy. It counts up from 1 and is valid only in the process that issued it.
 	Cursor uint64
-	// Revision is the store revision up to which the copy was complete.
+	// Revision is the store revision up to which the copy was complete, but for the deferred removals.
 	Revision int64
+	// Deferred holds all removals up to the revision that the copy defers. Their keys are still among its items.
+	Deferred []DeferredRemoval
+}
+
+// DeferredRemoval is a removal of a key that a copy defers.
+type DeferredRemoval struct {
+	Item platform.Item
+	// Left is how much longer it is deferred.
+	Left time.Duration
 }
 
 // history numbers the changes of a copy in the order in which they were applied. That order differs from the order of the
@@ -50,6 +63,16 @@
 		clear(hi.removed)
 		hi.minCursor = hi.cursor
 	}
+	hi.wake()
+}
+
+// deferred counts a removal that has been deferred as a change, so that followers hear of it.
+func (hi *history) deferred() {
+	hi.cursor++
+	hi.wake()
+}
+
+func (hi *history) wake() {
 	close(hi.changed)
 	hi.changed = make(chan struct{})
 }
@@ -70,6 +93,9 @@
 			ch.Items = append(ch.Items, it)
 		}
 	}
+	for _, dr := range wa.deferredRemovals {
+		ch.Deferred = append(ch.Deferred, DeferredRemoval{Item: dr.item, Left: time.Until(dr.until)})
+	}
 	return ch
 }
 
@@ -87,20 +113,26 @@
 
 // ApplyChanges applies the changes of a peer's copy. It returns false and changes nothing if the peer sent its whole copy and
 // that copy is behind this one. Keys that the peer's copy lacks are removed without delay, because the peer has already
-// deferred their removal where necessary.
+// deferred their removal where necessary. Removals that it still defers are deferred here too: this copy may pass their revisions without
+// having received them.
 func (wa *Watcher) ApplyChanges(ch Changes) bool {
-	if ch.Whole {
-		if ch.Revision < wa.Revision() {
-			return false
+	switch {
+	case ch.Whole && ch.Revision < wa.Revision():
+		return false
+	case ch.Whole:
+		wa.applyAll(platform.Page{Items: ch.Items, Revision: ch.Revision}, source{complete: ch.Revision, certain: true})
+	default:
+		for _, it := range ch.Items {
+			wa.apply(it, source{certain: true})
 		}
-		wa.applyListing(platform.Page{Items: ch.Items, Revision: ch.Revision}, true)
-		return true
 	}
-	for _, it := range ch.Items {
-		wa.apply(it, true)
+	// The deferred removals come before the revision: whoever fetches this copy has to be told of them with it.
+	for _, dr := range ch.Deferred {
+		wa.deferPeerRemoval(dr.Item, dr.Left)
+	}
+	wa.completeTo(ch.Revision, ch.Whole)
+	if ch.Whole {
+		wa.op.Listed()
 	}
-	wa.mu.Lock()
-	defer wa.mu.Unlock()
-	wa.revision = max(wa.revision, ch.Revision)
 	return true
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,14 +20,6 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// recheckInterval is the time between two checks of deferred removals.
-	recheckInterval = 50 * time.Millisecond
-	// keepAfterRecovery is the minimum time for which a key that disappears is kept after the store answers again. Live
-	// writers come back within two seconds of the store's return, which precedes that answer.
-	keepAfterRecovery = 2 * time.Second
-	// keepAfterRollback is the time for which a key that disappears is kept after a store rollback, in which its writer
-	// writes it again.
-	keepAfterRollback = 5 * time.Second
 	// probeWait is how long an unreachable store is asked to wait for changes. With a longer wait its answer, and so the
 	// recovery, would be seen only once something changes.
 	probeWait = time.Millisecond
@@ -84,7 +76,7 @@
 
 	mu               sync.Mutex
 	items            map[string]platform.Item
-	deferredRemovals map[string]platform.Item
+	deferredRemovals map[string]deferredRemoval
 	history          history
 	revision         int64
 	listed           bool
@@ -116,7 +108,7 @@
 		op:               op,
 		done:             make(chan struct{}),
 		items:            make(map[string]platform.Item),
-		deferredRemovals: make(map[string]platform.Item),
+		deferredRemovals: make(map[string]deferredRemoval),
 		history:          newHistory(),
 	}
 }
@@ -217,7 +209,7 @@
 			return err
 		}
 		wa.recordAnswer()
-		wa.applyListing(pa, false)
+		wa.applyListing(pa)
 		return nil
 	}
 	pa, err := wa.waitForChanges(ctx, after, wait)
@@ -318,75 +310,82 @@
 	wa.recovered, wa.recoveredAt = nil, time.Now()
 }
 
-func (wa *Watcher) applyListing(pa platform.Page, certain bool) {
+// source says how far a change may be believed.
+type source struct {
+	// complete is the revision up to which the change's sender knew all keys, if it told all of them; 0 for single changes.
+	complete int64
+	// certain means that removals are not deferred.
+	certain bool
+}
+
+// applyListing applies a listing of all keys by the store.
+func (wa *Watcher) applyListing(pa platform.Page) {
+	wa.applyAll(pa, source{complete: pa.Revision})
+	wa.completeTo(pa.Revision, true)
+	wa.op.Listed()
+}
+
+// applyAll applies all keys of a listing or a peer's copy, and removes those that it lacks.
+func (wa *Watcher) applyAll(pa platform.Page, so source) {
 	present := make(map[string]bool, len(pa.Items))
 	for _, it := range pa.Items {
 		present[it.Key] = true
-		wa.apply(it, certain)
+		wa.apply(it, so)
 	}
 	for _, it := range wa.Items() {
-		if !present[it.Key] {
-			wa.apply(platform.Item{Key: it.Key, Revision: max(it.Revision, pa.Revision), Deleted: true}, certain)
+		if !present[it.Key] && it.Revision <= pa.Revision {
+			wa.apply(platform.Item{Key: it.Key, Revision: pa.Revision, Deleted: true}, so)
 		}
 	}
-	wa.mu.Lock()
-	wa.listed, wa.relist, wa.revision = true, false, max(wa.revision, pa.Revision)
-	wa.mu.Unlock()
-	wa.op.Listed()
 }
 
 func (wa *Watcher) applyEvents(pa platform.Page) {
 	for _, it := range pa.Items {
-		wa.apply(it, false)
+		wa.apply(it, source{})
 	}
-	wa.mu.Lock()
-	wa.revision = max(wa.revision, pa.Revision)
-	wa.mu.Unlock()
+	wa.completeTo(pa.Revision, false)
 }
 
-// defersRemovals reports whether a key may be disappearing now only because its lease has lapsed; the lock is held.
-func (wa *Watcher) defersRemovals() bool {
-	if !wa.recoveredAt.IsZero() && time.Since(wa.recoveredAt) < keepAfterRecovery {
-		return true
-	}
-	if !wa.rolledBackAt.IsZero() && time.Since(wa.rolledBackAt) < keepAfterRollback {
-		return true
+// completeTo records that all changes up to a revision have been applied; listed means that they were of all keys.
+func (wa *Watcher) completeTo(revision int64, listed bool) {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	wa.revision = max(wa.revision, revision)
+	if listed {
+		wa.listed, wa.relist = true, false
 	}
-	return wa.op.Failures.FailedWithin(wa.op.KeepAfterFailure)
 }
 
 // apply applies one change unless a newer one is known. A removal that is not certain is deferred around an outage.
-func (wa *Watcher) apply(it platform.Item, certain bool) {
+func (wa *Watcher) apply(it platform.Item, so source) {
 	// Changes come from the store and from peers. Changed must be called in the order in which they were recorded.
 	wa.notifyMu.Lock()
 	defer wa.notifyMu.Unlock()
 	wa.mu.Lock()
-	changed := wa.record(it, certain)
+	changed := wa.record(it, so)
 	wa.mu.Unlock()
 	if changed {
 		wa.op.Changed(it)
 	}
 }
 
-// record updates the copy and reports whether it changed. A deferred removal changes nothing yet.
-func (wa *Watcher) record(it platform.Item, certain bool) bool {
+// record updates the copy and reports whether it changed. A deferred removal changes nothing yet. It is given up only for a later state of its
+// key.
+func (wa *Watcher) record(it platform.Item, so source) bool {
 	current, ok := wa.items[it.Key]
 	switch {
 	case it.Deleted && (!ok || it.Revision < current.Revision):
 		return false
-	case it.Deleted && !certain && wa.defersRemovals():
-		if _, ok := wa.deferredRemovals[it.Key]; !ok {
-			wa.op.Logger.Info("removal of key deferred", "key", it.Key, "revision", it.Revision,
-				"failure-ms", time.Since(wa.op.Failures.LastFailure()).Milliseconds())
-		}
-		wa.deferredRemovals[it.Key] = it
+	case it.Deleted && !so.certain && wa.deferRemoval(it):
 		return false
 	case it.Deleted:
 		delete(wa.items, it.Key)
+	case !ok && wa.removedSince(it, so):
+		return false
 	case ok && it.Revision < current.Revision:
 		return false
 	case ok && it.Revision == current.Revision:
-		delete(wa.deferredRemovals, it.Key)
+		wa.confirm(it, so)
 		return false
 	default:
 		wa.items[it.Key] = it
@@ -395,21 +394,3 @@
 	wa.history.record(it)
 	return true
 }
-
-// applyDeferredRemovals removes the keys whose writers have not come back in time.
-func (wa *Watcher) applyDeferredRemovals(ctx context.Context) {
-	for sleeper.For(ctx, recheckInterval) {
-		wa.mu.Lock()
-		if wa.defersRemovals() {
-			wa.mu.Unlock()
-			continue
-		}
-		removals := wa.deferredRemovals
-		wa.deferredRemovals = make(map[string]platform.Item)
-		wa.mu.Unlock()
-		for _, it := range removals {
-			wa.op.Logger.Warn("key removed after store outage", "key", it.Key, "revision", it.Revision)
-			wa.apply(it, true)
-		}
-	}
-}
