--- a/emulator/store.go
+++ b/emulator/store.go
@@ -18,6 +18,8 @@
 	leaseSweepInterval = 50 * time.Millisecond
 	// leaseIDBase is one less than the ID of the first lease. It is large because the platform's lease IDs use all of their bits.
 	leaseIDBase = 1 << 60
+	// statusCut stands for an answer that breaks off after its head.
+	statusCut = 0
 )
 
 // item is a key of the store with its value and metadata, or an event that changes the key.
@@ -44,7 +46,9 @@
 	down         bool
 	loseEvery    int
 	calls        int
-	done         chan struct{}
+	// cuts counts the times at which all waiting watches were cut.
+	cuts int
+	done chan struct{}
 }
 
 type lease struct {
@@ -77,6 +81,13 @@
 	st.loseEvery = nth
 }
 
+// CutWatches breaks the connections of all watches that wait, after the head of their answers.
+func (st *Store) CutWatches() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.cuts++
+}
+
 // Compact drops the event history; watches that start at an older revision get status 410.
 func (st *Store) Compact() {
 	st.mu.Lock()
@@ -183,6 +194,11 @@
 		return
 	}
 	status, body := st.answer(r)
+	if status == statusCut {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	if loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -273,9 +289,12 @@
 		return http.StatusBadRequest, nil
 	}
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	cuts := st.cutCount()
 	for {
 		pa, compacted := st.events(query.Get("prefix"), after)
 		switch {
+		case st.cutCount() != cuts:
+			return statusCut, nil
 		case compacted:
 			return http.StatusGone, nil
 		case len(pa.Events) > 0 || time.Now().After(until) || r.Context().Err() != nil:
@@ -285,6 +304,12 @@
 	}
 }
 
+func (st *Store) cutCount() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.cuts
+}
+
 func (st *Store) events(prefix string, after int64) (page, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/supervisor/leaving_test.go
+++ b/supervisor/leaving_test.go
@@ -226,3 +226,30 @@
 		}
 	})
 }
+
+// Guards against the incident DRAIN of review/earlier/5: a store that cuts waiting watches now and then, as it may, counted as failing, so that the
+// removal of a target's entry was held back for as long as that went on.
+func TestRemovalIsAppliedWhileWatchesAreCut(t *testing.T) {
+	playVirtually(t, 4, emulator.Options{}, func(vf *virtualFleet) {
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(1500 * time.Millisecond):
+					vf.fleet.Store().CutWatches()
+				}
+			}
+		}()
+		time.Sleep(5 * time.Second)
+		vf.fleet.Deregister(leavingTarget)
+		time.Sleep(2 * time.Second)
+		for number, vi := range vf.instances {
+			if _, ok := vi.balancer.Target(leavingTarget); ok {
+				t.Errorf("instance %d still sends to it", number)
+			}
+		}
+	})
+}
--- a/supervisor/store.go
+++ b/supervisor/store.go
@@ -10,6 +10,7 @@
 	"lovagebank/keeper"
 	"lovagebank/platform"
 	"lovagebank/router"
+	"lovagebank/watcher"
 )
 
 // silentStoreTime is how long a call has to have waited for the store to count as a failure of the store if its issuer ended it.
@@ -38,7 +39,8 @@
 func (su *Supervisor) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error) {
 	began := time.Now()
 	pa, err := su.store.Watch(ctx, prefix, after, wait)
-	if ctx.Err() == nil {
+	cut := errors.Is(err, platform.ErrWatchCut) && wait > watcher.ProbeWait
+	if ctx.Err() == nil && !cut {
 		su.recordCall(ctx, began, err)
 	}
 	return pa, err
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,9 +20,9 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// probeWait is how long an unreachable store is asked to wait for changes. With a longer wait its answer, and so the
-	// recovery, would be seen only once something changes.
-	probeWait = time.Millisecond
+	// ProbeWait is how long an unreachable store, or one that has cut a watch, is asked to wait for changes. With a longer wait its
+	// answer, and so the recovery, would be seen only once something changes.
+	ProbeWait = time.Millisecond
 	// maxAnswerDelay is how late an answer of the store may be.
 	maxAnswerDelay = 400 * time.Millisecond
 )
@@ -48,7 +48,9 @@
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
 	// Pace sets the timing of these calls.
 	Pace Pace
-	// Failures records the results of store calls. The functions List and Watch must update it, the watcher only reads it.
+	// Failures records the results of store calls. The functions List and Watch must update it, the watcher only reads it. A watch that
+	// is cut while it waits for longer than ProbeWait is no failure: the store may do so, and the next call, which does not wait, tells
+	// whether it fails.
 	Failures *FailureTracker
 	// KeepAfterFailure is how long after a failure of the store a key that disappears is kept. Its writer may only have lost its lease
 	// and needs time to come back.
@@ -89,6 +91,8 @@
 	recoveredAt time.Time
 	// answeredAt is when the store last answered.
 	answeredAt time.Time
+	// wasCut is true after a call that waited for changes was cut, until the store answers. Only Run uses it.
+	wasCut bool
 	// cancelWatch cancels the call that waits for changes; it is non-nil while there is one.
 	cancelWatch context.CancelFunc
 }
@@ -182,6 +186,13 @@
 		if errors.Is(err, errRestarted) {
 			continue
 		}
+		if errors.Is(err, platform.ErrWatchCut) && !wa.wasCut {
+			wa.wasCut = true
+			if time.Since(began) < firstBackoff {
+				sleeper.For(ctx, firstBackoff)
+			}
+			continue
+		}
 		if wa.op.Failures.AnsweredSince(began) {
 			// The store is reachable, only this call failed.
 			wa.op.Logger.Info("store call failed, retrying", "prefix", wa.op.Prefix, "error", err)
@@ -199,8 +210,8 @@
 func (wa *Watcher) listOrWatch(ctx context.Context) error {
 	wa.mu.Lock()
 	after, listed, wait := wa.revision, wa.listed && !wa.relist, wa.op.Pace.Wait
-	if wa.recovered != nil {
-		wait = probeWait
+	if wa.recovered != nil || wa.wasCut {
+		wait = ProbeWait
 	}
 	wa.mu.Unlock()
 	if !listed {
@@ -223,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	wa.wasCut = false
 	wa.recordAnswer()
 	wa.applyEvents(pa)
 	if len(pa.Items) > 0 {
