--- a/acceptor/body_test.go
+++ b/acceptor/body_test.go
@@ -131,7 +131,8 @@
 			got := make(chan int64, 1)
 			ti.addTarget("t1", "plain", func(_ http.ResponseWriter, r *http.Request) { got <- r.ContentLength })
 			op := reserver.Options{Total: 8 << 20, SmallBody: 1 << 20}
-			op.Limits = [4]int64{1 << 20, tt.bodies, 1 << 20, 1 << 20}
+			op.Limits[reserver.Connections], op.Limits[reserver.Bodies] = 1<<20, tt.bodies
+			op.Limits[reserver.Requests], op.Limits[reserver.Responses] = 1<<20, 1<<20
 			ti.bounded(reserver.New(op), listener.Options{})
 			rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+ti.address+"/safe/",
 				io.LimitReader(strings.NewReader(strings.Repeat("b", size)), size))
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -18,6 +18,8 @@
 const (
 	dialTimeout     = 2 * time.Second
 	idleConnTimeout = 60 * time.Second
+	// maxHeaderBytes limits the head of a peer's answer.
+	maxHeaderBytes = 64 << 10
 	// pingIdleTime is the time without received data after which a connection is checked with an HTTP/2 ping.
 	pingIdleTime = 2 * time.Second
 	pingTimeout  = 2 * time.Second
@@ -78,7 +80,9 @@
 		TLSClientConfig: secure,
 		Protocols:       &protocols,
 		IdleConnTimeout: idleConnTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
+		// The fields of a head count with 32 bytes each beside their own.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 	}
 }
 
--- a/emulator/endless.go
+++ b/emulator/endless.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 )
 
 // EndlessPart selects the part of a response in which a faulty target sends meaningless bytes without end.
@@ -16,6 +17,22 @@
 	EndlessHead
 	EndlessEvent
 	EndlessRefusal
+	// EndlessFields is a head of very many short fields, EndlessInterim the same in interim answers, and EndlessElements a report of very many small
+	// elements. They go on slowly after many bytes, so that no limit in bytes ends them.
+	EndlessFields
+	EndlessInterim
+	EndlessElements
+)
+
+// EndlessParts returns all parts of a response that can be endless.
+func EndlessParts() []EndlessPart {
+	return []EndlessPart{EndlessHead, EndlessEvent, EndlessRefusal, EndlessFields, EndlessInterim, EndlessElements}
+}
+
+const (
+	// endlessStart is the number of bytes that are sent at once before the slow rest, and endlessPause the pause between its parts.
+	endlessStart = 63000
+	endlessPause = 50 * time.Millisecond
 )
 
 // endlessChunk is the chunk that is sent repeatedly.
@@ -38,6 +55,15 @@
 	case EndlessHead:
 		sendEndlessRaw(w)
 		return true
+	case EndlessFields:
+		sendSlowly(w, "HTTP/1.1 200 OK\r\n", "ab:\r\n")
+		return true
+	case EndlessInterim:
+		sendSlowly(w, "", "HTTP/1.1 103 Early Hints\r\nab:\r\n\r\n")
+		return true
+	case EndlessElements:
+		sendSlowly(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"models\":[", "{},")
+		return true
 	case EndlessEvent:
 		w.Header().Set("Content-Type", "text/event-stream")
 	case EndlessRefusal:
@@ -65,3 +91,17 @@
 		_, err = conn.Write(endlessChunk)
 	}
 }
+
+// sendSlowly sends a text and then many copies of another one, and then one at a time until the connection ends.
+func sendSlowly(w http.ResponseWriter, begin, again string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(begin + strings.Repeat(again, endlessStart/len(again))))
+	for err == nil {
+		time.Sleep(endlessPause)
+		_, err = conn.Write([]byte(again))
+	}
+}
--- a/emulator/endless_test.go
+++ b/emulator/endless_test.go
@@ -26,7 +26,8 @@
 	return kilobytes >> 10
 }
 
-// Ten targets send endless bytes at the same time, in response heads, events, refusals, reports and responses to orders.
+// Ten targets send endless bytes at the same time, in response heads, events, refusals, reports and responses to orders, also as very many short
+// fields or elements.
 // The instances buffer little of it, and serve again as soon as the targets recover.
 func TestInstancesSurviveEndlessResponses(t *testing.T) {
 	if testing.Short() {
@@ -35,7 +36,7 @@
 	// The smallest of the users' machines provides 184 MB per process.
 	const maxMemoryMB = 184
 	fl, us := newFleetWith(t, emulator.Options{Engines: 10}, 3)
-	for _, where := range []emulator.EndlessPart{emulator.EndlessHead, emulator.EndlessEvent, emulator.EndlessRefusal} {
+	for _, where := range emulator.EndlessParts() {
 		for number := range 10 {
 			fl.Target(fmt.Sprint("engine-", number)).SendEndless(where)
 		}
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -57,6 +57,7 @@
 		_ = lc.SetLinger(0)
 	}
 	_ = co.conn.Close()
+	co.limited.head.Release()
 	co.pool.connectionClosed(co)
 }
 
@@ -111,7 +112,9 @@
 	if err := co.writeRequest(rq); err != nil {
 		return nil, err
 	}
-	co.limited.limit(maxHeadSize)
+	if err := co.beginHead(); err != nil {
+		return nil, err
+	}
 	for skipped := 0; skipped <= maxSkippedResponses; {
 		rs, err := co.readResponse(rq.Method)
 		if err != nil {
@@ -121,22 +124,33 @@
 			continue
 		}
 		if co.matches(rs, rq) {
-			co.limited.unlimit()
 			return rs, nil
 		}
 		if rs.Close || rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
 			return nil, &SendError{cause: errUnmatchedResponse, mayHaveRun: true}
 		}
 		skipped++
-		co.limited.limit(maxSkippedBody + maxHeadSize)
+		co.limited.limitBody(2 * maxSkippedBody)
 		if _, err := io.CopyN(io.Discard, rs.Body, maxSkippedBody); !errors.Is(err, io.EOF) {
 			return nil, &SendError{cause: errUnmatchedResponse, mayHaveRun: true}
 		}
-		co.limited.limit(maxHeadSize)
+		if err := co.beginHead(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, &SendError{cause: errUnmatchedResponse, mayHaveRun: true}
 }
 
+// beginHead bounds the head of the next response, the part that is in the reader's buffer included.
+func (co *connection) beginHead() error {
+	// The buffered bytes can always be peeked at.
+	buffered, _ := co.reader.Peek(co.reader.Buffered())
+	if err := co.limited.beginHead(buffered); err != nil {
+		return &SendError{cause: err, mayHaveRun: true}
+	}
+	return nil
+}
+
 // matches reports whether a response belongs to the request. An extra response to an earlier request names that request's
 // ID, or none. So on a reused connection a response has to name the request.
 func (co *connection) matches(rs *http.Response, rq *Request) bool {
@@ -186,6 +200,7 @@
 		co.close()
 		return
 	}
+	co.limited.head.Release()
 	co.reused, co.idleSince = true, time.Now()
 	co.pool.put(co)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"lovagebank/inspector"
 	"lovagebank/sleeper"
 )
 
@@ -107,6 +108,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called with the result of each attempt to open a connection to a target, by the target's ID; nil for no call.
 	Opened func(target string, err error)
+	// Budget is the memory that the heads of all responses may hold together beyond their usual size.
+	Budget inspector.Budget
 	// Received is called when bytes of any target have arrived, and Broken when a connection to a target has failed
 	// before any of an answer; nil for no call.
 	Received func()
--- a/forwarder/limited_reader.go
+++ b/forwarder/limited_reader.go
@@ -6,32 +6,30 @@
 	"net"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	// maxHeadSize limits the head of a response, including interim responses skipped before it, in bytes. A faulty target may
-	// send an unbounded head.
-	maxHeadSize = 64 << 10
-	// maxSkippedResponses is the number of responses to earlier requests that are skipped before the expected response.
-	maxSkippedResponses = 4
+	"lovagebank/inspector"
 )
 
-// errHeadTooLong means that a target's bytes up to the limit hold no complete head of an expected response.
-var errHeadTooLong = errors.New("response head exceeds the size limit")
+// maxSkippedResponses is the number of responses to earlier requests that are skipped before the expected response.
+const maxSkippedResponses = 4
+
+// errBodyTooLong means that the body of a response to an earlier request exceeds its limit.
+var errBodyTooLong = errors.New("response body exceeds the size limit")
 
-// limitedReader reads from a connection up to a limit in bytes.
+// limitedReader reads from a connection: heads up to their limits, and bodies up to a number of bytes.
 type limitedReader struct {
 	conn net.Conn
+	head *inspector.Head
 	left int64
 	// received is called when bytes have arrived, and lastByteAt is when that was.
 	received   func()
 	lastByteAt atomic.Pointer[time.Time]
 }
 
-// Read reads from the connection. It returns errHeadTooLong once the limit is reached.
+// Read reads from the connection. It returns an error once a limit is reached.
 func (lr *limitedReader) Read(into []byte) (int, error) {
 	if lr.left <= 0 {
-		return 0, errHeadTooLong
+		return 0, errBodyTooLong
 	}
 	if int64(len(into)) > lr.left {
 		into = into[:lr.left]
@@ -42,6 +40,9 @@
 		lr.markReceived()
 		lr.received()
 	}
+	if tooLong := lr.head.Add(into[:count]); tooLong != nil {
+		return 0, tooLong
+	}
 	return count, err
 }
 
@@ -59,8 +60,12 @@
 	return 0
 }
 
-// limit sets the number of further bytes that may be read.
-func (lr *limitedReader) limit(bytes int64) { lr.left = bytes }
+// beginHead bounds the head of the next response, of which some bytes have been read already.
+func (lr *limitedReader) beginHead(read []byte) error {
+	lr.left = math.MaxInt64
+	lr.head.Begin()
+	return lr.head.Add(read)
+}
 
-// unlimit removes the limit.
-func (lr *limitedReader) unlimit() { lr.left = math.MaxInt64 }
+// limitBody sets the number of further bytes that may be read.
+func (lr *limitedReader) limitBody(bytes int64) { lr.left = bytes }
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lovagebank/inspector"
 )
 
 const (
@@ -101,7 +103,7 @@
 		po.connectionClosed(nil)
 		return nil, err
 	}
-	limited := &limitedReader{conn: conn, received: po.op.Received}
+	limited := &limitedReader{conn: conn, head: inspector.NewHead(po.op.Budget), received: po.op.Received}
 	return &connection{pool: po, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
--- a/forwarder/unbounded_test.go
+++ b/forwarder/unbounded_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"lovagebank/forwarder"
+	"lovagebank/inspector"
 )
 
 // A faulty target sends an unbounded response head. The connection is closed after a bounded number of bytes, well before
@@ -58,3 +62,72 @@
 		})
 	}
 }
+
+// Guards against review/3: heads that never end, of short fields, stop just below the limit in bytes and go on with a line now and then. Each held over
+// a megabyte until its caller's deadline, and the process ran out of memory.
+func TestHeadsOfShortFieldsEndAtOnce(t *testing.T) {
+	tests := map[string]struct{ begin, field string }{
+		"a head":              {"HTTP/1.1 200 OK\r\n", "ab:\r\n"},
+		"an interim response": {"HTTP/1.1 103 Early Hints\r\n", "ab:\r\n"},
+		"interim responses":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"after a response to another request": {
+			"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n", "ab:\r\n",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			st := newScriptedTarget(t, func(st *scriptedTarget, _ int, conn net.Conn, reader *bufio.Reader) {
+				st.receive(reader)
+				_, _ = conn.Write([]byte(tt.begin + strings.Repeat(tt.field, 60000/len(tt.field))))
+				_, _ = reader.ReadByte()
+			})
+			_, err := send(forwarder.New(forwarder.Options{}), st, "id-1", "body")
+			if !errors.Is(err, inspector.ErrHeadTooLong) || !mayHaveRun(t, err) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// The heads of all responses together hold no more than the budget, and nothing once they have ended.
+func TestHeadsShareABudget(t *testing.T) {
+	const limit, requests = 1 << 20, 40
+	var used, peak atomic.Int64
+	fo := forwarder.New(forwarder.Options{Budget: inspector.Budget{
+		Reserve: func(bytes int64) bool {
+			if used.Add(bytes) > limit {
+				used.Add(-bytes)
+				return false
+			}
+			peak.Store(max(peak.Load(), used.Load()))
+			return true
+		},
+		Release: func(bytes int64) { used.Add(-bytes) },
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var refused atomic.Int64
+	st := newScriptedTarget(t, func(st *scriptedTarget, _ int, conn net.Conn, reader *bufio.Reader) {
+		st.receive(reader)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("x", 60000)))
+		_, _ = reader.ReadByte()
+	})
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			_, err := fo.Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
+				Method: http.MethodGet, URI: "/", Host: "h", ID: "id", ResponseID: func(http.Header) string { return "id" },
+			})
+			if errors.Is(err, inspector.ErrNoMemory) {
+				refused.Add(1)
+			}
+			if refused.Load() > requests/2 {
+				cancel()
+			}
+		})
+	}
+	all.Wait()
+	cancel()
+	if peak.Load() > limit || used.Load() != 0 {
+		t.Errorf("at most %d bytes reserved, %d stay reserved", peak.Load(), used.Load())
+	}
+}
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"lovagebank/inspector"
 )
 
 // Defaults of Options and settings of TCP keep-alive.
@@ -46,6 +48,8 @@
 	MaxIdlePerTarget int
 	// MaxAnswerBytes is the largest size, in bytes, of an answer that is not streamed and of one event of a stream.
 	MaxAnswerBytes int
+	// Budget is the memory that the heads, events, whole answers and reports of all targets may hold together.
+	Budget inspector.Budget
 	// Transport makes the calls that may be repeated. SingleUseTransport makes the others, each on its own connection.
 	Transport          http.RoundTripper
 	SingleUseTransport http.RoundTripper
@@ -81,21 +85,21 @@
 
 // newTransport returns an HTTP/1.1 transport without proxies. The standard library sends a request again by itself when
 // a reused connection turns out to be closed; with single-use connections it never does.
-func newTransport(op *Options, singleUse bool) *http.Transport {
+func newTransport(op *Options, singleUse bool) http.RoundTripper {
 	dialer := &net.Dialer{
 		Timeout: op.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
 	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
+	return inspector.BoundHeads(&http.Transport{
+		DialContext:         inspector.WrapDial(dialer.DialContext, op.Budget),
 		DisableKeepAlives:   singleUse,
 		DisableCompression:  true,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: op.MaxIdlePerTarget,
 		IdleConnTimeout:     op.IdleTimeout,
-	}
+	})
 }
 
 // Invoker calls targets. Its methods are safe for concurrent use.
@@ -112,7 +116,7 @@
 // Close closes the idle connections.
 func (iv *Invoker) Close() {
 	for _, transport := range []http.RoundTripper{iv.options.Transport, iv.options.SingleUseTransport} {
-		if tr, ok := transport.(*http.Transport); ok {
+		if tr, ok := transport.(interface{ CloseIdleConnections() }); ok {
 			tr.CloseIdleConnections()
 		}
 	}
--- a/invoker/orders.go
+++ b/invoker/orders.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/samber/oops"
 
+	"lovagebank/inspector"
 	"lovagebank/wire"
 )
 
@@ -102,7 +102,9 @@
 		return nil, 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	answer, release, err := inspector.Read(response.Body, maxResponseBytes, iv.options.Budget)
+	// Orders and reports are few at a time and are decoded at once.
+	release()
 	return answer, response.StatusCode, err
 }
 
@@ -131,7 +133,7 @@
 		return LoadReport{}, oops.In("invoker").Wrapf(err, "report of target %s", tg.GetId())
 	}
 	var body reportBody
-	if err := json.Unmarshal(answer, &body); status != http.StatusOK || err != nil {
+	if err := inspector.Decode(answer, &body, iv.options.Budget); status != http.StatusOK || err != nil {
 		return LoadReport{}, oops.In("invoker").Errorf("report of target %s is malformed, status %d", tg.GetId(), status)
 	}
 	at := requested.Add(-time.Duration(body.AgeMs) * time.Millisecond)
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -22,12 +22,14 @@
 	Requests
 	// Responses are responses that wait for their callers to read them.
 	Responses
+	// Answers are the parts of targets' answers that have to arrive whole before they are used: heads, events and reports.
+	Answers
 	classCount
 )
 
 // String returns the name of the class in metrics.
 func (cl Class) String() string {
-	return [classCount]string{"connections", "bodies", "requests", "responses"}[cl]
+	return [classCount]string{"connections", "bodies", "requests", "responses", "answers"}[cl]
 }
 
 // Options configures a Reserver.
@@ -49,6 +51,7 @@
 	bodyShare       = 0.12
 	requestShare    = 0.14
 	responseShare   = 0.10
+	answerShare     = 0.06
 	// smallBody is the size up to which bodies may use the last part of their class: prompts of ordinary length.
 	smallBody = 256 << 10
 )
@@ -64,6 +67,7 @@
 			Bodies:      max(share(bodyShare), least),
 			Requests:    max(share(requestShare), least),
 			Responses:   share(responseShare),
+			Answers:     max(share(answerShare), least),
 		},
 		SmallBody: smallBody,
 	}
@@ -332,4 +336,4 @@
 }
 
 // Classes returns all classes.
-func Classes() []Class { return []Class{Connections, Bodies, Requests, Responses} }
+func Classes() []Class { return []Class{Connections, Bodies, Requests, Responses, Answers} }
--- a/server/build.go
+++ b/server/build.go
@@ -9,6 +9,7 @@
 	"lovagebank/authenticator"
 	"lovagebank/batcher"
 	"lovagebank/connector"
+	"lovagebank/inspector"
 	"lovagebank/invoker"
 	"lovagebank/placer"
 	"lovagebank/publisher"
@@ -35,6 +36,10 @@
 	sv.auditor = auditor.New(auditor.Options{Get: sv.store.Get, Transact: sv.store.Transact})
 	sv.publisher = sv.newPublisher()
 	sv.invoker = invoker.New(invoker.Options{
+		Budget: inspector.Budget{
+			Reserve: func(bytes int64) bool { return sv.reserver.Reserve(reserver.Answers, bytes) },
+			Release: func(bytes int64) { sv.reserver.Release(reserver.Answers, bytes) },
+		},
 		FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime(),
 		Transport: sv.transport(), SingleUseTransport: sv.transport(),
 	})
--- a/storer/client.go
+++ b/storer/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"lovagebank/inspector"
 	"lovagebank/sleeper"
 )
 
@@ -59,11 +60,12 @@
 	op.Backoff = orDefault(op.Backoff, DefaultBackoff)
 	op.MaxBackoff = orDefault(op.MaxBackoff, DefaultMaxBackoff)
 	if op.Transport == nil {
-		op.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: op.Timeout}).DialContext,
+		dialer := &net.Dialer{Timeout: op.Timeout}
+		op.Transport = inspector.BoundHeads(&http.Transport{
+			DialContext:         inspector.WrapDial(dialer.DialContext, inspector.Budget{}),
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleConnectionTimeout,
-		}
+		})
 	}
 	return op
 }
--- a/supervisor/memory.go
+++ b/supervisor/memory.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"lovagebank/inspector"
 	"lovagebank/listener"
 	"lovagebank/platform"
 	"lovagebank/reserver"
@@ -33,6 +34,14 @@
 // memoryLimit returns the memory limit of the process in bytes, by the smaller of the two meanings of a megabyte.
 func memoryLimit(st *platform.Settings) int64 { return int64(st.MemoryMB() * 1e6) }
 
+// answerBudget returns the budget for what answers hold before they are whole.
+func (su *Supervisor) answerBudget() inspector.Budget {
+	return inspector.Budget{
+		Reserve: func(bytes int64) bool { return su.reserver.Reserve(reserver.Answers, bytes) },
+		Release: func(bytes int64) { su.reserver.Release(reserver.Answers, bytes) },
+	}
+}
+
 // peerBudget returns the budget for the bodies of peers' calls, which callers cannot use.
 func peerBudget(st *platform.Settings) reserver.Options {
 	total := max(int64(peerMemoryShare*float64(memoryLimit(st))), minPeerMemory)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -196,7 +196,6 @@
 		start:       strconv.FormatUint(rand.Uint64(), 36),
 		recorder:    recorder.New(op.Out),
 		reporter:    reporter.New(),
-		targets:     platform.NewTargetClient(op.Dial),
 		quarantiner: quarantiner.New(),
 		profiler:    profiler.New(),
 		estimator:   estimator.New(),
@@ -213,12 +212,17 @@
 		Ask: su.askSend, Instances: su.instanceCount, Random: rand.Float64, ColdRate: su.coldRate,
 	})
 	su.evacuator = evacuator.New()
-	su.store = platform.NewStore(platform.StoreOptions{Address: st.StoreAddress(), OnRollback: su.storeRolledBack, Dial: op.Dial})
+	su.reserver, su.peerReserver = reserver.New(memoryBudget(st)), reserver.New(peerBudget(st))
+	answers := su.answerBudget()
+	su.targets = platform.NewTargetClient(op.Dial, answers)
+	su.store = platform.NewStore(platform.StoreOptions{
+		Address: st.StoreAddress(), OnRollback: su.storeRolledBack, Dial: op.Dial, Budget: answers,
+	})
 	su.logger = su.recorder.Logger().With("instance", st.Name())
 	su.prober = su.newProber()
 	su.relayer = su.newRelayer()
 	su.forwarder = forwarder.New(forwarder.Options{
-		Dial: op.Dial, Opened: su.prober.Opened, Received: su.prober.Received, Broken: su.prober.Broken,
+		Dial: op.Dial, Budget: answers, Opened: su.prober.Opened, Received: su.prober.Received, Broken: su.prober.Broken,
 	})
 	su.budgeter = budgeter.New(budgeter.Options{
 		Ratio: st.RetryRatio(), Extra: st.RetryExtra(), Window: st.RetryWindow(), Instances: su.instanceCount,
@@ -230,7 +234,6 @@
 	su.allotter = allotter.New(allotter.Options{Interval: su.exchanger.Interval, Slack: st.QuotaSlack()})
 	su.resumer = su.newResumer()
 	su.permitter = su.newPermitter()
-	su.reserver, su.peerReserver = reserver.New(memoryBudget(st)), reserver.New(peerBudget(st))
 	su.acceptor = su.newAcceptor()
 	su.operatorWatcher = su.newWatcher(platform.OperatorPrefix, exchanger.CopyOperator,
 		operatorPace(min(st.MaxConfigurationDelay(), st.EvacuationDelay())), su.applyOperatorChange)
