Events and whole answers together hold bounded memory

What callers would see: a target that sends an event without end makes each resumable stream hold 256 KB, twice while the buffer grows, and 16 MB in serve; some hundred streams exceed an instance's memory. Change: what an event holds beyond 8 KiB (serve: 16 KiB), and a whole answer of serve, is reserved in the class answers. A stream whose event does not fit is broken off as with one that is too long. The end of an event is looked for in new bytes only: with bytes that trickle each look began anew.

--- a/acceptor/events.go
+++ b/acceptor/events.go
@@ -6,8 +6,14 @@
 	"strconv"
 )
 
-// maxEventSize limits the buffered part of an incomplete event, in bytes.
-const maxEventSize = 256 << 10
+const (
+	// maxEventSize limits the buffered part of an incomplete event, in bytes.
+	maxEventSize = 256 << 10
+	// usualEventSize is the size up to which the buffered part is not reserved, as each request in progress accounts for it.
+	usualEventSize = 8 << 10
+	// eventCost is what is held of a buffered byte, as the buffer grows by doubling.
+	eventCost = 2
+)
 
 // errEventTooLong means that a target's response is not a valid stream of events.
 var errEventTooLong = errors.New("event in response exceeds the size limit")
@@ -24,7 +30,14 @@
 	repeats bool
 	// anonymous is true once an event with data had no ID, so that no later event can be asked for.
 	anonymous bool
-	pending   []byte
+	// pending is the buffered part of an incomplete event, and searched its length in which the end of an event has been looked for. reserved
+	// is the memory reserved for it, in bytes.
+	pending  []byte
+	searched int
+	reserved int64
+	// reserve and release reserve memory and give it back.
+	reserve func(bytes int64) bool
+	release func(bytes int64)
 	// tail holds the last bytes of the stream.
 	tail   []byte
 	lastID string
@@ -48,7 +61,8 @@
 	es.pending = append(es.pending, chunk...)
 	end := 0
 	for {
-		length := eventLength(es.pending[end:])
+		length := eventLength(es.pending[end:], es.searched)
+		es.searched = 0
 		if length == 0 {
 			break
 		}
@@ -59,12 +73,36 @@
 		end += length
 	}
 	out := es.pending[:end:end]
-	es.pending = append([]byte(nil), es.pending[end:]...)
+	if end > 0 {
+		es.pending = append([]byte(nil), es.pending[end:]...)
+		es.giveBack()
+	}
+	es.searched = max(len(es.pending)-len(eventEndCRLF), 0)
 	return out
 }
 
-// tooLong reports whether the pending event exceeds maxEventSize.
-func (es *eventScanner) tooLong() bool { return len(es.pending) > maxEventSize }
+// tooLong reports whether the pending event exceeds maxEventSize, or what all requests may hold of events together.
+func (es *eventScanner) tooLong() bool {
+	more := eventCost*int64(max(len(es.pending)-usualEventSize, 0)) - es.reserved
+	if more <= 0 {
+		return false
+	}
+	// A step of reservation, so that few bytes at a time cost little.
+	more = max(more, usualEventSize)
+	if len(es.pending) > maxEventSize || !es.reserve(more) {
+		return true
+	}
+	es.reserved += more
+	return false
+}
+
+// giveBack releases what is reserved for the pending event.
+func (es *eventScanner) giveBack() {
+	if es.reserved > 0 {
+		es.release(es.reserved)
+		es.reserved = 0
+	}
+}
 
 // insideEvent reports whether the stream so far ends inside an event.
 func (es *eventScanner) insideEvent() bool {
@@ -77,17 +115,19 @@
 // rest returns the bytes left at the end of a complete stream.
 func (es *eventScanner) rest() []byte { return es.pending }
 
-// eventLength returns the length in bytes of the first complete event; 0 if there is none.
-func eventLength(text []byte) int {
-	at := bytes.Index(text, eventEnd)
-	atCRLF := bytes.Index(text, eventEndCRLF)
+// eventLength returns the length in bytes of the first complete event; 0 if there is none. It does not end in the first bytes that have been
+// searched.
+func eventLength(text []byte, searched int) int {
+	rest := text[searched:]
+	at := bytes.Index(rest, eventEnd)
+	atCRLF := bytes.Index(rest, eventEndCRLF)
 	switch {
 	case at < 0 && atCRLF < 0:
 		return 0
 	case atCRLF >= 0 && (at < 0 || atCRLF < at):
-		return atCRLF + len(eventEndCRLF)
+		return searched + atCRLF + len(eventEndCRLF)
 	default:
-		return at + len(eventEnd)
+		return searched + at + len(eventEnd)
 	}
 }
 
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -10,6 +10,7 @@
 
 	"lovagebank/balancer"
 	"lovagebank/forwarder"
+	"lovagebank/reserver"
 	"lovagebank/router"
 )
 
@@ -151,7 +152,8 @@
 	ex.ahead = ex.newReadAhead(rs, sent)
 	defer ex.ahead.close()
 	source := ex.ahead.reader(rs)
-	scanner := &eventScanner{wholeOnly: ex.route.Resumable(), after: ex.lastKnownEvent()}
+	scanner := ex.newEventScanner()
+	defer scanner.giveBack()
 	buffer := make([]byte, copyBufferSize)
 	for {
 		count, err := source.Read(buffer)
@@ -191,6 +193,15 @@
 	}
 }
 
+func (ex *exchange) newEventScanner() *eventScanner {
+	re := ex.ac.op.Reserver
+	return &eventScanner{
+		wholeOnly: ex.route.Resumable(), after: ex.lastKnownEvent(),
+		reserve: func(bytes int64) bool { return re.Reserve(reserver.Answers, bytes) },
+		release: func(bytes int64) { re.Release(reserver.Answers, bytes) },
+	}
+}
+
 // brokenOff reports whether a stream whose body has ended was broken off by its target: it ends inside an event, or it has no
 // event and its end is the end of the connection.
 func brokenOff(rs *forwarder.Response, scanner *eventScanner) bool {
--- a/acceptor/unbounded_test.go
+++ b/acceptor/unbounded_test.go
@@ -1,11 +1,16 @@
 package acceptor_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"lovagebank/acceptor"
+	"lovagebank/reserver"
 )
 
 // unboundedBody returns a handler that writes a text repeatedly until the connection is closed, and counts the bytes.
@@ -74,3 +79,35 @@
 		})
 	}
 }
+
+// Guards against events without end that together use up the memory of an instance: each stream may hold one of up to 256 KB, all of them no more than
+// the budget of answers, and nothing once they have ended.
+func TestPendingEventsShareABudget(t *testing.T) {
+	const (
+		budget  = 512 << 10
+		streams = 12
+	)
+	op := reserver.Options{Total: 64 << 20}
+	op.Limits[reserver.Requests], op.Limits[reserver.Responses], op.Limits[reserver.Answers] = 32<<20, 8<<20, budget
+	re := reserver.New(op)
+	ti := newTestInstanceOptions(t, 100, func(op *acceptor.Options) { op.Reserver = re })
+	release := make(chan struct{})
+	ti.addTarget("e1", "engines", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, firstEvent+"data: "+strings.Repeat("x", 200<<10))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	})
+	var tasks sync.WaitGroup
+	for range streams {
+		tasks.Go(func() { _, _, _ = ti.send("/resume/1", nil) })
+	}
+	for re.Counts().Refused[reserver.Answers] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	tasks.Wait()
+	counts := re.Counts()
+	if counts.Used[reserver.Answers] != 0 {
+		t.Errorf("%d bytes stay reserved", counts.Used[reserver.Answers])
+	}
+}
--- a/invoker/answer.go
+++ b/invoker/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"lovagebank/inspector"
 	"lovagebank/requester"
 )
 
@@ -58,14 +59,14 @@
 
 // forwardWhole reads an answer that is not streamed, checks it and forwards it.
 func (ca *call) forwardWhole(response *http.Response, sink requester.Sink) (requester.Usage, error) {
-	limit := int64(ca.iv.options.MaxAnswerBytes)
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, release, err := inspector.Read(response.Body, ca.iv.options.MaxAnswerBytes, ca.iv.options.Budget)
+	if errors.Is(err, inspector.ErrBodyTooLong) || errors.Is(err, inspector.ErrNoMemory) {
+		return requester.Usage{}, errTooLarge
+	}
 	if err != nil {
 		return requester.Usage{}, err
 	}
-	if int64(len(body)) > limit {
-		return requester.Usage{}, errTooLarge
-	}
+	defer release()
 	if !gjson.ValidBytes(body) {
 		return requester.Usage{}, ca.malformedAnswer()
 	}
--- a/invoker/stream.go
+++ b/invoker/stream.go
@@ -14,7 +14,9 @@
 
 const (
 	eventBufferBytes = 4 << 10
-	endMarker        = "[DONE]"
+	// usualEventBytes is the size of an event up to which no memory is reserved for it.
+	usualEventBytes = 16 << 10
+	endMarker       = "[DONE]"
 )
 
 var dataField = []byte("data:")
@@ -54,8 +56,10 @@
 	tokens := ca.rq.ResumeFrom()
 	us := ca.readUsage(nil, tokens)
 	headSent := false
+	held := int64(0)
+	defer func() { ca.iv.options.Budget.Free(held) }()
 	for {
-		event, err := ca.readEvent(reader)
+		event, err := ca.readEvent(reader, &held)
 		if err != nil {
 			return us, err
 		}
@@ -94,14 +98,15 @@
 	return ca.checkModel(data)
 }
 
-// readEvent reads one event, including the empty line that ends it. The end of the input is an unexpected EOF.
-func (ca *call) readEvent(reader *bufio.Reader) ([]byte, error) {
+// readEvent reads one event, including the empty line that ends it. The end of the input is an unexpected EOF. held is the memory
+// reserved for the longest event of the stream so far, in bytes.
+func (ca *call) readEvent(reader *bufio.Reader, held *int64) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case len(event) > ca.iv.options.MaxAnswerBytes:
+		case len(event) > ca.iv.options.MaxAnswerBytes || !ca.hold(cap(event), held):
 			return nil, errTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -115,3 +120,16 @@
 		}
 	}
 }
+
+// hold reserves memory for an event of a size, beside what is held already. It returns false if there is none.
+func (ca *call) hold(size int, held *int64) bool {
+	more := int64(size-usualEventBytes) - *held
+	if more <= 0 {
+		return true
+	}
+	if !ca.iv.options.Budget.Take(more) {
+		return false
+	}
+	*held += more
+	return true
+}
