--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -82,6 +83,10 @@
 	// PrefixCache reports whether the parts of prompts that a service's engines have cached count in the choice among them;
 	// nil: never.
 	PrefixCache func(service string) bool
+	// SameStart reports whether the process that a target runs is the one that its entry describes, as far as that can be found out; nil means
+	// that it is. ReadTarget returns a target as the store lists it now; nil for the copy's.
+	SameStart  func(context.Context, *balancer.Target) bool
+	ReadTarget func(ctx context.Context, id string) (*balancer.Target, error)
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Reserve reserves bytes for responses that wait for slow callers, and returns false if memory is short; Release returns
@@ -111,7 +116,10 @@
 }
 
 // Acceptor is the HTTP handler for callers' requests.
-type Acceptor struct{ op Options }
+type Acceptor struct {
+	op       Options
+	restarts restarts
+}
 
 // New returns an Acceptor with the given options.
 func New(op Options) *Acceptor {
@@ -139,6 +147,17 @@
 	if op.PrefixCache == nil {
 		op.PrefixCache = func(string) bool { return false }
 	}
+	if op.SameStart == nil {
+		op.SameStart = func(context.Context, *balancer.Target) bool { return true }
+	}
+	if op.ReadTarget == nil {
+		op.ReadTarget = func(_ context.Context, id string) (*balancer.Target, error) {
+			if ta, ok := op.Balancer.Target(id); ok {
+				return ta, nil
+			}
+			return nil, errNotListed
+		}
+	}
 	if op.Reserve == nil {
 		op.Reserve = func(int64) bool { return true }
 		op.Release = func(int64) {}
@@ -155,6 +174,9 @@
 	return &Acceptor{op: op}
 }
 
+// errNotListed means that a target is not listed any more.
+var errNotListed = errors.New("the target is not listed any more")
+
 // defaultTimeout limits a request where neither the route nor the caller sets a limit.
 const defaultTimeout = 30 * time.Second
 
--- a/acceptor/origin.go
+++ b/acceptor/origin.go
@@ -48,7 +48,11 @@
 	if ex.pinned && ex.caller.LastEvent != "" || ex.headSent {
 		return nil
 	}
-	og := resumer.Origin{Service: ta.Service(), Software: ta.Software()}
+	og, err := ex.originAt(ta)
+	if err != nil {
+		rs.Abort()
+		return errors.Join(errStreamNotRecorded, err)
+	}
 	rc := ex.ac.op.Streams.Begin(ex.caller.ID, ex.place, og)
 	if !ex.resumable() {
 		return nil
--- a/acceptor/send.go
+++ b/acceptor/send.go
@@ -150,7 +150,7 @@
 		SendBefore: sendBefore,
 		Regions:    ex.regions,
 		Usable: func() bool {
-			return ex.ac.op.Balancer.Available(ch.Target()) && (sendBefore.IsZero() || time.Now().Before(sendBefore))
+			return ex.mayTake(ch.Target()) && (sendBefore.IsZero() || time.Now().Before(sendBefore))
 		},
 	}
 }
--- a/emulator/orders.go
+++ b/emulator/orders.go
@@ -12,6 +12,7 @@
 
 type report struct {
 	Models       []loadedModel `json:"models"`
+	Born         int64         `json:"born"`
 	Seq          int64         `json:"seq"`
 	PendingLoads []string      `json:"pendingLoads"`
 	KVTotal      int           `json:"kvTotal"`
@@ -51,6 +52,7 @@
 		}
 	}
 	ta.mu.Unlock()
+	re.Born = ta.startNumber
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(re)
 }
--- a/supervisor/streams.go
+++ b/supervisor/streams.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lovagebank/balancer"
 	"lovagebank/platform"
 	"lovagebank/resumer"
 	"lovagebank/router"
@@ -92,3 +93,54 @@
 	}
 	return targets
 }
+
+// readTimeout limits the reading of a target's entry for a stream that waits for it.
+const readTimeout = 500 * time.Millisecond
+
+// readTarget returns a target as the store lists it now.
+func (su *Supervisor) readTarget(ctx context.Context, id string) (*balancer.Target, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	began := time.Now()
+	it, err := su.store.Get(ctx, platform.TargetKey(id))
+	su.recordCall(ctx, began, err)
+	if err != nil {
+		return nil, err
+	}
+	return platform.DecodeTarget(it.Key, it.Value)
+}
+
+// sameStart reports whether the process that a target runs now is the one that its entry in this instance's copy describes. An engine says in its
+// reports when it has started; for the others, and where it does not say so, the store is asked.
+func (su *Supervisor) sameStart(ctx context.Context, ta *balancer.Target) bool {
+	if su.isEngine(ta) {
+		if re, err := su.targets.Report(ctx, ta); err == nil && !re.Started.IsZero() {
+			return su.expectStart(ta, re.Started, "report")
+		}
+	}
+	now, err := su.readTarget(ctx, ta.ID())
+	if err != nil {
+		su.logger.Info("stream not sent on: start of target not known", "target", ta.ID(), "error", err)
+		return false
+	}
+	return su.expectStart(ta, now.Started(), "entry")
+}
+
+// expectStart reports whether a target's entry is that of the given start.
+func (su *Supervisor) expectStart(ta *balancer.Target, started time.Time, source string) bool {
+	if started.Equal(ta.Started()) {
+		return true
+	}
+	su.logger.Info("stream not sent on: target has started again", "target", ta.ID(), "software", ta.Software(),
+		"started", started.UnixMilli(), "listed", ta.Started().UnixMilli(), "source", source)
+	return false
+}
+
+func (su *Supervisor) isEngine(ta *balancer.Target) bool {
+	cf := su.configuration.Load()
+	if cf == nil {
+		return false
+	}
+	service, ok := cf.Service(ta.Service())
+	return ok && service.Engine() != nil
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -253,6 +253,8 @@
 		CutOff:              su.prober.Cut,
 		Relay:               su.relayer.Send,
 		Awaiting:            su.prober.Began,
+		SameStart:           su.sameStart,
+		ReadTarget:          su.readTarget,
 		TargetLeaving:       func(ts balancer.Start) { su.markTargetLeaving(ts, leavingFromAnswer) },
 		RateLimitAnswered:   su.rateLimitAnswered,
 		ColdAnswered:        su.coldAnswered,
