--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -74,8 +74,8 @@
 	ClaimProbe func(ctx context.Context, ve quarantiner.Verdict) bool
 	// InstanceCount returns the number of instances that share the targets' connections.
 	InstanceCount func() int
-	// Shutdown returns how the instance shuts down; nil while it does not. Ending is done once the requests in progress have to be
-	// answered at once, because it ends; nil for never.
+	// Shutdown returns how the instance shuts down; nil while it does not. Ending is done once the requests in progress
+	// have to be answered at once, because it ends; nil for never.
 	Shutdown func() *Shutdown
 	Ending   context.Context
 	// RequestEnded is called with the outcome of each request when it ends.
@@ -83,8 +83,8 @@
 	// PrefixCache reports whether the parts of prompts that a service's engines have cached count in the choice among them;
 	// nil: never.
 	PrefixCache func(service string) bool
-	// SameStart reports whether the process that a target runs is the one that its entry describes, as far as that can be found out; nil means
-	// that it is. ReadTarget returns a target as the store lists it now; nil for the copy's.
+	// SameStart reports whether the process that a target runs is the one that its entry describes, as far as that can be
+	// found out; nil means that it is. ReadTarget returns a target as the store lists it now; nil for the copy's.
 	SameStart  func(context.Context, *balancer.Target) bool
 	ReadTarget func(ctx context.Context, id string) (*balancer.Target, error)
 	// Random returns a number in [0, 1).
--- a/acceptor/cold.go
+++ b/acceptor/cold.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// connectionFailed records that a connection to a target has failed. The target may have started again, so that it is cold, or has other
-// software.
+// connectionFailed records that a connection to a target has failed. The target may have started again, so that it is
+// cold, or has other software.
 func (ex *exchange) connectionFailed(ta *balancer.Target, unreachable bool) {
 	ex.ac.restarts.record(ta.ID())
 	ex.ac.op.Balancer.ConnectionFailed(ta.ID(), unreachable)
--- a/acceptor/events.go
+++ b/acceptor/events.go
@@ -24,14 +24,14 @@
 // eventScanner splits a stream into server-sent events. If wholeOnly is set, it returns complete events only.
 type eventScanner struct {
 	wholeOnly bool
-	// after is the ID of the last event that the caller has of this stream; empty for a stream that begins. repeats is true once the
-	// first event does not come after it.
+	// after is the ID of the last event that the caller has of this stream; empty for a stream that begins. repeats is
+	// true once the first event does not come after it.
 	after   string
 	repeats bool
 	// anonymous is true once an event with data had no ID, so that no later event can be asked for.
 	anonymous bool
-	// pending is the buffered part of an incomplete event, and searched its length in which the end of an event has been looked for. reserved
-	// is the memory reserved for it, in bytes.
+	// pending is the buffered part of an incomplete event, and searched its length in which the end of an event has been
+	// looked for. reserved is the memory reserved for it, in bytes.
 	pending  []byte
 	searched int
 	reserved int64
@@ -115,8 +115,8 @@
 // rest returns the bytes left at the end of a complete stream.
 func (es *eventScanner) rest() []byte { return es.pending }
 
-// eventLength returns the length in bytes of the first complete event; 0 if there is none. It does not end in the first bytes that have been
-// searched.
+// eventLength returns the length in bytes of the first complete event; 0 if there is none. It does not end in the first
+// bytes that have been searched.
 func eventLength(text []byte, searched int) int {
 	rest := text[searched:]
 	at := bytes.Index(rest, eventEnd)
@@ -150,7 +150,8 @@
 	}
 }
 
-// follows reports whether an event with the given ID comes after one with the ID last. IDs that are no numbers only have to differ.
+// follows reports whether an event with the given ID comes after one with the ID last. IDs that are no numbers only have
+// to differ.
 func follows(last, id string) bool {
 	before, errBefore := strconv.ParseInt(last, 10, 64)
 	number, err := strconv.ParseInt(id, 10, 64)
--- a/acceptor/origin_test.go
+++ b/acceptor/origin_test.go
@@ -9,8 +9,8 @@
 	"lovagebank/resumer"
 )
 
-// Guards against the incident ORDER: a stream whose route gets resumable only while it lasts is taken up at another version, as it was not recorded
-// where it began.
+// Guards against the incident ORDER: a stream whose route gets resumable only while it lasts is taken up at another
+// version, as it was not recorded where it began.
 func TestRecordsStreamsOfAllRoutes(t *testing.T) {
 	tests := map[string]string{"resumable": "/resume/1", "not resumable": "/stream/1"}
 	for name, path := range tests {
--- a/acceptor/restart_test.go
+++ b/acceptor/restart_test.go
@@ -12,8 +12,8 @@
 	"lovagebank/resumer"
 )
 
-// Guards against the incident ORDER of review/2: a stream goes on at a target that is back under its ID with other software, whose old entry the
-// instance still has.
+// Guards against the incident ORDER of review/2: a stream goes on at a target that is back under its ID with other
+// software, whose old entry the instance still has.
 func TestStreamsGoOnOnlyAtKnownStarts(t *testing.T) {
 	tests := map[string]struct {
 		same   bool
--- a/acceptor/unbounded_test.go
+++ b/acceptor/unbounded_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Guards against events without end that together use up the memory of an instance: each stream may hold one of up to 256 KB, all of them no more than
-// the budget of answers, and nothing once they have ended.
+// Guards against events without end that together use up the memory of an instance: each stream may hold one of up to 256
+// KB, all of them no more than the budget of answers, and nothing once they have ended.
 func TestPendingEventsShareABudget(t *testing.T) {
 	const (
 		budget  = 512 << 10
--- a/emulator/endless.go
+++ b/emulator/endless.go
@@ -17,8 +17,8 @@
 	EndlessHead
 	EndlessEvent
 	EndlessRefusal
-	// EndlessFields is a head of very many short fields, EndlessInterim the same in interim answers, and EndlessElements a report of very many small
-	// elements. They go on slowly after many bytes, so that no limit in bytes ends them.
+	// EndlessFields is a head of very many short fields, EndlessInterim the same in interim answers, and EndlessElements a
+	// report of very many small elements. They go on slowly after many bytes, so that no limit in bytes ends them.
 	EndlessFields
 	EndlessInterim
 	EndlessElements
@@ -30,7 +30,8 @@
 }
 
 const (
-	// endlessStart is the number of bytes that are sent at once before the slow rest, and endlessPause the pause between its parts.
+	// endlessStart is the number of bytes that are sent at once before the slow rest, and endlessPause the pause between
+	// its parts.
 	endlessStart = 63000
 	endlessPause = 50 * time.Millisecond
 )
--- a/emulator/endless_test.go
+++ b/emulator/endless_test.go
@@ -26,9 +26,9 @@
 	return kilobytes >> 10
 }
 
-// Ten targets send endless bytes at the same time, in response heads, events, refusals, reports and responses to orders, also as very many short
-// fields or elements.
-// The instances buffer little of it, and serve again as soon as the targets recover.
+// Ten targets send endless bytes at the same time, in response heads, events, refusals, reports and responses to orders,
+// also as very many short fields or elements. The instances buffer little of it, and serve again as soon as the targets
+// recover.
 func TestInstancesSurviveEndlessResponses(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -277,8 +277,8 @@
 // Runs returns the requests that the targets have run.
 func (fl *Fleet) Runs() []Run { return fl.runLog.Runs() }
 
-// Configure writes a version of the operator's configuration in which only the given API key is valid. It has further routes with resumable
-// streams at the given prefixes.
+// Configure writes a version of the operator's configuration in which only the given API key is valid. It has further
+// routes with resumable streams at the given prefixes.
 func (fl *Fleet) Configure(version int, key string, prefixes ...string) error {
 	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
--- a/emulator/software_test.go
+++ b/emulator/software_test.go
@@ -134,16 +134,17 @@
 	}
 }
 
-// Guards against the incident ORDER of review/1: the operator adds a route with a longer prefix while streams are open and most targets have
-// another version than the one that began them, an instance is lost, and the streams that this broke off go on at the other version.
+// Guards against the incident ORDER of review/1: the operator adds a route with a longer prefix while streams are open and
+// most targets have another version than the one that began them, an instance is lost, and the streams that this broke off
+// go on at the other version.
 func TestStreamsOutliveRoutes(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	const (
 		streams = 40
-		// events is the number of events of a stream, which lasts for almost its route's timeout, and routeTime how long the new route is there
-		// before an instance is lost.
+		// events is the number of events of a stream, which lasts for almost its route's timeout, and routeTime how long
+		// the new route is there before an instance is lost.
 		events    = 320
 		routeTime = 4 * time.Second
 	)
--- a/forwarder/unbounded_test.go
+++ b/forwarder/unbounded_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// Guards against review/3: heads that never end, of short fields, stop just below the limit in bytes and go on with a line now and then. Each held over
-// a megabyte until its caller's deadline, and the process ran out of memory.
+// Guards against review/3: heads that never end, of short fields, stop just below the limit in bytes and go on with a line
+// now and then. Each held over a megabyte until its caller's deadline, and the process ran out of memory.
 func TestHeadsOfShortFieldsEndAtOnce(t *testing.T) {
 	tests := map[string]struct{ begin, field string }{
 		"a head":              {"HTTP/1.1 200 OK\r\n", "ab:\r\n"},
--- a/inspector/body.go
+++ b/inspector/body.go
@@ -49,13 +49,14 @@
 const (
 	// maxElements is the largest number of elements of a JSON text: more than any text of a sound sender has.
 	maxElements = 1 << 18
-	// usualElements is the number of elements up to which a text is not counted, and elementCost what a decoded element holds, in bytes.
+	// usualElements is the number of elements up to which a text is not counted, and elementCost what a decoded element
+	// holds, in bytes.
 	usualElements = 256
 	elementCost   = 100
 )
 
-// Decode decodes a JSON text. An element of two bytes may hold a hundred once it is decoded, so elements are counted first, and what they hold
-// is reserved while they are decoded.
+// Decode decodes a JSON text. An element of two bytes may hold a hundred once it is decoded, so elements are counted
+// first, and what they hold is reserved while they are decoded.
 func Decode(text []byte, into any, bu Budget) error {
 	elements := 0
 	for _, char := range text {
--- a/inspector/head.go
+++ b/inspector/head.go
@@ -1,6 +1,6 @@
-// Package inspector bounds what the answers of targets and of the store hold in memory before they are whole: a faulty sender may send bytes
-// without end, in a head or in a body. What is held is counted, not the bytes alone, as net/http keeps each field of a head at some hundred
-// bytes. The sum over all answers of a process is bounded by a budget.
+// Package inspector bounds what the answers of targets and of the store hold in memory before they are whole: a faulty
+// sender may send bytes without end, in a head or in a body. What is held is counted, not the bytes alone, as net/http
+// keeps each field of a head at some hundred bytes. The sum over all answers of a process is bounded by a budget.
 package inspector
 
 import (
@@ -11,10 +11,12 @@
 	// maxHeadBytes limits the head of an answer with all interim answers before it, in bytes, and maxHeadLines its lines.
 	maxHeadBytes = 64 << 10
 	maxHeadLines = 256
-	// usualHeadBytes and usualHeadLines are the size up to which a head is not counted, as each request in progress accounts for it.
+	// usualHeadBytes and usualHeadLines are the size up to which a head is not counted, as each request in progress
+	// accounts for it.
 	usualHeadBytes = 4 << 10
 	usualHeadLines = 32
-	// lineCost is what net/http holds of a line beside its bytes, and byteCost what it holds of a byte, as received and as decoded.
+	// lineCost is what net/http holds of a line beside its bytes, and byteCost what it holds of a byte, as received and as
+	// decoded.
 	lineCost = 200
 	byteCost = 2
 	// reserveStep is the number of bytes that are reserved at once, at least.
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -18,8 +18,8 @@
 	head *Head
 }
 
-// WrapDial returns a function that opens connections whose answers' heads are bounded, for the DialContext of an http.Transport that
-// BoundHeads wraps.
+// WrapDial returns a function that opens connections whose answers' heads are bounded, for the DialContext of an
+// http.Transport that BoundHeads wraps.
 func WrapDial(dial Dial, bu Budget) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		co, err := dial(ctx, network, address)
--- a/invoker/unbounded_test.go
+++ b/invoker/unbounded_test.go
@@ -12,8 +12,8 @@
 	"lovagebank/requester"
 )
 
-// Guards against targets that send without end: heads of very many short fields, an event and a whole answer beyond what all answers may hold. The
-// request ends at once, and nothing stays reserved.
+// Guards against targets that send without end: heads of very many short fields, an event and a whole answer beyond what
+// all answers may hold. The request ends at once, and nothing stays reserved.
 func TestAnswersWithoutEnd(t *testing.T) {
 	const budget = 1 << 20
 	raw := func(text string) http.HandlerFunc {
--- a/resumer/base.go
+++ b/resumer/base.go
@@ -18,10 +18,12 @@
 	basePrefix = platform.InstancePrefix + "stream-origins/"
 	// recentFailure is how long after a failed call streams rather begin at the base origin, which needs no entry.
 	recentFailure = 3 * time.Second
-	// settleTime is how long a base origin has to have served, as this instance sees it, before streams begin there without entries. Another
-	// instance that has not seen it yet may replace it until then; copies that are current are two seconds old at most.
+	// settleTime is how long a base origin has to have served, as this instance sees it, before streams begin there
+	// without entries. Another instance that has not seen it yet may replace it until then; copies that are current are
+	// two seconds old at most.
 	settleTime = 5 * time.Second
-	// maxCopyAge is the greatest age of the copies of the store's keys at which a base origin that has not served for a horizon is relied on.
+	// maxCopyAge is the greatest age of the copies of the store's keys at which a base origin that has not served for a
+	// horizon is relied on.
 	maxCopyAge = 2 * time.Second
 )
 
@@ -35,12 +37,13 @@
 	known    bool
 	origin   Origin
 	era      int64
-	// since is when this instance received the origin, and live is true if it did so as it was written, not as an old entry at its start.
+	// since is when this instance received the origin, and live is true if it did so as it was written, not as an old
+	// entry at its start.
 	since time.Time
 	live  bool
-	// servingSince is since when the base origin has served but for short absences; zero if it has never been seen, or has been missing for
-	// longer. missingSince is when it was first missed; zero while it serves. backAt is when it was last seen again after an absence in which
-	// it may have been replaced.
+	// servingSince is since when the base origin has served but for short absences; zero if it has never been seen, or has
+	// been missing for longer. missingSince is when it was first missed; zero while it serves. backAt is when it was last
+	// seen again after an absence in which it may have been replaced.
 	servingSince time.Time
 	missingSince time.Time
 	backAt       time.Time
@@ -58,7 +61,8 @@
 	return bo
 }
 
-// covering returns the base origin of the longest prefix that covers a place, with its key. It does not depend on which routes there are now.
+// covering returns the base origin of the longest prefix that covers a place, with its key. It does not depend on which
+// routes there are now.
 func (re *Resumer) covering(pl Place) (string, *baseOrigin, bool) {
 	for _, key := range pl.keys() {
 		if bo, ok := re.bases[key]; ok && bo.revision != 0 {
@@ -76,8 +80,8 @@
 	maps.DeleteFunc(bo.seenAt, func(_ Origin, at time.Time) bool { return now.Sub(at) > horizon })
 }
 
-// watch records whether the base origin serves. After an absence of half the horizon, another instance, which has missed it for longer, may
-// have replaced it.
+// watch records whether the base origin serves. After an absence of half the horizon, another instance, which has missed
+// it for longer, may have replaced it.
 func (bo *baseOrigin) watch(serves bool, now time.Time, horizon time.Duration) {
 	if !bo.known {
 		return
@@ -100,9 +104,9 @@
 	}
 }
 
-// isBase reports whether streams at a place that begin at an origin need no entry of their own. While the base origin has just come back, or
-// has just been seen first by an instance that does not know for how long it was missing, another one may have taken its place, which this instance
-// has not received.
+// isBase reports whether streams at a place that begin at an origin need no entry of their own. While the base origin has
+// just come back, or has just been seen first by an instance that does not know for how long it was missing, another one
+// may have taken its place, which this instance has not received.
 func (re *Resumer) isBase(pl Place, og Origin) bool {
 	_, bo, ok := re.covering(pl)
 	if !ok || !bo.known || bo.origin != og || bo.era != re.op.Era() || time.Since(bo.backAt) <= re.horizon() {
@@ -121,8 +125,8 @@
 	}
 }
 
-// upToDate reports whether the copies of the store's keys were current recently enough for no base origin to have been replaced since, in
-// the time in which a stream is passed on and taken up again.
+// upToDate reports whether the copies of the store's keys were current recently enough for no base origin to have been
+// replaced since, in the time in which a stream is passed on and taken up again.
 func (re *Resumer) upToDate() bool { return re.copyAge() < re.horizon()/2 }
 
 // copyAge returns how long ago the copies of the store's keys were last known to be current, to within maintainInterval.
@@ -133,8 +137,9 @@
 	return time.Since(re.currentAt)
 }
 
-// originWithoutEntry returns the origin of a stream without an entry. It is unknown for a time after the store has come back from an older
-// copy, as its entry may be lost. The store is asked, as this instance may not have received the newest base origin.
+// originWithoutEntry returns the origin of a stream without an entry. It is unknown for a time after the store has come
+// back from an older copy, as its entry may be lost. The store is asked, as this instance may not have received the newest
+// base origin.
 func (re *Resumer) originWithoutEntry(ctx context.Context, pl Place) (Origin, Source, error) {
 	re.mu.Lock()
 	key, _, ok := re.covering(pl)
@@ -164,8 +169,8 @@
 	return Origin{Service: entry.GetService(), Software: entry.GetSoftware()}, FromBase, nil
 }
 
-// sole returns the origin of a stream about which the store cannot be asked: it is known only where there was no other one for longer
-// than streams last. An instance that is out of step may not have received others.
+// sole returns the origin of a stream about which the store cannot be asked: it is known only where there was no other one
+// for longer than streams last. An instance that is out of step may not have received others.
 func (re *Resumer) sole(pl Place) (Origin, error) {
 	if !re.op.InStep() {
 		return Origin{}, ErrUnknown
@@ -182,8 +187,8 @@
 	return bo.origin, nil
 }
 
-// Preferred returns the origin at which streams at a place should rather begin now; false if it makes no difference. While the store
-// does not answer, no stream can get an entry.
+// Preferred returns the origin at which streams at a place should rather begin now; false if it makes no difference. While
+// the store does not answer, no stream can get an entry.
 func (re *Resumer) Preferred(pl Place) (Origin, bool) {
 	if !re.op.StoreFailed(recentFailure) {
 		return Origin{}, false
--- a/resumer/changes.go
+++ b/resumer/changes.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	// maintainInterval is the time between two looks at the origins that serve. baseDelay is the longest time for which an instance
-	// leaves a change of base origins to the others.
+	// maintainInterval is the time between two looks at the origins that serve. baseDelay is the longest time for which an
+	// instance leaves a change of base origins to the others.
 	maintainInterval = time.Second
 	baseDelay        = 2 * time.Second
-	// orphanMargin is how much later than their retention entries of lost instances are deleted, as clocks of instances differ by seconds.
+	// orphanMargin is how much later than their retention entries of lost instances are deleted, as clocks of instances
+	// differ by seconds.
 	orphanMargin = 10 * time.Second
 )
 
@@ -49,8 +50,8 @@
 	}
 }
 
-// baseChanges returns the transaction that changes base origins, if this instance is to write one now. It waits for a time by chance, so
-// that one instance writes it.
+// baseChanges returns the transaction that changes base origins, if this instance is to write one now. It waits for a time
+// by chance, so that one instance writes it.
 func (re *Resumer) baseChanges(routes []Route) (platform.Transaction, bool) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
@@ -147,8 +148,9 @@
 	expected map[string]bool
 }
 
-// replace proposes another base origin for a prefix in place of one that has not served there for longer than streams last, and the same one
-// again if it was written before the store came back from an older copy and streams from before then can no longer be taken up.
+// replace proposes another base origin for a prefix in place of one that has not served there for longer than streams
+// last, and the same one again if it was written before the store came back from an older copy and streams from before
+// then can no longer be taken up.
 func (pr *proposal) replace(key string, bo *baseOrigin) {
 	re := pr.re
 	rt, ok := nearestRoute(pr.byKey, bo.place)
@@ -167,9 +169,9 @@
 	pr.write(key, rt.Name, next)
 }
 
-// create proposes a base origin for the prefix of a route that has none. Streams without an entry may have begun there on a route with a shorter
-// prefix, so it is that of the longest prefix that covers it, until that one has not served there for longer than streams last. Only where there is
-// none it is the origin with the most targets.
+// create proposes a base origin for the prefix of a route that has none. Streams without an entry may have begun there on
+// a route with a shorter prefix, so it is that of the longest prefix that covers it, until that one has not served there
+// for longer than streams last. Only where there is none it is the origin with the most targets.
 func (pr *proposal) create(rt Route) {
 	re, keys := pr.re, rt.Prefix.keys()
 	if len(keys) == 0 || re.bases[keys[0]].revision != 0 || len(rt.Targets) == 0 || pr.full(len(keys)) {
--- a/resumer/place.go
+++ b/resumer/place.go
@@ -10,20 +10,21 @@
 // maxDepth is the number of leading segments of a path that a place distinguishes.
 const maxDepth = 64
 
-// Place is the host and the path at which callers ask for a stream. Unlike the route that serves it, it stays the same whatever routes the
-// operators add, replace or remove.
+// Place is the host and the path at which callers ask for a stream. Unlike the route that serves it, it stays the same
+// whatever routes the operators add, replace or remove.
 type Place struct {
 	host, path string
 }
 
-// NewPlace returns the place of a host and a path; the host in the canonical form of package router. The prefix of a route is a place too.
+// NewPlace returns the place of a host and a path; the host in the canonical form of package router. The prefix of a route
+// is a place too.
 func NewPlace(host, path string) Place { return Place{host: host, path: path} }
 
 // String returns host and path, for logs.
 func (pl Place) String() string { return pl.host + pl.path }
 
-// keys returns the keys of the prefixes that cover the place, longest first. A prefix ends with a slash, and its key is a hash of host and
-// prefix, as 16 hexadecimal digits.
+// keys returns the keys of the prefixes that cover the place, longest first. A prefix ends with a slash, and its key is a
+// hash of host and prefix, as 16 hexadecimal digits.
 func (pl Place) keys() []string {
 	var keys []string
 	di := xxhash.New()
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -1,12 +1,13 @@
-// Package resumer keeps track of where resumable streams began: at which service, and at which version of the targets' software. A
-// stream may go on only at the version that began it. Its caller may take it up again at any instance, also after all instances have
-// been lost, so the knowledge lies in the store.
+// Package resumer keeps track of where resumable streams began: at which service, and at which version of the targets'
+// software. A stream may go on only at the version that began it. Its caller may take it up again at any instance, also
+// after all instances have been lost, so the knowledge lies in the store.
 //
-// All instances agree on base origins, one for the prefix of each route. A stream that begins elsewhere gets an entry in the store before its
-// first event is passed on; a stream without an entry began at the base origin of the longest prefix that covers its host and path. So streams
-// cost no call to the store while one version serves. The base origin of a place does not depend on the routes that there are, and it changes
-// only after it has served no stream there for longer than one may be taken up again: a new prefix takes over that of the prefix around it, and
-// that of a route that was removed stays.
+// All instances agree on base origins, one for the prefix of each route. A stream that begins elsewhere gets an entry in
+// the store before its first event is passed on; a stream without an entry began at the base origin of the longest prefix
+// that covers its host and path. So streams cost no call to the store while one version serves. The base origin of a place
+// does not depend on the routes that there are, and it changes only after it has served no stream there for longer than
+// one may be taken up again: a new prefix takes over that of the prefix around it, and that of a route that was removed
+// stays.
 package resumer
 
 import (
@@ -23,8 +24,9 @@
 )
 
 const (
-	// minHorizon is the least time for which a stream may still be taken up again after its last target has left, and horizonTimeouts that
-	// time in timeouts of its route: the attempt that breaks off lasts for one at most, and its caller tries again for as long.
+	// minHorizon is the least time for which a stream may still be taken up again after its last target has left, and
+	// horizonTimeouts that time in timeouts of its route: the attempt that breaks off lasts for one at most, and its
+	// caller tries again for as long.
 	minHorizon      = 30 * time.Second
 	horizonTimeouts = 2
 	// maxStreams limits the streams whose origins are kept in memory.
@@ -73,11 +75,11 @@
 	Routes func() []Route
 	// UpToDate reports whether the copies of the store's keys are complete and current. Nil means that they are.
 	UpToDate func() bool
-	// InStep reports whether this instance knows all targets that other instances know: it hears from all of them, and none has a newer copy
-	// of the store's keys. Nil means that it does.
+	// InStep reports whether this instance knows all targets that other instances know: it hears from all of them, and
+	// none has a newer copy of the store's keys. Nil means that it does.
 	InStep func() bool
-	// Current reports whether the copies of the store's keys are kept up to date, so that what another instance has written arrives soon. Nil
-	// means that they are.
+	// Current reports whether the copies of the store's keys are kept up to date, so that what another instance has
+	// written arrives soon. Nil means that they are.
 	Current func() bool
 	// StoreFailed reports whether calls to the store failed within the given time.
 	StoreFailed func(time.Duration) bool
@@ -100,14 +102,15 @@
 	// longest is the longest timeout that a route with streams has had.
 	longest time.Duration
 	streams map[string]knownStream
-	// bases holds what is known of base origins, by the key of the prefix. basesDueAt is when this instance writes those that are to
-	// change; zero if none are.
+	// bases holds what is known of base origins, by the key of the prefix. basesDueAt is when this instance writes those
+	// that are to change; zero if none are.
 	bases      map[string]*baseOrigin
 	basesDueAt time.Time
 	// pending are the entries that are to be written, and written those that are to be deleted later, oldest first.
 	pending []*Record
 	written []writtenEntry
-	// era is the store's era as last seen, and eraSince when this instance first saw it. eraChanged is true once it has seen an earlier one.
+	// era is the store's era as last seen, and eraSince when this instance first saw it. eraChanged is true once it has
+	// seen an earlier one.
 	era        int64
 	eraSince   time.Time
 	eraChanged bool
@@ -157,8 +160,8 @@
 	}
 }
 
-// Begin records where a stream at a place begins. Its first event may be passed on once Wait has returned without an error. The stream
-// gets an entry in the store unless it begins at the base origin.
+// Begin records where a stream at a place begins. Its first event may be passed on once Wait has returned without an
+// error. The stream gets an entry in the store unless it begins at the base origin.
 func (re *Resumer) Begin(id string, pl Place, og Origin) *Record {
 	re.mu.Lock()
 	defer re.mu.Unlock()
@@ -197,8 +200,8 @@
 	re.streams[id] = knownStream{origin: og, at: time.Now()}
 }
 
-// Lookup returns where a stream at a place began whose first event the request with the given ID brought, and how it was found. It returns
-// ErrUnknown rather than a guess.
+// Lookup returns where a stream at a place began whose first event the request with the given ID brought, and how it was
+// found. It returns ErrUnknown rather than a guess.
 func (re *Resumer) Lookup(ctx context.Context, id string, pl Place) (Origin, Source, error) {
 	if og, ok := re.known(id); ok {
 		return og, FromMemory, nil
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -286,8 +286,8 @@
 	return fl.members[at].resumer.Begin(id, resumer.NewPlace(host, requestPath), og).Wait(context.Background()) == nil
 }
 
-// Guards against the incident ORDER: a stream that is taken up again is sent to a version of the software that did not begin it, or to
-// none although its version is certain.
+// Guards against the incident ORDER: a stream that is taken up again is sent to a version of the software that did not
+// begin it, or to none although its version is certain.
 func TestFindsOriginsOfStreams(t *testing.T) {
 	tests := map[string]struct {
 		// play begins the stream "x", as far as it does, and lets things happen; the lookup is made at the first instance.
@@ -401,8 +401,8 @@
 	}
 }
 
-// Guards against streams that last longer than what is known of them: the entry of one was deleted while it went on, and the base origin of
-// another was replaced soon after its version had left.
+// Guards against streams that last longer than what is known of them: the entry of one was deleted while it went on, and
+// the base origin of another was replaced soon after its version had left.
 func TestFindsOriginsOfLongStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(1, 2, map[string]int{"v1": 3, "v2": 2})
@@ -447,7 +447,8 @@
 	})
 }
 
-// Streams cost no call to the store while one version serves, entries are deleted once they are outdated, and a lost instance's are too.
+// Streams cost no call to the store while one version serves, entries are deleted once they are outdated, and a lost
+// instance's are too.
 func TestEntriesAreFewAndEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(1, 2, map[string]int{"v1": 3})
@@ -479,9 +480,10 @@
 	})
 }
 
-// Plays random series of releases, losses of instances and faults of the store; in the later ones, the route is moved to other services and
-// split, too. Versions come back, and copies of keys lag: with seeds 235 and 266, an instance had not received the newest base origin as the
-// one before came back. Whatever happens, the origin of a stream whose first event was passed on is found or unknown, never another one.
+// Plays random series of releases, losses of instances and faults of the store; in the later ones, the route is moved to
+// other services and split, too. Versions come back, and copies of keys lag: with seeds 235 and 266, an instance had not
+// received the newest base origin as the one before came back. Whatever happens, the origin of a stream whose first event
+// was passed on is found or unknown, never another one.
 func TestNeverFindsAnotherOrigin(t *testing.T) {
 	const firstWithMoves = 1000
 	seeds := []uint64{235, 266}
--- a/resumer/routes_test.go
+++ b/resumer/routes_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// Guards against the incident ORDER of review/1: the operators add, move or remove a route while streams are open, and a stream that is taken
-// up is sent to another version, as its path belongs to another route by then.
+// Guards against the incident ORDER of review/1: the operators add, move or remove a route while streams are open, and a
+// stream that is taken up is sent to another version, as its path belongs to another route by then.
 func TestOriginsOutliveRoutes(t *testing.T) {
 	v1, v2 := resumer.Origin{Service: "s", Software: "v1"}, resumer.Origin{Service: "s", Software: "v2"}
 	both, mostlyV2 := software{"s": {"v1": 3, "v2": 2}}, software{"s": {"v1": 2, "v2": 3}}
@@ -179,7 +179,8 @@
 	return best, length > 0
 }
 
-// Plays random series in which the operators add, replace and remove routes with nested prefixes, beside releases, losses of instances and faults of the store. The origin of a stream is found or unknown, never another one.
+// Plays random series in which the operators add, replace and remove routes with nested prefixes, beside releases, losses
+// of instances and faults of the store. The origin of a stream is found or unknown, never another one.
 func TestNeverFindsAnotherOriginAsRoutesChange(t *testing.T) {
 	seeds := []uint64{159, 351, 662, 902, 1325, 2476}
 	for seed := range uint64(80) {
--- a/supervisor/leaving_test.go
+++ b/supervisor/leaving_test.go
@@ -201,8 +201,8 @@
 	})
 }
 
-// Guards against the incident DRAIN of review/4: a target whose departure peers have reported gets requests again, as this instance's copy has passed
-// the removal and still defers it.
+// Guards against the incident DRAIN of review/4: a target whose departure peers have reported gets requests again, as this
+// instance's copy has passed the removal and still defers it.
 func TestReportedDepartureLastsWhileRemovalIsDeferred(t *testing.T) {
 	playVirtually(t, 2, emulator.Options{}, func(vf *virtualFleet) {
 		vi := vf.instances[0]
@@ -227,8 +227,8 @@
 	})
 }
 
-// Guards against the incident DRAIN of review/earlier/5: a store that cuts waiting watches now and then, as it may, counted as failing, so that the
-// removal of a target's entry was held back for as long as that went on.
+// Guards against the incident DRAIN of review/earlier/5: a store that cuts waiting watches now and then, as it may,
+// counted as failing, so that the removal of a target's entry was held back for as long as that went on.
 func TestRemovalIsAppliedWhileWatchesAreCut(t *testing.T) {
 	playVirtually(t, 4, emulator.Options{}, func(vf *virtualFleet) {
 		stop := make(chan struct{})
--- a/supervisor/streams.go
+++ b/supervisor/streams.go
@@ -55,7 +55,8 @@
 	return true
 }
 
-// current reports whether the store or a reader keeps this instance's copies of the store's keys up to date, or no other instance has newer ones.
+// current reports whether the store or a reader keeps this instance's copies of the store's keys up to date, or no other
+// instance has newer ones.
 func (su *Supervisor) current() bool {
 	for index, wa := range su.watchers() {
 		if !wa.Current() && !su.follower.Follows(index) {
@@ -110,8 +111,9 @@
 	return platform.DecodeTarget(it.Key, it.Value)
 }
 
-// sameStart reports whether the process that a target runs now is the one that its entry in this instance's copy describes. An engine says in its
-// reports when it has started; for the others, and where it does not say so, the store is asked.
+// sameStart reports whether the process that a target runs now is the one that its entry in this instance's copy
+// describes. An engine says in its reports when it has started; for the others, and where it does not say so, the store is
+// asked.
 func (su *Supervisor) sameStart(ctx context.Context, ta *balancer.Target) bool {
 	if su.isEngine(ta) {
 		if re, err := su.targets.Report(ctx, ta); err == nil && !re.Started.IsZero() {
--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -21,8 +21,8 @@
 	// watchWait is how long the store is asked to wait for changes, and watchTimeout how long a call without an answer lasts.
 	watchWait    = time.Second
 	watchTimeout = watchWait + 600*time.Millisecond
-	// removalTime is the stated time within which a removal reaches an instance: a call that gets no answer, the longest pause before the
-	// next one, and the longest time for which a removal is deferred.
+	// removalTime is the stated time within which a removal reaches an instance: a call that gets no answer, the longest
+	// pause before the next one, and the longest time for which a removal is deferred.
 	removalTime = watchTimeout + 1500*time.Millisecond + 5*time.Second + 400*time.Millisecond
 	// calmTime is how long nothing has failed anywhere in calm, and calmRemovalTime the stated time of a removal then.
 	calmTime        = 6 * time.Second
@@ -134,8 +134,8 @@
 	return in.mode, in.changed
 }
 
-// call makes a call to the store through the instance's gate. A call that waits as the gate begins to refuse fails, and one that waits as it
-// falls silent gets no answer.
+// call makes a call to the store through the instance's gate. A call that waits as the gate begins to refuse fails, and
+// one that waits as it falls silent gets no answer.
 func (in *instance) call(ctx context.Context, call func(context.Context) (platform.Page, error)) (platform.Page, error) {
 	began := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
@@ -283,7 +283,8 @@
 	fl.store.put(key, fmt.Sprint(fl.random.IntN(1000)))
 }
 
-// setDown takes the store down or up; some keys lapse while it is down, and their writers write them again within a second and a half.
+// setDown takes the store down or up; some keys lapse while it is down, and their writers write them again within a second
+// and a half.
 func (fl *fleet) setDown(down bool) {
 	fl.store.set(down, false)
 	fl.failedAt = time.Now()
@@ -343,8 +344,8 @@
 	}
 }
 
-// check fails the test if an instance that reaches the store still has a key that was removed longer ago than stated, or lacks one that was
-// written longer ago.
+// check fails the test if an instance that reaches the store still has a key that was removed longer ago than stated, or
+// lacks one that was written longer ago.
 func (fl *fleet) check(seed uint64) {
 	fl.store.mu.Lock()
 	items, down := maps.Clone(fl.store.items), fl.store.down
@@ -380,10 +381,11 @@
 	return ok, in.reachesSince
 }
 
-// Guards against the incident DRAIN of review/4: instances kept a key for good that the store had removed, as they gave the deferred removal up
-// for a peer's copy that still had the key, or passed its revision with such a copy. In random series of outages for one, some or all instances,
-// refused and silent, of restarts, and of removals before, amid and after them, what the store has removed is removed within the stated time at
-// each instance that reaches it, and what it holds is there.
+// Guards against the incident DRAIN of review/4: instances kept a key for good that the store had removed, as they gave
+// the deferred removal up for a peer's copy that still had the key, or passed its revision with such a copy. In random
+// series of outages for one, some or all instances, refused and silent, of restarts, and of removals before, amid and
+// after them, what the store has removed is removed within the stated time at each instance that reaches it, and what it
+// holds is there.
 func TestRemovalsReachAllInstances(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/watcher/history.go
+++ b/watcher/history.go
@@ -111,10 +111,10 @@
 	return closed
 }
 
-// ApplyChanges applies the changes of a peer's copy. It returns false and changes nothing if the peer sent its whole copy and
-// that copy is behind this one. Keys that the peer's copy lacks are removed without delay, because the peer has already
-// deferred their removal where necessary. Removals that it still defers are deferred here too: this copy may pass their revisions without
-// having received them.
+// ApplyChanges applies the changes of a peer's copy. It returns false and changes nothing if the peer sent its whole copy
+// and that copy is behind this one. Keys that the peer's copy lacks are removed without delay, because the peer has
+// already deferred their removal where necessary. Removals that it still defers are deferred here too: this copy may pass
+// their revisions without having received them.
 func (wa *Watcher) ApplyChanges(ch Changes) bool {
 	switch {
 	case ch.Whole && ch.Revision < wa.Revision():
--- a/watcher/removals.go
+++ b/watcher/removals.go
@@ -17,8 +17,8 @@
 	// keepAfterRollback is the time for which a key that disappears is kept after a store rollback, in which its writer
 	// writes it again.
 	keepAfterRollback = 5 * time.Second
-	// maxDeferral is the longest time for which a removal is deferred while the store answers. Outages that follow each other would
-	// defer it for ever.
+	// maxDeferral is the longest time for which a removal is deferred while the store answers. Outages that follow each
+	// other would defer it for ever.
 	maxDeferral = keepAfterRollback
 )
 
@@ -30,8 +30,8 @@
 	since, until time.Time
 }
 
-// deferRemoval defers the removal of a key if the key may be disappearing now only because its lease has lapsed; the lock is held. A removal
-// that is deferred already is not deferred for longer.
+// deferRemoval defers the removal of a key if the key may be disappearing now only because its lease has lapsed; the lock
+// is held. A removal that is deferred already is not deferred for longer.
 func (wa *Watcher) deferRemoval(it platform.Item) bool {
 	now := time.Now()
 	if dr, ok := wa.deferredRemovals[it.Key]; ok {
@@ -79,8 +79,8 @@
 	return until
 }
 
-// due reports whether a deferred removal is to be carried out; the lock is held. While the store is unreachable, and for a time after
-// it is back, a writer that has come back may not be known.
+// due reports whether a deferred removal is to be carried out; the lock is held. While the store is unreachable, and for a
+// time after it is back, a writer that has come back may not be known.
 func (wa *Watcher) due(dr deferredRemoval, now time.Time) bool {
 	switch {
 	case now.Before(dr.until) || wa.recovered != nil:
@@ -123,16 +123,16 @@
 	return ok
 }
 
-// confirm gives up the deferred removal of a key that a listing of the store, made after the removal, still has; the lock is held. The
-// copy of a peer says nothing, as the peer may defer the removal too.
+// confirm gives up the deferred removal of a key that a listing of the store, made after the removal, still has; the lock
+// is held. The copy of a peer says nothing, as the peer may defer the removal too.
 func (wa *Watcher) confirm(it platform.Item, so source) {
 	if dr, ok := wa.deferredRemovals[it.Key]; ok && !so.certain && so.complete > dr.item.Revision {
 		delete(wa.deferredRemovals, it.Key)
 	}
 }
 
-// removedSince reports whether a key that the copy does not have was removed after the given state of it; the lock is held. An answer of the
-// store or a peer's copy may arrive later than a newer one.
+// removedSince reports whether a key that the copy does not have was removed after the given state of it; the lock is
+// held. An answer of the store or a peer's copy may arrive later than a newer one.
 func (wa *Watcher) removedSince(it platform.Item, so source) bool {
 	if removed, ok := wa.history.removed[it.Key]; ok && it.Revision <= removed.Revision {
 		return so.certain || so.complete <= removed.Revision
--- a/watcher/removals_test.go
+++ b/watcher/removals_test.go
@@ -15,8 +15,8 @@
 	}
 }
 
-// Guards against the incident DRAIN of review/4, one case for each way in which a copy and its removals came apart. Each scenario begins with op/a in
-// the store, at revision 1.
+// Guards against the incident DRAIN of review/4, one case for each way in which a copy and its removals came apart. Each
+// scenario begins with op/a in the store, at revision 1.
 func TestDeferredRemovalsAreNotForgotten(t *testing.T) {
 	defer1 := watcher.DeferredRemoval{Item: platform.Item{Key: "op/a", Revision: 2, Deleted: true}, Left: 2 * time.Second}
 	scenarios := map[string]func(*testing.T, *fixture){
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,8 +20,8 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// ProbeWait is how long an unreachable store, or one that has cut a watch, is asked to wait for changes. With a longer wait its
-	// answer, and so the recovery, would be seen only once something changes.
+	// ProbeWait is how long an unreachable store, or one that has cut a watch, is asked to wait for changes. With a longer
+	// wait its answer, and so the recovery, would be seen only once something changes.
 	ProbeWait = time.Millisecond
 	// maxAnswerDelay is how late an answer of the store may be.
 	maxAnswerDelay = 400 * time.Millisecond
@@ -48,12 +48,12 @@
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Page, error)
 	// Pace sets the timing of these calls.
 	Pace Pace
-	// Failures records the results of store calls. The functions List and Watch must update it, the watcher only reads it. A watch that
-	// is cut while it waits for longer than ProbeWait is no failure: the store may do so, and the next call, which does not wait, tells
-	// whether it fails.
+	// Failures records the results of store calls. The functions List and Watch must update it, the watcher only reads it.
+	// A watch that is cut while it waits for longer than ProbeWait is no failure: the store may do so, and the next call,
+	// which does not wait, tells whether it fails.
 	Failures *FailureTracker
-	// KeepAfterFailure is how long after a failure of the store a key that disappears is kept. Its writer may only have lost its lease
-	// and needs time to come back.
+	// KeepAfterFailure is how long after a failure of the store a key that disappears is kept. Its writer may only have
+	// lost its lease and needs time to come back.
 	KeepAfterFailure time.Duration
 	// Await returns once this watcher may call the store, for example because no peer's copy is followed in its place, or
 	// once the context has ended. Nil means without waiting.
@@ -381,8 +381,8 @@
 	}
 }
 
-// record updates the copy and reports whether it changed. A deferred removal changes nothing yet. It is given up only for a later state of its
-// key.
+// record updates the copy and reports whether it changed. A deferred removal changes nothing yet. It is given up only for
+// a later state of its key.
 func (wa *Watcher) record(it platform.Item, so source) bool {
 	current, ok := wa.items[it.Key]
 	switch {
