A request ID that no key of the store can hold delays nobody's stream; streams that may not be taken up are not remembered

Change: a stream with such an ID is not recorded, and so does not begin off the base origin. Streams that are not resumable are noted in the store only.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -50,6 +50,8 @@
 	// options are the options of the instance's acceptor, and address is that of a second front with a budget, if there is one.
 	options acceptor.Options
 	address string
+	// written holds the keys of the store that have been written.
+	written sync.Map
 	loads   atomic.Int64
 	loadErr error
 	// overloaded is the number of loads that are refused at once, from the first.
@@ -257,8 +259,13 @@
 // streams returns the options of a store that holds nothing and accepts everything.
 func (ti *testInstance) streams() resumer.Options {
 	return resumer.Options{
-		Get:         func(context.Context, string) (platform.Item, error) { return platform.Item{}, platform.ErrNotFound },
-		Transact:    func(context.Context, platform.Transaction) (int64, error) { return 1, nil },
+		Get: func(context.Context, string) (platform.Item, error) { return platform.Item{}, platform.ErrNotFound },
+		Transact: func(_ context.Context, tx platform.Transaction) (int64, error) {
+			for _, wr := range tx.Writes {
+				ti.written.Store(wr.Key, true)
+			}
+			return 1, nil
+		},
 		Era:         func() int64 { return 0 },
 		StoreFailed: func(time.Duration) bool { return false },
 		Routes:      func() []resumer.Route { return nil },
--- a/acceptor/origin.go
+++ b/acceptor/origin.go
@@ -53,10 +53,11 @@
 		rs.Abort()
 		return errors.Join(errStreamNotRecorded, err)
 	}
-	rc := ex.ac.op.Streams.Begin(ex.caller.ID, ex.place, og)
 	if !ex.resumable() {
+		ex.ac.op.Streams.Note(ex.caller.ID, ex.place, og)
 		return nil
 	}
+	rc := ex.ac.op.Streams.Begin(ex.caller.ID, ex.place, og)
 	ex.pin(og.Software)
 	if err := rc.Wait(ex.ctx); err != nil {
 		rs.Abort()
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -166,10 +166,28 @@
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	re.remember(id, og)
+	return re.record(id, pl, og)
+}
+
+// Note records where a stream begins that may not be taken up now, but may be once the operators change its route. Nobody
+// waits for its entry, and this instance keeps nothing of it.
+func (re *Resumer) Note(id string, pl Place, og Origin) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	_ = re.record(id, pl, og)
+}
+
+// record returns the record of a stream, and has its entry written if it needs one; the lock is held.
+func (re *Resumer) record(id string, pl Place, og Origin) *Record {
 	rc := &Record{id: id, origin: og, confirmed: make(chan struct{}), until: time.Now().Add(recordTimeout)}
-	if re.isBase(pl, og) {
+	switch {
+	case re.isBase(pl, og):
 		close(rc.confirmed)
 		return rc
+	case len(platform.StreamPrefix)+len(id) > platform.MaxKeyBytes:
+		// The store would refuse the entry, and with it all that are written in the same call.
+		rc.until = time.Now()
+		return rc
 	}
 	re.pending = append(re.pending, rc)
 	select {
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -88,6 +88,11 @@
 }
 
 func (fs *fakeStore) apply(tx platform.Transaction) (int64, error) {
+	for _, wr := range tx.Writes {
+		if len(wr.Key) > platform.MaxKeyBytes {
+			return 0, platform.ErrRefused
+		}
+	}
 	for _, ex := range tx.Expected {
 		if fs.items[ex.Key].Revision != ex.Revision {
 			return 0, platform.ErrConflict
@@ -447,6 +452,28 @@
 	})
 }
 
+// Guards against a caller whose request ID is longer than a key of the store may be: the entries of other callers' streams were refused with its own.
+func TestLongRequestIDs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(1, 1, map[string]int{"v1": 3, "v2": 2})
+		defer fl.close()
+		fl.wait(5 * time.Second)
+		var tasks sync.WaitGroup
+		for number := range 10 {
+			tasks.Go(func() {
+				id := fmt.Sprint("x", number)
+				if number == 5 {
+					id = strings.Repeat("x", platform.MaxKeyBytes)
+				}
+				if begun := fl.begin(0, id, "v2"); begun != (number != 5) {
+					t.Errorf("stream %d: began %v", number, begun)
+				}
+			})
+		}
+		tasks.Wait()
+	})
+}
+
 // Streams cost no call to the store while one version serves, entries are deleted once they are outdated, and a lost
 // instance's are too.
 func TestEntriesAreFewAndEnd(t *testing.T) {
