TestStreamsOutliveRoutes does not depend on streams that just fit their route's timeout

Cause: its fleet warmed up with streams of 4.8 s on routes of 5 s. Change: the streams get long only after the fleet is warm, and last 7.5 s of 30 s allowed. What is checked is the same.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -96,6 +96,8 @@
 	Software []string
 	// StreamEvents is the number of events of each stream; 0 selects 6.
 	StreamEvents int
+	// RouteTimeout is the timeout of all routes; 0 selects 5 s.
+	RouteTimeout time.Duration
 	// PrefixCache describes how engines prefill and cache prompts; zero for engines that take the same time for each.
 	PrefixCache PrefixCache
 	// Listen opens the listeners of the store and the targets; nil listens on TCP ports.
@@ -134,6 +136,9 @@
 			*size.value = size.fallback
 		}
 	}
+	if op.RouteTimeout == 0 {
+		op.RouteTimeout = defaultRouteTimeout
+	}
 	return op
 }
 
@@ -268,6 +273,17 @@
 	return fl.targets[id]
 }
 
+// SetStreamEvents sets the number of events of the streams that begin from now on at the targets that there are.
+func (fl *Fleet) SetStreamEvents(events int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, ta := range fl.targets {
+		ta.mu.Lock()
+		ta.events = events
+		ta.mu.Unlock()
+	}
+}
+
 // StoreAddress returns the address of the store.
 func (fl *Fleet) StoreAddress() string { return fl.address }
 
@@ -282,7 +298,7 @@
 func (fl *Fleet) Configure(version int, key string, prefixes ...string) error {
 	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": Host, "prefix": prefix, "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 800,
+			"name": name, "host": Host, "prefix": prefix, "kind": kind, "timeoutMs": fl.op.RouteTimeout.Milliseconds(), "targetLatencyMs": 800,
 			"priority": 0, "service": service, "attempts": 2, "resumable": resumable, "sticky": service == "engines",
 		}
 	}
--- a/emulator/software_test.go
+++ b/emulator/software_test.go
@@ -31,18 +31,18 @@
 
 // streamOf reads one stream and takes it up again where it breaks off, each time at another instance.
 func (us *user) streamOf(number int, adapter string) stream {
-	return us.streamAt("/ask/1", number, adapter)
+	return us.streamAt("/ask/1", number, adapter, takeUpTime)
 }
 
-// streamAt does the same at a path.
-func (us *user) streamAt(path string, number int, adapter string) stream {
+// streamAt does the same at a path, for at most the given time.
+func (us *user) streamAt(path string, number int, adapter string, atMost time.Duration) stream {
 	first := fmt.Sprintf("v%d", number)
 	var st stream
 	id, began := first, time.Now()
 	for try := 0; ; try++ {
 		last, whole := emulator.LastEvent(st.text)
 		st.text = whole
-		call := emulator.Call{Path: path, ID: id, Key: emulator.Key, Adapter: adapter, Deadline: takeUpTime, LastEvent: last, Resumes: first}
+		call := emulator.Call{Path: path, ID: id, Key: emulator.Key, Adapter: adapter, Deadline: atMost, LastEvent: last, Resumes: first}
 		status, text, err := call.Send(us.t.Context(), http.DefaultClient, us.entries[(number+try)%len(us.entries)].Address())
 		if err != nil || status == http.StatusOK {
 			st.text += text
@@ -51,7 +51,7 @@
 			st.whole = true
 			return st
 		}
-		if time.Since(began) > takeUpTime {
+		if time.Since(began) > atMost {
 			return st
 		}
 		if id = fmt.Sprintf("v%d-%d", number, try); last == "" && st.text == "" {
@@ -143,13 +143,15 @@
 	}
 	const (
 		streams = 40
-		// events is the number of events of a stream, which lasts for almost its route's timeout, and routeTime how long
-		// the new route is there before an instance is lost.
-		events    = 320
+		// events is the number of events of a stream: it lasts for 7.5 s, of the 30 s that its route and its caller allow, and
+		// routeTime how long the new route is there before an instance is lost.
+		events    = 500
+		allowed   = 30 * time.Second
 		routeTime = 4 * time.Second
 	)
-	fl, us := newFleetWith(t, emulator.Options{Engines: 5, Software: []string{"v1", "v2"}, StreamEvents: events}, 3)
+	fl, us := newFleetWith(t, emulator.Options{Engines: 5, Software: []string{"v1", "v2"}, RouteTimeout: allowed}, 3)
 	time.Sleep(routeTime)
+	fl.SetStreamEvents(events)
 	// Two of the three targets with v1 leave.
 	fl.RemoveTarget("engine-0")
 	fl.RemoveTarget("engine-2")
@@ -157,7 +159,7 @@
 	var tasks sync.WaitGroup
 	taken := make([]stream, streams)
 	for number := range streams {
-		tasks.Go(func() { taken[number] = us.streamAt("/ask/long/1", number, fmt.Sprint("a", number%3)) })
+		tasks.Go(func() { taken[number] = us.streamAt("/ask/long/1", number, fmt.Sprint("a", number%3), allowed) })
 		time.Sleep(10 * time.Millisecond)
 	}
 	if err := fl.Configure(2, emulator.Key, "/ask/long/"); err != nil {
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -18,6 +18,8 @@
 	eventInterval = 15 * time.Millisecond
 	// defaultStreamEvents is the number of events of each stream, unless Options say otherwise.
 	defaultStreamEvents = 6
+	// defaultRouteTimeout is the timeout of the routes, unless Options say otherwise.
+	defaultRouteTimeout = 5 * time.Second
 	// defaultSoftware is the version of the targets' software.
 	defaultSoftware = "v1"
 	// AdapterSlots is the number of adapters that an engine can hold.
@@ -272,7 +274,10 @@
 	if err != nil {
 		first = 0
 	}
-	for number := first + 1; number <= ta.events; number++ {
+	ta.mu.Lock()
+	events := ta.events
+	ta.mu.Unlock()
+	for number := first + 1; number <= events; number++ {
 		_, _ = io.WriteString(w, softwareLine+ta.software+"\n"+event(number, adapter))
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(ta.stretch(eventInterval))
