--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -85,6 +85,9 @@
 		random: rand.New(rand.NewPCG(seed, 4)), //nolint:gosec // a seed must reproduce its run
 	}
 	fl.store.revision, fl.store.era = 1<<40, 1
+	// Instances look at each other from their start on.
+	fl.store.mu.Lock()
+	defer fl.store.mu.Unlock()
 	for number := range fleetInstances {
 		fl.instances = append(fl.instances, fl.startInstance(number))
 	}
