--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -435,7 +435,8 @@
 	// Model is the base model that a model worker holds from its start; empty for a worker of another service. It has no
 	// adapters, and takes no orders.
 	Model string
-	// Reject decides whether a request is turned away, with the seconds of Retry-After; 0 for no. Nil turns none away.
+	// Reject decides whether a request is turned away, with the seconds of Retry-After, below 0 for none; 0 for no. Nil turns none
+	// away.
 	Reject func(r *http.Request) float64
 	// Head adds header fields to all answers; nil for none.
 	Head func(http.Header)
@@ -638,9 +639,11 @@
 		wo.mu.Unlock()
 	}()
 	if wo.Reject != nil {
-		if seconds := wo.Reject(r); seconds > 0 {
+		if seconds := wo.Reject(r); seconds != 0 {
 			header.Set("Not-Executed", "1")
-			header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 1, 64))
+			if seconds > 0 {
+				header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 1, 64))
+			}
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
