--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -120,6 +121,13 @@
 	}
 	bd.server = &http.Server{Handler: http.HandlerFunc(bd.serveStore), ReadHeaderTimeout: time.Second}
 	go func() { _ = bd.server.Serve(listener) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		bd.Close()
+		os.Exit(2)
+	}()
 	return bd, nil
 }
 
