--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 and later. The program itself is built by the command of the deploy file.
+# Builds the stand-ins of the cases 6 to 10. The program itself is built by the command of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
