--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -322,13 +322,6 @@
 	return in.ended
 }
 
-// PID returns the ID of the process.
-func (in *Instance) PID() int {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.process.Process.Pid
-}
-
 // InTouch reports whether the machine was in touch at a time.
 func (in *Instance) InTouch(at time.Time) bool {
 	in.mu.Lock()
@@ -375,21 +368,6 @@
 	return false
 }
 
-// ResidentMB returns the resident memory of the process in MB (10^6 bytes); 0 if it cannot be read.
-func (in *Instance) ResidentMB() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", in.PID()))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb * 1024 / 1e6
-		}
-	}
-	return 0
-}
-
 // Route describes a route.
 type Route struct {
 	Name, Prefix, Kind, Service string
