--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lovagebank/inspector"
 )
 
 const (
@@ -31,6 +33,7 @@
 type connection struct {
 	pool    *pool
 	conn    net.Conn
+	writer  *inspector.Writer
 	limited *limitedReader
 	reader  *bufio.Reader
 	reused  bool
@@ -165,19 +168,19 @@
 	buffer := rq.head()
 	if len(rq.Body) <= maxInlineBody {
 		buffer.Write(rq.Body)
-		count, err := co.conn.Write(buffer.Bytes())
+		count, err := co.writer.Write(buffer.Bytes())
 		if err != nil {
 			return &SendError{cause: err, mayHaveRun: count > 0}
 		}
 		return nil
 	}
-	if count, err := co.conn.Write(buffer.Bytes()); err != nil {
+	if count, err := co.writer.Write(buffer.Bytes()); err != nil {
 		return &SendError{cause: err, mayHaveRun: count > 0}
 	}
 	written := make(chan struct{})
 	co.written = written
 	go func() {
-		if _, err := co.conn.Write(rq.Body); err == nil {
+		if _, err := co.writer.Write(rq.Body); err == nil {
 			close(written)
 		}
 	}()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -85,9 +85,14 @@
 func write(conn net.Conn, text string) { _, _ = conn.Write([]byte(text)) }
 
 func send(fo *forwarder.Forwarder, st *scriptedTarget, id, body string) (string, error) {
+	return sendTo(fo, st.listener.Addr().String(), id, body)
+}
+
+// sendTo sends a request to the target at an address and returns the body of its answer.
+func sendTo(fo *forwarder.Forwarder, address, id, body string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	rs, err := fo.Send(ctx, forwarder.Target{ID: "t", Address: st.listener.Addr().String()}, &forwarder.Request{
+	rs, err := fo.Send(ctx, forwarder.Target{ID: "t", Address: address}, &forwarder.Request{
 		Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Request-Id": {id}},
 		Body: []byte(body), HasBody: true, ID: id,
 		ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
--- a/forwarder/limited_reader.go
+++ b/forwarder/limited_reader.go
@@ -19,8 +19,10 @@
 // limitedReader reads from a connection: heads up to their limits, and bodies up to a number of bytes.
 type limitedReader struct {
 	conn net.Conn
-	head *inspector.Head
-	left int64
+	// writer writes to the connection. It knows whether the end of the connection's bytes is in order.
+	writer *inspector.Writer
+	head   *inspector.Head
+	left   int64
 	// received is called when bytes have arrived, and lastByteAt is when that was.
 	received   func()
 	lastByteAt atomic.Pointer[time.Time]
@@ -43,7 +45,7 @@
 	if tooLong := lr.head.Add(into[:count]); tooLong != nil {
 		return 0, tooLong
 	}
-	return count, err
+	return count, lr.writer.ReadError(err)
 }
 
 // markReceived starts the time for which nothing has been received anew.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -103,8 +103,11 @@
 		po.connectionClosed(nil)
 		return nil, err
 	}
-	limited := &limitedReader{conn: conn, head: inspector.NewHead(po.op.Budget), received: po.op.Received}
-	return &connection{pool: po, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}, nil
+	writer := inspector.NewWriter(conn)
+	limited := &limitedReader{conn: conn, writer: writer, head: inspector.NewHead(po.op.Budget), received: po.op.Received}
+	return &connection{
+		pool: po, conn: conn, writer: writer, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize),
+	}, nil
 }
 
 // use records that a connection carries a request, which may be repeated or not.
--- /dev/null
+++ b/inspector/broken_test.go
@@ -0,0 +1,76 @@
+package inspector_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagebank/faker"
+	"lovagebank/inspector"
+)
+
+// resetPlays is the number of plays of each case in which reader and writer of a connection race for its error.
+const resetPlays = 20
+
+// exchange sends a request with a body of many bytes over an http.Transport and returns the body of its answer.
+func exchange(t *testing.T, answer faker.RawAnswer) (string, error) {
+	t.Helper()
+	rs, err := faker.NewRawServer(func(*http.Request) faker.RawAnswer { return answer })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rs.Close()
+	client := &http.Client{Transport: inspector.BoundHeads(&http.Transport{
+		DialContext: inspector.WrapDial((&net.Dialer{}).DialContext, inspector.Budget{}),
+	})}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+rs.Address(), strings.NewReader(strings.Repeat("upload--", 2<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := client.Do(rq)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = got.Body.Close() }()
+	text, err := io.ReadAll(got.Body)
+	return string(text), err
+}
+
+// Guards against a part of an answer that a reader of net/http takes for the whole, as in forwarder.TestResetWithinUpload.
+func TestTransportResetWithinUpload(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	tests := map[string]struct {
+		answer faker.RawAnswer
+		text   string
+		whole  bool
+	}{
+		"no length, reset at once":  {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawReset}, "", false},
+		"no length, reset later":    {faker.RawAnswer{Upload: 4 << 20, Text: head + "\r\npart", End: faker.RawReset}, "", false},
+		"no length, closed unread":  {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawUnread}, "", false},
+		"a part of a length":        {faker.RawAnswer{Text: head + "Content-Length: 9\r\n\r\npart", End: faker.RawReset}, "", false},
+		"a part of the chunks":      {faker.RawAnswer{Text: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: faker.RawReset}, "", false},
+		"no length, ended in order": {faker.RawAnswer{Text: head + "\r\nwhole", End: faker.RawHalfClosed}, "whole", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wrong := 0
+			for range resetPlays {
+				text, err := exchange(t, tt.answer)
+				if (err == nil) != tt.whole || tt.whole && text != tt.text {
+					wrong++
+					t.Logf("got %q, %v", text, err)
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d plays: looks whole is %t", wrong, resetPlays, !tt.whole)
+			}
+		})
+	}
+}
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -14,8 +14,9 @@
 // conn is a connection whose answers' heads are counted. An http.Transport reads and writes it in two goroutines.
 type conn struct {
 	net.Conn
-	mu   sync.Mutex
-	head *Head
+	writer *Writer
+	mu     sync.Mutex
+	head   *Head
 }
 
 // WrapDial returns a function that opens connections whose answers' heads are bounded, for the DialContext of an
@@ -26,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: co, head: NewHead(bu)}, nil
+		return &conn{Conn: co, writer: NewWriter(co), head: NewHead(bu)}, nil
 	}
 }
 
@@ -36,17 +37,24 @@
 	co.head.Begin()
 }
 
-// Read reads from the connection. It fails once a head exceeds its limits.
+// Read reads from the connection. It fails once a head exceeds its limits, and at the end of a connection that broke.
 func (co *conn) Read(into []byte) (int, error) {
 	count, err := co.Conn.Read(into)
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	if tooLong := co.head.Add(into[:count]); tooLong != nil {
+	if tooLong := co.add(into[:count]); tooLong != nil {
 		return 0, tooLong
 	}
-	return count, err
+	return count, co.writer.ReadError(err)
 }
 
+func (co *conn) add(received []byte) error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.head.Add(received)
+}
+
+// Write writes to the connection.
+func (co *conn) Write(data []byte) (int, error) { return co.writer.Write(data) }
+
 // Close closes the connection and releases what was reserved for its last answer.
 func (co *conn) Close() error {
 	err := co.Conn.Close()
