A whole answer is not lost because its request could not be written to the end

What callers saw, in serve and wherever answers are read through net/http: a target answered a long upload, in whole, and closed its connection in order; the request failed although its answer had arrived.

Cause: an http.Transport closes its connection on the error of a write, and with it what has arrived and is not read yet.

Fix: once bytes of a request have been written, the error of a write is left to the reads: they return the answer, if there is one, and then the end or the error of the connection (inspector.Writer). A request of which nothing was written fails as before, so that net/http may send it again.

--- a/inspector/broken_test.go
+++ b/inspector/broken_test.go
@@ -51,12 +51,15 @@
 		text   string
 		whole  bool
 	}{
-		"no length, reset at once":  {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawReset}, "", false},
-		"no length, reset later":    {faker.RawAnswer{Upload: 4 << 20, Text: head + "\r\npart", End: faker.RawReset}, "", false},
-		"no length, closed unread":  {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawUnread}, "", false},
-		"a part of a length":        {faker.RawAnswer{Text: head + "Content-Length: 9\r\n\r\npart", End: faker.RawReset}, "", false},
-		"a part of the chunks":      {faker.RawAnswer{Text: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: faker.RawReset}, "", false},
-		"no length, ended in order": {faker.RawAnswer{Text: head + "\r\nwhole", End: faker.RawHalfClosed}, "whole", true},
+		"no length, reset at once":        {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawReset}, "", false},
+		"no length, reset later":          {faker.RawAnswer{Upload: 4 << 20, Text: head + "\r\npart", End: faker.RawReset}, "", false},
+		"no length, closed unread":        {faker.RawAnswer{Text: head + "\r\npart", End: faker.RawUnread}, "", false},
+		"a part of a length":              {faker.RawAnswer{Text: head + "Content-Length: 9\r\n\r\npart", End: faker.RawReset}, "", false},
+		"a part of the chunks":            {faker.RawAnswer{Text: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: faker.RawReset}, "", false},
+		"no length, ended in order":       {faker.RawAnswer{Text: head + "\r\nwhole", End: faker.RawHalfClosed}, "whole", true},
+		"no length, closed in order":      {faker.RawAnswer{Text: head + "\r\nwhole", End: faker.RawClosed}, "whole", true},
+		"no length, closed after a while": {faker.RawAnswer{Upload: 4 << 20, Text: head + "\r\nwhole", End: faker.RawClosed}, "whole", true},
+		"whole by its length":             {faker.RawAnswer{Text: head + "Content-Length: 5\r\n\r\nwhole", End: faker.RawClosed}, "whole", true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,16 +12,18 @@
 // Dial opens a connection to an address of the form host:port.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// conn is a connection whose answers' heads are counted. An http.Transport reads and writes it in two goroutines.
+// conn is a connection whose answers are inspected. An http.Transport reads and writes it in two goroutines.
 type conn struct {
 	net.Conn
 	writer *Writer
 	mu     sync.Mutex
 	head   *Head
+	// begun is true once bytes of the current request have been written.
+	begun bool
 }
 
-// WrapDial returns a function that opens connections whose answers' heads are bounded, for the DialContext of an
-// http.Transport that BoundHeads wraps.
+// WrapDial returns a function that opens connections whose answers are inspected, for the DialContext of an http.Transport that BoundHeads
+// wraps.
 func WrapDial(dial Dial, bu Budget) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		co, err := dial(ctx, network, address)
@@ -34,14 +37,15 @@
 func (co *conn) begin() {
 	co.mu.Lock()
 	defer co.mu.Unlock()
+	co.begun = false
 	co.head.Begin()
 }
 
 // Read reads from the connection. It fails once a head exceeds its limits, and at the end of a connection that broke.
 func (co *conn) Read(into []byte) (int, error) {
 	count, err := co.Conn.Read(into)
-	if tooLong := co.add(into[:count]); tooLong != nil {
-		return 0, tooLong
+	if err := co.add(into[:count]); err != nil {
+		return 0, err
 	}
 	return count, co.writer.ReadError(err)
 }
@@ -52,8 +56,23 @@
 	return co.head.Add(received)
 }
 
-// Write writes to the connection.
-func (co *conn) Write(data []byte) (int, error) { return co.writer.Write(data) }
+// Write writes to the connection. A request that has begun to arrive may have been answered before the connection failed. An http.Transport
+// would close the connection on the error of a write, and with it that answer; so the error is left to the reads.
+func (co *conn) Write(data []byte) (int, error) {
+	count, err := co.writer.Write(data)
+	if co.begins(count) && err != nil && !errors.Is(err, net.ErrClosed) {
+		return len(data), nil
+	}
+	return count, err
+}
+
+// begins reports whether bytes of the current request have been written, as count more now are.
+func (co *conn) begins(count int) bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.begun = co.begun || count > 0
+	return co.begun
+}
 
 // Close closes the connection and releases what was reserved for its last answer.
 func (co *conn) Close() error {
