Logs and metrics name why an answer is not whole

Cause: one counter held all answers that broke off; in serve neither a log line nor a counter named any, and in entry an answer too long to be buffered was not counted when it broke off. So nothing showed whether targets reset, ended early or went silent.

Change: inspector.CauseOf sorts the error of an answer; answers_broken_CAUSE counts beside answers_broken, in serve too, where the line "answer broken off" names target and error. In entry, long answers are logged and counted as well; what is believed of their target does not change.

--- a/acceptor/broken.go
+++ b/acceptor/broken.go
@@ -23,6 +23,11 @@
 		ex.ac.op.Quarantiner.Crashed(ex.fingerprint)
 		ex.ac.op.Parts.BrokeOff(ta.Start(), ex.caller.ID, ex.parts)
 	}
+	ex.reportBroken(ta, cause)
+}
+
+// reportBroken reports an answer that broke off, for logs and metrics.
+func (ex *exchange) reportBroken(ta *balancer.Target, cause error) {
 	ex.ac.op.AnswerBroken(BrokenAnswer{
 		ID: ex.caller.ID, Target: ta.Start(), Begun: !ex.begunAt.IsZero(), Unframed: ex.outcome.unframed, Cause: cause,
 		Parts: ex.sharedParts(),
--- a/acceptor/relay.go
+++ b/acceptor/relay.go
@@ -67,7 +67,7 @@
 	rb.beginWrite(whole)
 	body := rb.data
 	if !whole {
-		return ex.relayUnbuffered(rs, body, sent)
+		return ex.relayUnbuffered(ta, rs, body, sent)
 	}
 	sent.AnswerBegan()
 	if rs.Status() < http.StatusBadRequest {
@@ -100,7 +100,9 @@
 
 // relayUnbuffered relays a response that is too long to buffer. It aborts the caller's connection if the response breaks
 // off.
-func (ex *exchange) relayUnbuffered(rs *forwarder.Response, buffered []byte, sent *balancer.PendingRequest) sendResult {
+func (ex *exchange) relayUnbuffered(
+	ta *balancer.Target, rs *forwarder.Response, buffered []byte, sent *balancer.PendingRequest,
+) sendResult {
 	ex.copyHeader(rs)
 	ex.writeHeader(rs)
 	ex.headSent = true
@@ -113,6 +115,9 @@
 	}
 	if _, err := io.Copy(w, ra.reader(rs)); err != nil {
 		ex.outcome.recordError(err)
+		if rs.Failed() && ex.blames(err) {
+			ex.reportBroken(ta, err)
+		}
 		ex.abort()
 	}
 	ex.endAnswer()
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // ResponseOptions describes a target's response, which arrives over a connection of this instance or through another instance.
@@ -28,8 +29,9 @@
 type Response struct {
 	op   ResponseOptions
 	once sync.Once
-	// complete reports whether the body has been read to its end.
+	// complete reports whether the body has been read to its end, and failed whether reading it has failed.
 	complete bool
+	failed   atomic.Bool
 }
 
 // NewResponse returns a response.
@@ -80,9 +82,15 @@
 		rs.complete = true
 		return count, io.EOF
 	}
+	if err != nil {
+		rs.failed.Store(true)
+	}
 	return count, err
 }
 
+// Failed reports whether reading the body has failed. It may be called while another goroutine reads.
+func (rs *Response) Failed() bool { return rs.failed.Load() }
+
 // Abort makes further reads of the body fail.
 func (rs *Response) Abort() { rs.op.Abort() }
 
--- a/invoker/call.go
+++ b/invoker/call.go
@@ -130,6 +130,7 @@
 	case cause != nil:
 		return requester.RefuseUnknown(requester.CodeCancelled, "the request was cancelled while it ran", 0)
 	default:
+		ca.iv.options.Broken(ca.tg.GetId(), err)
 		return requester.RefuseTargetLost(fmt.Sprintf("the connection to target %s was lost", ca.tg.GetId()))
 	}
 }
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -50,6 +50,8 @@
 	MaxAnswerBytes int
 	// Budget is the memory that the heads, events, whole answers and reports of all targets may hold together.
 	Budget inspector.Budget
+	// Broken is called with the target and the cause if the answer to a request broke off or is none; nil for no call.
+	Broken func(target string, cause error)
 	// Transport makes the calls that may be repeated. SingleUseTransport makes the others, each on its own connection.
 	Transport          http.RoundTripper
 	SingleUseTransport http.RoundTripper
@@ -69,6 +71,9 @@
 	if op.MaxAnswerBytes == 0 {
 		op.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
+	if op.Broken == nil {
+		op.Broken = func(string, error) {}
+	}
 	if op.Transport == nil {
 		op.Transport = newTransport(op, false)
 	}
--- a/server/build.go
+++ b/server/build.go
@@ -41,6 +41,7 @@
 			Release: func(bytes int64) { sv.reserver.Release(reserver.Answers, bytes) },
 		},
 		FirstByteTimeout: st.Limits().SilenceTime(), TokenGapTimeout: st.Limits().SilenceTime(),
+		Broken:    sv.answerBroken,
 		Transport: sv.transport(), SingleUseTransport: sv.transport(),
 	})
 	sv.placer = placer.New(placer.Options{FailureDomain: st.FailureDomain(), Region: st.Region(), Instances: sv.regionInstances})
@@ -58,6 +59,13 @@
 	sv.receiver = sv.newReceiver()
 }
 
+// answerBroken logs and counts the answer of a target that broke off or is none.
+func (sv *Server) answerBroken(target string, cause error) {
+	sv.reporter.AddToCounter("answers_broken", 1)
+	sv.reporter.AddToCounter("answers_broken_"+string(inspector.CauseOf(cause)), 1)
+	sv.loggerFor("invoker").Info("answer broken off", "target", target, "cause", cause)
+}
+
 func (sv *Server) newPublisher() *publisher.Publisher {
 	return publisher.New(publisher.Options{
 		Get:            sv.store.Get,
