A status below 100 makes no answer, and one of three digits only does

What callers saw, on other systems of this kind: a worker in trouble sent an answer whose status was 000; the client got it as an answer.

Evidence on the code before, by stand-ins that write the bytes: in entry the status line of 000 or 099 counted as that of an interim answer, and what came after its head, the bytes of its body, as the head of the answer: a caller got a 200 with a seal that the worker had written as a body. Wherever net/http reads, 000 to 099, +20 and -00 were final statuses: serve passed a head with status 0 on, an order to an engine and a write to the store counted as refused (they may have been executed), and the store's era was taken from such a head.

Cause: net/http takes any number of three characters that is not negative. Each reader judged by ranges of its own: below 200 an interim answer (forwarder), a first digit of 1 at a fixed place (inspector.Head), 100 to 199 (net/http), all others an answer.

Fix: inspector.Head, through which the bytes of all answers pass before net/http sees them, checks the status line: three digits of 100 or more. What is none ends the read with a MalformedError, so the answer counts as lost: it may have run, is retried only where a lost one would be, its connection is closed, nothing is learned of its fields, and logs and answers_broken_malformed name it. 101 is none either, as no request asks for another protocol: serve passed it on, and entry read a further head behind it. Several blanks before the status, no reason and bytes above ASCII in it, and statuses above 599 (RFC 9110: they count as 5xx) go on working.

TestHeadLimits/empty_lines asked for no error of Head and for a head that ends at an empty line in place of a status line, which net/http refuses: it now asks for the MalformedError, and that the head has not ended.

--- a/acceptor/brokenanswer_test.go
+++ b/acceptor/brokenanswer_test.go
@@ -30,6 +30,39 @@
 	return rs
 }
 
+// Guards against answers that are none: their status, fields or body reached the caller, or changed what the target is believed to be. Like lost
+// ones, they are asked for again only where the request may be repeated.
+func TestMalformedAnswersReachNoCaller(t *testing.T) {
+	const fields = "Request-Id: id-1\r\nResponse-Seal: seal\r\nServer-Leaving: 1\r\nNot-Executed: 1\r\nServer-Limit: 1"
+	for name, head := range faker.RawHeads(len("hidden")) {
+		if !head.Malformed {
+			continue
+		}
+		for path, service := range map[string]string{"/safe/1": "plain", "/unsafe/1": "plain", "/stream/1": "engines", "/resume/1": "engines"} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				var broken []acceptor.BrokenAnswer
+				ti := newTestInstanceOptions(t, 100, func(op *acceptor.Options) {
+					op.AnswerBroken = func(ba acceptor.BrokenAnswer) { broken = append(broken, ba) }
+					op.TargetLeaving = func(balancer.Start) { t.Error("the target counts as leaving") }
+				})
+				first := ti.addRawTarget("t1", service, faker.RawAnswer{Text: head.With(fields) + "hidden", End: faker.RawHalfClosed})
+				second := ti.addRawTarget("t2", service, faker.RawAnswer{Text: head.With(fields) + "hidden", End: faker.RawHalfClosed})
+				rs, text := ti.expectStatus(path, nil, http.StatusBadGateway)
+				if rs.Header.Get("Response-Seal") != "" || strings.Contains(text, "hidden") {
+					t.Errorf("got %v, %q", rs.Header, text)
+				}
+				repeated := path == "/safe/1" || path == "/resume/1"
+				if sent := first.Requests() + second.Requests(); sent > 1 != repeated || sent != int64(len(broken)) {
+					t.Errorf("sent %d times, %d answers broke off", sent, len(broken))
+				}
+				if len(broken) == 0 || broken[0].Cause == nil || broken[0].Begun {
+					t.Errorf("recorded: %+v", broken)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a part of an answer that its caller took for the whole, as the target reset the connection while the upload was being written.
 func TestResetWithinUploadReachesNoCaller(t *testing.T) {
 	const plays = 5
--- a/faker/rawserver.go
+++ b/faker/rawserver.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"golang.org/x/sys/unix"
@@ -122,3 +124,57 @@
 		return !errors.Is(err, unix.EAGAIN)
 	})
 }
+
+// RawHead is the head of an answer, with interim heads before it if there are any, without the empty line at its end.
+type RawHead struct {
+	// Text names the answer's fields but for those that the test adds.
+	Text string
+	// Malformed is true if it is no head of HTTP/1.1.
+	Malformed bool
+}
+
+// With returns the head with a further field and the empty line at its end.
+func (rh RawHead) With(field string) string {
+	end := "\r\n"
+	if !strings.Contains(rh.Text, end) {
+		end = "\n"
+	}
+	return rh.Text + field + end + end
+}
+
+// RawHeads returns heads by name: malformed ones, and unusual ones that RFC 9110 and RFC 9112 allow. Each states a body of length bytes in the
+// way that its name says; a malformed one may state another.
+func RawHeads(length int) map[string]RawHead {
+	size := strconv.Itoa(length)
+	ok := "HTTP/1.1 200 OK\r\n"
+	stated := "Content-Length: " + size + "\r\n"
+	return map[string]RawHead{
+		"status 000":                          {"HTTP/1.1 000 None\r\n" + stated, true},
+		"status 000 without a reason":         {"HTTP/1.1 000\r\n" + stated, true},
+		"status 000 before an answer":         {"HTTP/1.1 000 None\r\n\r\n" + ok + stated, true},
+		"status 001":                          {"HTTP/1.1 001 One\r\n" + stated, true},
+		"status 099":                          {"HTTP/1.1 099 Almost\r\n" + stated, true},
+		"status 099 before an answer":         {"HTTP/1.1 099 Almost\r\n\r\n" + ok + stated, true},
+		"status with a sign":                  {"HTTP/1.1 +20 OK\r\n" + stated, true},
+		"status of minus zero":                {"HTTP/1.1 -00 OK\r\n" + stated, true},
+		"status of two digits":                {"HTTP/1.1 20 OK\r\n" + stated, true},
+		"status of four digits":               {"HTTP/1.1 2000 OK\r\n" + stated, true},
+		"status in hexadecimal":               {"HTTP/1.1 0xC OK\r\n" + stated, true},
+		"another protocol that was not asked": {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + ok + stated, true},
+		"a control byte in the reason":        {"HTTP/1.1 200 O\x01K\r\n" + stated, true},
+		"text in place of a head":             {"answer\r\n" + stated, true},
+
+		"a length":                     {ok + stated, false},
+		"an empty reason":              {"HTTP/1.1 200 \r\n" + stated, false},
+		"no reason":                    {"HTTP/1.1 200\r\n" + stated, false},
+		"several blanks":               {"HTTP/1.1   200  OK\r\n" + stated, false},
+		"bytes above ASCII in reasons": {"HTTP/1.1 200 \xc3\xb6\t(ok)\r\n" + stated, false},
+		"odd tokens":                   {ok + "!#$%&'*+-.^_`|~09aZ: x\r\n" + stated, false},
+		"an odd value":                 {ok + "Odd: \t \x80\xff \"(,)\" : x\t\r\n" + stated, false},
+		"an empty value":               {ok + "Odd:\r\n" + stated, false},
+		"a value on several lines":     {ok + "Odd: a\r\n b: c\r\n\tTransfer Encoding: x\r\n" + stated, false},
+		"lines that end with LF":       {"HTTP/1.1 200 OK\nContent-Length: " + size + "\n", false},
+		"interim heads":                {"HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + stated, false},
+		"HTTP/1.0 with a length":       {"HTTP/1.0 200 OK\r\n" + stated, false},
+	}
+}
--- a/forwarder/brokenanswer_test.go
+++ b/forwarder/brokenanswer_test.go
@@ -67,3 +67,55 @@
 		})
 	}
 }
+
+// Guards against answers whose head is malformed: their fields or their body reached the caller. Unusual heads that the protocol allows stay answers.
+func TestMalformedHeads(t *testing.T) {
+	const body = "twelve bytes"
+	for name, head := range faker.RawHeads(len(body)) {
+		t.Run(name, func(t *testing.T) {
+			for _, tt := range []struct {
+				body string
+				end  faker.RawEnd
+			}{{body, faker.RawOpen}, {"\r\n" + body, faker.RawHalfClosed}, {"c\r\n" + body + "\r\n0\r\n\r\n", faker.RawHalfClosed}} {
+				text := head.With("Request-Id: id-1") + tt.body
+				rs := newRawTarget(t, faker.RawAnswer{Text: text, End: tt.end})
+				got, err := sendTo(forwarder.New(forwarder.Options{}), rs.Address(), "id-1", "body")
+				switch {
+				case head.Malformed && err == nil:
+					t.Errorf("answer %q: taken for an answer: %q", tt.body, got)
+				case head.Malformed && !mayHaveRun(t, err):
+					t.Errorf("answer %q: %v, though the request may have run", tt.body, err)
+				case !head.Malformed && tt.body == body && (err != nil || got != body):
+					t.Errorf("got %q, %v", got, err)
+				}
+			}
+		})
+	}
+}
+
+// Statuses above 599 are answers (RFC 9110, 15), and those that come behind interim ones.
+func TestUnusualStatuses(t *testing.T) {
+	for name, tt := range map[string]struct {
+		text   string
+		status int
+	}{
+		"above 599":              {"HTTP/1.1 600 Odd\r\n", 600},
+		"the highest":            {"HTTP/1.1 999 Odd\r\n", 999},
+		"behind interim answers": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 503 Full\r\n", 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rs := newRawTarget(t, faker.RawAnswer{Text: tt.text + "Request-Id: id-1\r\nContent-Length: 0\r\n\r\n"})
+			got, err := forwarder.New(forwarder.Options{}).Send(t.Context(), forwarder.Target{ID: "t", Address: rs.Address()}, &forwarder.Request{
+				Method: http.MethodGet, URI: "/", Host: "h", ID: "id-1",
+				ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer got.Close()
+			if got.Status() != tt.status {
+				t.Errorf("status %d", got.Status())
+			}
+		})
+	}
+}
--- a/forwarder/oldhead.go
+++ b/forwarder/oldhead.go
@@ -21,7 +21,11 @@
 
 // readResponse reads the head of a response.
 func (co *connection) readResponse(method string) (*http.Response, error) {
-	if start, err := co.reader.Peek(len(oldProtocol)); err == nil && string(start) == oldProtocol && co.namesEncoding() {
+	start, err := co.reader.Peek(len(oldProtocol))
+	if err != nil {
+		return nil, err
+	}
+	if string(start) == oldProtocol && co.namesEncoding() {
 		return nil, errOldEncoding
 	}
 	return http.ReadResponse(co.reader, &http.Request{Method: method})
--- a/inspector/broken_test.go
+++ b/inspector/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -16,8 +17,11 @@
 // resetPlays is the number of plays of each case in which reader and writer of a connection race for its error.
 const resetPlays = 20
 
-// exchange sends a request with a body of many bytes over an http.Transport and returns the body of its answer.
-func exchange(t *testing.T, answer faker.RawAnswer) (string, error) {
+// longUpload is a request body that fills all buffers between a client and a server that does not read.
+var longUpload = strings.Repeat("upload--", 2<<20)
+
+// exchange sends a request over an http.Transport and returns the body of its answer.
+func exchange(t *testing.T, body string, answer faker.RawAnswer) (string, error) {
 	t.Helper()
 	rs, err := faker.NewRawServer(func(*http.Request) faker.RawAnswer { return answer })
 	if err != nil {
@@ -30,7 +34,7 @@
 	defer client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+rs.Address(), strings.NewReader(strings.Repeat("upload--", 2<<20)))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+rs.Address(), strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			wrong := 0
 			for range resetPlays {
-				text, err := exchange(t, tt.answer)
+				text, err := exchange(t, longUpload, tt.answer)
 				if (err == nil) != tt.whole || tt.whole && text != tt.text {
 					wrong++
 					t.Logf("got %q, %v", text, err)
@@ -77,3 +81,44 @@
 		})
 	}
 }
+
+// Guards against answers whose head or trailer is malformed: net/http takes statuses from 000, names with blanks, and chunks in HTTP/1.0 for a
+// body. Unusual heads that the protocol allows stay answers.
+func TestTransportMalformedHeads(t *testing.T) {
+	const body = "twelve bytes"
+	for name, head := range faker.RawHeads(len(body)) {
+		t.Run(name, func(t *testing.T) {
+			for _, tt := range []struct{ upload, text string }{{"body", body}, {longUpload, body}, {"body", "c\r\n" + body + "\r\n0\r\n\r\n"}} {
+				if !head.Malformed && tt.text != body {
+					continue
+				}
+				got, err := exchange(t, tt.upload, faker.RawAnswer{Text: head.With("Last: x") + tt.text, End: faker.RawHalfClosed})
+				var malformed inspector.MalformedError
+				if head.Malformed != errors.As(err, &malformed) || !head.Malformed && (err != nil || got != body) {
+					t.Errorf("%d bytes up, %q down: got %q, %v", len(tt.upload), tt.text, got, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a head that is judged by the parts in which it arrives.
+func TestHeadsInParts(t *testing.T) {
+	for name, head := range faker.RawHeads(0) {
+		t.Run(name, func(t *testing.T) {
+			text := head.With("Last: x")
+			for _, step := range []int{1, 2, 3, 7, len(text)} {
+				he := inspector.NewHead(inspector.Budget{})
+				he.Begin()
+				var err error
+				for at := 0; at < len(text) && err == nil; at += step {
+					err = he.Add([]byte(text[at:min(at+step, len(text))]))
+				}
+				var malformed inspector.MalformedError
+				if errors.As(err, &malformed) != head.Malformed || he.Inside() != head.Malformed {
+					t.Errorf("in steps of %d: %v, inside the head: %t", step, err, he.Inside())
+				}
+			}
+		})
+	}
+}
--- a/inspector/cause.go
+++ b/inspector/cause.go
@@ -12,6 +12,8 @@
 
 // The causes.
 const (
+	// CauseMalformed answers have a head or a trailer that the protocol does not allow.
+	CauseMalformed Cause = "malformed"
 	// CauseReset answers end with a reset of their connection, or with no sign of life from its other side (CauseSilent).
 	CauseReset  Cause = "reset"
 	CauseSilent Cause = "silent"
@@ -24,7 +26,10 @@
 
 // CauseOf returns why reading an answer has failed.
 func CauseOf(err error) Cause {
+	var malformed MalformedError
 	switch {
+	case errors.As(err, &malformed):
+		return CauseMalformed
 	case errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, os.ErrDeadlineExceeded):
 		return CauseSilent
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, ErrConnectionBroke):
--- a/inspector/head.go
+++ b/inspector/head.go
@@ -1,6 +1,7 @@
-// Package inspector bounds what the answers of targets and of the store hold in memory before they are whole: a faulty
-// sender may send bytes without end, in a head or in a body. What is held is counted, not the bytes alone, as net/http
-// keeps each field of a head at some hundred bytes. The sum over all answers of a process is bounded by a budget.
+// Package inspector stands between a connection and whoever reads answers from it, those of targets, of the store and of other instances.
+// It bounds what the answers hold in memory before they are whole: a faulty sender may send bytes without end, in a head or in a body. What
+// is held is counted, not the bytes alone, as net/http keeps each field of a head at some hundred bytes. The sum over all answers of a process
+// is bounded by a budget. It also decides what the head of an answer is, and whether a connection has ended in order or broken.
 package inspector
 
 import (
@@ -21,8 +22,6 @@
 	byteCost = 2
 	// reserveStep is the number of bytes that are reserved at once, at least.
 	reserveStep = 4 << 10
-	// statusStart and statusEnd bound the code in a status line: HTTP/1.1 200 OK.
-	statusStart, statusEnd = 9, 12
 )
 
 var (
@@ -48,19 +47,14 @@
 	}
 }
 
-// Head counts the head of one answer at a time. It is not safe for concurrent use.
+// Head counts and checks the head of one answer at a time. It is not safe for concurrent use.
 type Head struct {
 	budget Budget
 	// inside is true from Begin to the end of the head.
-	inside bool
-	bytes  int
-	lines  int
-	// line holds the begin of the current line, as far as a status line needs it, and length the line's length so far.
-	line   [statusEnd]byte
-	length int
-	// interim is true if the head being read is that of an interim answer; first is true in its first line.
-	interim  bool
-	first    bool
+	inside   bool
+	bytes    int
+	lines    int
+	syntax   syntax
 	reserved int64
 }
 
@@ -70,26 +64,24 @@
 // Begin starts to count the head of the next answer. What was reserved for the one before is released.
 func (he *Head) Begin() {
 	he.Release()
-	*he = Head{budget: he.budget, inside: true, first: true}
+	*he = Head{budget: he.budget, inside: true}
 }
 
 // Inside reports whether a head has begun and not ended.
 func (he *Head) Inside() bool { return he.inside }
 
-// Add counts received bytes up to the end of the head. It returns ErrHeadTooLong or ErrNoMemory if they exceed a limit.
+// Add counts received bytes up to the end of the head. It returns ErrHeadTooLong or ErrNoMemory if they exceed a limit, and a MalformedError
+// at the end of a line that is none of a head.
 func (he *Head) Add(received []byte) error {
 	for _, char := range received {
 		if !he.inside {
 			return nil
 		}
 		he.bytes++
-		if char == '\n' {
-			he.endLine()
-		} else if char != '\r' {
-			if he.length < len(he.line) {
-				he.line[he.length] = char
-			}
-			he.length++
+		if char != '\n' {
+			he.syntax.add(char)
+		} else if err := he.endLine(); err != nil {
+			return err
 		}
 		if he.bytes > maxHeadBytes || he.lines > maxHeadLines {
 			return ErrHeadTooLong
@@ -101,19 +93,16 @@
 	return nil
 }
 
-// endLine counts a line. An empty one ends the head, or that of an interim answer, after which another head follows.
-func (he *Head) endLine() {
+// endLine counts and checks a line. The end of the head of an interim answer begins that of the next one.
+func (he *Head) endLine() error {
 	he.lines++
-	switch {
-	case he.first:
-		he.interim = he.length >= statusEnd && he.line[statusStart] == '1'
-		he.first = false
-	case he.length == 0 && he.interim:
-		he.first = true
-	case he.length == 0:
-		he.inside = false
+	ended, err := he.syntax.endLine()
+	if err != nil || !ended {
+		return err
 	}
-	he.length = 0
+	he.inside = interim(he.syntax.status)
+	he.syntax = syntax{}
+	return nil
 }
 
 // reserve reserves what the head holds beyond the usual size.
--- a/inspector/inspector_test.go
+++ b/inspector/inspector_test.go
@@ -56,7 +56,7 @@
 		"interim answers":            {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 200), large, inspector.ErrHeadTooLong, true},
 		"fields of interim answers":  {strings.Repeat("HTTP/1.1 103 Hints\r\n"+strings.Repeat("a:\r\n", 50)+"\r\n", 6), large, inspector.ErrHeadTooLong, true},
 		"an interim answer":          {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n\n\n", 0, nil, false},
-		"empty lines":                {strings.Repeat("\r\n", 300), large, nil, false},
+		"empty lines":                {strings.Repeat("\r\n", 300), large, inspector.MalformedError("status line"), true},
 		"large, within the budget":   {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 20<<10), 64 << 10, nil, true},
 		"large, more than is left":   {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 40<<10), 64 << 10, inspector.ErrNoMemory, true},
 		"fields, more than are left": {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 200), 16 << 10, inspector.ErrNoMemory, true},
--- /dev/null
+++ b/inspector/syntax.go
@@ -0,0 +1,143 @@
+package inspector
+
+import "net/http"
+
+// MalformedError is the error of an answer whose head breaks the grammar of RFC 9110 and RFC 9112. It names the part that does.
+// Such an answer is none: neither its status nor its fields nor its body can be relied on, and the request may have run.
+type MalformedError string
+
+// The parts of an answer that may be malformed.
+const (
+	malformedStatusLine     MalformedError = "status line"
+	malformedStatus         MalformedError = "status code"
+	malformedReason         MalformedError = "reason phrase"
+	malformedCarriageReturn MalformedError = "carriage return within a line"
+)
+
+// Error names the malformed part.
+func (me MalformedError) Error() string { return "malformed response: " + string(me) }
+
+const (
+	// statusDigits is the number of digits of a status code.
+	statusDigits = 3
+	// versionForm is the form of the version in a status line, with 0 for any digit.
+	versionForm = "HTTP/0.0"
+)
+
+// final reports whether a status is that of a final answer, and interim whether it is that of an answer which another one follows. No request
+// asks for another protocol, so no answer may switch to one. A status above 599 counts as one of 5xx (RFC 9110, 15).
+func final(status int) bool { return status >= http.StatusOK && status <= 999 }
+func interim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// text reports whether a byte may stand in a value or a reason phrase.
+func text(char byte) bool { return char >= ' ' && char != 0x7f || char == '\t' }
+
+// linePart is the part of a line that a byte belongs to.
+type linePart uint8
+
+const (
+	partVersion linePart = iota
+	partGap
+	partStatus
+	partReason
+	partBegin
+	partField
+)
+
+// syntax checks the lines of a head byte by byte. What is malformed is reported at the end of its line, so that lines without end are
+// reported as too long.
+type syntax struct {
+	part linePart
+	// length is the number of bytes of the line so far, and returned is true after a carriage return.
+	length   int
+	returned bool
+	// status is the value of the digits read so far.
+	status, digits int
+	err            error
+}
+
+func (sy *syntax) fail(err error) {
+	if sy.err == nil {
+		sy.err = err
+	}
+}
+
+// add checks a byte of a line. The line feed at its end is none.
+func (sy *syntax) add(char byte) {
+	if sy.returned && sy.part < partBegin {
+		sy.fail(malformedCarriageReturn)
+	}
+	if sy.returned = char == '\r'; sy.returned {
+		return
+	}
+	switch sy.part {
+	case partVersion:
+		sy.addVersion(char)
+	case partGap, partStatus:
+		sy.addStatus(char)
+	case partReason:
+		sy.addText(char, malformedReason)
+	case partBegin:
+		sy.part = partField
+	}
+	sy.length++
+}
+
+func (sy *syntax) addVersion(char byte) {
+	switch {
+	case sy.length < len(versionForm):
+		if form := versionForm[sy.length]; char != form && (form != '0' || !digit(char)) {
+			sy.fail(malformedStatusLine)
+		}
+	case char == ' ':
+		sy.part = partGap
+	default:
+		sy.fail(malformedStatusLine)
+	}
+}
+
+func digit(char byte) bool { return '0' <= char && char <= '9' }
+
+// addStatus checks a byte of the status. Several blanks may stand before it (RFC 9112, 4).
+func (sy *syntax) addStatus(char byte) {
+	switch {
+	case char == ' ' && sy.part == partGap:
+	case char == ' ':
+		sy.part = partReason
+	case digit(char) && sy.digits < statusDigits:
+		sy.part = partStatus
+		sy.digits++
+		sy.status = 10*sy.status + int(char-'0')
+	default:
+		sy.fail(malformedStatus)
+	}
+}
+
+func (sy *syntax) addText(char byte, malformed MalformedError) {
+	if !text(char) {
+		sy.fail(malformed)
+	}
+}
+
+// endLine checks the end of a line. It reports whether the line has ended the head, and begins the next line.
+func (sy *syntax) endLine() (ended bool, err error) {
+	switch {
+	case sy.part < partBegin:
+		sy.endStatusLine()
+	case sy.part == partBegin:
+		ended = true
+	}
+	sy.part, sy.length, sy.returned = partBegin, 0, false
+	return ended, sy.err
+}
+
+func (sy *syntax) endStatusLine() {
+	if sy.part < partStatus {
+		sy.fail(malformedStatusLine)
+	}
+	if sy.digits != statusDigits || !final(sy.status) && !interim(sy.status) {
+		sy.fail(malformedStatus)
+	}
+}
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -57,10 +56,11 @@
 }
 
 // Write writes to the connection. A request that has begun to arrive may have been answered before the connection failed. An http.Transport
-// would close the connection on the error of a write, and with it that answer; so the error is left to the reads.
+// would close the connection on the error of a write, and with it that answer, or return that error in place of the one that the reads found;
+// so it is left to the reads how the request ends.
 func (co *conn) Write(data []byte) (int, error) {
 	count, err := co.writer.Write(data)
-	if co.begins(count) && err != nil && !errors.Is(err, net.ErrClosed) {
+	if co.begins(count) && err != nil {
 		return len(data), nil
 	}
 	return count, err
--- a/invoker/brokenanswer_test.go
+++ b/invoker/brokenanswer_test.go
@@ -26,6 +26,42 @@
 	return ra, rs.Requests(), cause, err
 }
 
+// kinds are requests whose answers are read in different ways.
+var kinds = map[string]func(*requester.Fields){
+	"service":                      func(fields *requester.Fields) { fields.Kind = requester.KindService },
+	"service, not to be repeated":  func(fields *requester.Fields) { fields.Kind, fields.Repeatable = requester.KindService, false },
+	"engine":                       nil,
+	"engine's stream":              asStream,
+	"service, nothing to be read":  func(fields *requester.Fields) { fields.Kind, fields.Body = requester.KindService, nil },
+	"service, asked by its method": func(fields *requester.Fields) { fields.Kind, fields.Method = requester.KindService, http.MethodPut },
+}
+
+// Guards against answers that are none: a status below 100, malformed fields. They count as lost ones, which may have run.
+func TestMalformedAnswersAreLost(t *testing.T) {
+	const body = `{"model":"a@2"}`
+	for kind, change := range kinds {
+		for name, head := range faker.RawHeads(len(body)) {
+			if !head.Malformed {
+				continue
+			}
+			t.Run(kind+", "+name, func(t *testing.T) {
+				answer := faker.RawAnswer{Text: head.With("Content-Type: application/json") + body, End: faker.RawHalfClosed}
+				ra, requests, cause, err := invokeRaw(t, newChat(change), answer)
+				rf := requester.AsRefusal(err)
+				if rf == nil || rf.Code() != requester.CodeTargetLost || rf.Outcome() != requester.OutcomeUnknown || !rf.TargetLost() {
+					t.Errorf("got %v", err)
+				}
+				if cause != inspector.CauseMalformed {
+					t.Errorf("recorded cause: %q", cause)
+				}
+				if ra.status != 0 || ra.body.Len() > 0 || requests != 1 {
+					t.Errorf("the caller got status %d and %q of %d requests", ra.status, ra.body.String(), requests)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a part of a service's answer that is passed on as the whole, as the connection was reset while the upload was being written.
 func TestResetWithinUpload(t *testing.T) {
 	const plays = 20
