A field whose name holds a blank makes no head of an answer

What callers saw, on other systems of this kind: a worker in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on or with a body that was not the worker's.

Evidence on the code before: with a blank in or after "Content-Length" or "Transfer-Encoding" the answer of a stand-in had neither, so its caller got the bytes of the chunks, or whatever followed the body, up to the end of the connection, as the body. With a blank in or after another name the line was dropped and the answer was passed on.

Cause: net/http takes names with blanks (textproto, "accept invalid headers with a space before the colon") and looks its own fields up by their exact names, so such a line is a field of another name. The write of our own head leaves it out, which hides it.

Fix: inspector.Head checks the lines of fields as RFC 9110, 5 and RFC 9112, 5 have them, in interim heads, too: a token, a colon, a value without control bytes, continuation lines (obsolete, but allowed) only behind a field, a carriage return only before a line feed. It is the one place that decides, before net/http reads, for the requests of entry and serve, orders, load reports and both stores. golang.org/x/net, which was there already, says what a token is.

--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -1,6 +1,10 @@
 package inspector
 
-import "net/http"
+import (
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // MalformedError is the error of an answer whose head breaks the grammar of RFC 9110 and RFC 9112. It names the part that does.
 // Such an answer is none: neither its status nor its fields nor its body can be relied on, and the request may have run.
@@ -11,6 +15,10 @@
 	malformedStatusLine     MalformedError = "status line"
 	malformedStatus         MalformedError = "status code"
 	malformedReason         MalformedError = "reason phrase"
+	malformedLine           MalformedError = "field line without a colon"
+	malformedFold           MalformedError = "continuation line without a field"
+	malformedName           MalformedError = "field name"
+	malformedValue          MalformedError = "field value"
 	malformedCarriageReturn MalformedError = "carriage return within a line"
 )
 
@@ -43,7 +51,8 @@
 	partStatus
 	partReason
 	partBegin
-	partField
+	partName
+	partValue
 )
 
 // syntax checks the lines of a head byte by byte. What is malformed is reported at the end of its line, so that lines without end are
@@ -53,9 +62,13 @@
 	// length is the number of bytes of the line so far, and returned is true after a carriage return.
 	length   int
 	returned bool
+	// named is the length of the field's name.
+	named int
 	// status is the value of the digits read so far.
 	status, digits int
-	err            error
+	// fields is true once the head has a field, which the next line may continue.
+	fields bool
+	err    error
 }
 
 func (sy *syntax) fail(err error) {
@@ -66,7 +79,7 @@
 
 // add checks a byte of a line. The line feed at its end is none.
 func (sy *syntax) add(char byte) {
-	if sy.returned && sy.part < partBegin {
+	if sy.returned {
 		sy.fail(malformedCarriageReturn)
 	}
 	if sy.returned = char == '\r'; sy.returned {
@@ -80,7 +93,11 @@
 	case partReason:
 		sy.addText(char, malformedReason)
 	case partBegin:
-		sy.part = partField
+		sy.beginField(char)
+	case partName:
+		sy.addName(char)
+	case partValue:
+		sy.addText(char, malformedValue)
 	}
 	sy.length++
 }
@@ -121,6 +138,36 @@
 	}
 }
 
+func (sy *syntax) beginField(char byte) {
+	if char == ' ' || char == '\t' {
+		if !sy.fields {
+			sy.fail(malformedFold)
+		}
+		sy.part = partValue
+		return
+	}
+	sy.part, sy.named = partName, 0
+	sy.addName(char)
+}
+
+func (sy *syntax) addName(char byte) {
+	if char == ':' {
+		sy.endName()
+		return
+	}
+	if !httpguts.IsTokenRune(rune(char)) {
+		sy.fail(malformedName)
+	}
+	sy.named++
+}
+
+func (sy *syntax) endName() {
+	sy.part = partValue
+	if sy.named == 0 {
+		sy.fail(malformedName)
+	}
+}
+
 // endLine checks the end of a line. It reports whether the line has ended the head, and begins the next line.
 func (sy *syntax) endLine() (ended bool, err error) {
 	switch {
@@ -128,6 +175,10 @@
 		sy.endStatusLine()
 	case sy.part == partBegin:
 		ended = true
+	case sy.part == partName:
+		sy.fail(malformedLine)
+	default:
+		sy.fields = true
 	}
 	sy.part, sy.length, sy.returned = partBegin, 0, false
 	return ended, sy.err
