TestHeadsShareABudget counts what is reserved without a race of its own

Cause: seen once while the forwarder's tests ran with the race detector ("at most 1052672 bytes reserved", 1,048,576 allowed). The test's budget adds first and takes back what it refuses, and another request's reservation reads the sum in between as the peak. Nothing in the product.

Change: the test's budget decides and counts under a lock. The check is the same, and one more: that some heads were refused, without which it shows nothing.

--- a/forwarder/unbounded_test.go
+++ b/forwarder/unbounded_test.go
@@ -92,17 +92,24 @@
 // The heads of all responses together hold no more than the budget, and nothing once they have ended.
 func TestHeadsShareABudget(t *testing.T) {
 	const limit, requests = 1 << 20, 40
-	var used, peak atomic.Int64
+	var mu sync.Mutex
+	var used, peak int64
 	fo := forwarder.New(forwarder.Options{Budget: inspector.Budget{
 		Reserve: func(bytes int64) bool {
-			if used.Add(bytes) > limit {
-				used.Add(-bytes)
+			mu.Lock()
+			defer mu.Unlock()
+			if used+bytes > limit {
 				return false
 			}
-			peak.Store(max(peak.Load(), used.Load()))
+			used += bytes
+			peak = max(peak, used)
 			return true
 		},
-		Release: func(bytes int64) { used.Add(-bytes) },
+		Release: func(bytes int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			used -= bytes
+		},
 	}})
 	ctx, cancel := context.WithCancel(t.Context())
 	var refused atomic.Int64
@@ -127,7 +134,7 @@
 	}
 	all.Wait()
 	cancel()
-	if peak.Load() > limit || used.Load() != 0 {
-		t.Errorf("at most %d bytes reserved, %d stay reserved", peak.Load(), used.Load())
+	if peak > limit || used != 0 || refused.Load() == 0 {
+		t.Errorf("at most %d bytes reserved, %d stay reserved, %d refused", peak, used, refused.Load())
 	}
 }
