Chunks in HTTP/1.0 make no answer, wherever answers are read

What callers saw: in serve, the bytes of chunks as the body of an answer whose worker named them in HTTP/1.0, which has none; the same body went to the readers of reports, orders, and both stores.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0. Found by looking for the cause of the malformed heads in all of them.

Fix: inspector.Head knows the version and the field's name and decides for all readers; the forwarder's own search goes.

Tests: "chunks in HTTP/1.0" of faker.RawHeads, red on the code before in inspector (net/http), invoker, platform and storer; TestOldHeads in forwarder passes as it did.

--- a/faker/rawserver.go
+++ b/faker/rawserver.go
@@ -184,6 +184,7 @@
 		"a blank in Transfer-Encoding":         {ok + "Transfer -Encoding: chunked\r\n", true},
 		"a control byte in Transfer-Encoding":  {ok + "Transfer-\x01Encoding: chunked\r\n", true},
 		"a control byte in an encoding":        {ok + "Transfer-Encoding: \x0bchunked\r\n", true},
+		"chunks in HTTP/1.0":                   {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", true},
 		"a zero byte in a value":               {ok + "Odd: a\x00b\r\n" + stated, true},
 		"a control byte in a value":            {ok + "Odd: a\x01b\r\n" + stated, true},
 		"a carriage return in a value":         {ok + "Odd: a\rb\r\n" + stated, true},
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		rs, err := co.readResponse(rq.Method)
+		rs, err := http.ReadResponse(co.reader, &http.Request{Method: rq.Method})
 		if err != nil {
 			return nil, &SendError{cause: err, mayHaveRun: true}
 		}
--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -20,6 +21,7 @@
 	malformedName           MalformedError = "field name"
 	malformedValue          MalformedError = "field value"
 	malformedCarriageReturn MalformedError = "carriage return within a line"
+	malformedEncoding       MalformedError = "transfer encoding in HTTP/1.0"
 )
 
 // Error names the malformed part.
@@ -28,8 +30,12 @@
 const (
 	// statusDigits is the number of digits of a status code.
 	statusDigits = 3
-	// versionForm is the form of the version in a status line, with 0 for any digit.
+	// versionForm is the form of the version in a status line, with 0 for any digit. oldVersion knows no transfer encodings, and net/http
+	// takes the encoded bytes for the body.
 	versionForm = "HTTP/0.0"
+	oldVersion  = "HTTP/1.0"
+	// encodingField is the name of the field that oldVersion may not have, in lower case.
+	encodingField = "transfer-encoding"
 )
 
 // final reports whether a status is that of a final answer, and interim whether it is that of an answer which another one follows. No request
@@ -62,8 +68,10 @@
 	// length is the number of bytes of the line so far, and returned is true after a carriage return.
 	length   int
 	returned bool
-	// named is the length of the field's name.
-	named int
+	// version and name hold the begin of the status line and of the field's name.
+	version [len(versionForm)]byte
+	name    [len(encodingField)]byte
+	named   int
 	// status is the value of the digits read so far.
 	status, digits int
 	// fields is true once the head has a field, which the next line may continue.
@@ -105,6 +113,7 @@
 func (sy *syntax) addVersion(char byte) {
 	switch {
 	case sy.length < len(versionForm):
+		sy.version[sy.length] = char
 		if form := versionForm[sy.length]; char != form && (form != '0' || !digit(char)) {
 			sy.fail(malformedStatusLine)
 		}
@@ -158,6 +167,9 @@
 	if !httpguts.IsTokenRune(rune(char)) {
 		sy.fail(malformedName)
 	}
+	if sy.named < len(sy.name) {
+		sy.name[sy.named] = char
+	}
 	sy.named++
 }
 
@@ -166,6 +178,9 @@
 	if sy.named == 0 {
 		sy.fail(malformedName)
 	}
+	if sy.named == len(encodingField) && string(sy.version[:]) <= oldVersion && strings.EqualFold(string(sy.name[:]), encodingField) {
+		sy.fail(malformedEncoding)
+	}
 }
 
 // endLine checks the end of a line. It reports whether the line has ended the head, and begins the next line.
