A malformed trailer does not end an answer

What callers saw: an answer in chunks behind whose last chunk a field stood whose name holds a blank ended as a whole one. Control bytes and lines without a colon were errors before.

Cause: net/http reads trailers as it reads heads, and takes names with blanks. inspector.Head does not follow a body, so it can't look at them.

Fix: at the end of a body in chunks, its reader looks at the trailer by the same rules (inspector.CheckTrailer) and gets a MalformedError in place of the end. Through net/http the connection has been kept for a further request by then, so it is closed.

Tests: TestMalformedTrailers and TestTransportMalformedTrailers, red on the code before in 3 of 7 malformed trailers each; answers without a trailer and with a sound one stay whole.

--- a/faker/rawserver.go
+++ b/faker/rawserver.go
@@ -206,3 +206,18 @@
 		"HTTP/1.0 with a length":       {"HTTP/1.0 200 OK\r\n" + stated, false},
 	}
 }
+
+// RawTrailers returns the trailers of answers in chunks by name.
+func RawTrailers() map[string]RawHead {
+	return map[string]RawHead{
+		"a blank before a trailer's name":       {" Odd: x\r\n", true},
+		"a blank in a trailer's name":           {"Odd Name: x\r\n", true},
+		"a blank after a trailer's name":        {"Odd : x\r\n", true},
+		"a blank in the second name":            {"Odd: x\r\nOdd Name: x\r\n", true},
+		"a control byte in a trailer's name":    {"O\x01dd: x\r\n", true},
+		"a zero byte in a trailer's value":      {"Odd: \x00\r\n", true},
+		"a line without a colon in the trailer": {"Odd\r\n", true},
+		"no trailer":                            {"", false},
+		"a trailer":                             {"Odd: x\r\n!#$%&'*+-.^_`|~09aZ: \xff\r\n", false},
+	}
+}
--- a/forwarder/brokenanswer_test.go
+++ b/forwarder/brokenanswer_test.go
@@ -119,3 +119,16 @@
 		})
 	}
 }
+
+func TestMalformedTrailers(t *testing.T) {
+	for name, tt := range faker.RawTrailers() {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + tt.Text + "\r\n"
+			rs := newRawTarget(t, faker.RawAnswer{Text: text, End: faker.RawHalfClosed})
+			got, err := sendTo(forwarder.New(forwarder.Options{}), rs.Address(), "id-1", "body")
+			if (err != nil) != tt.Malformed || err == nil && got != "whole" {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -123,6 +123,8 @@
 		if err != nil {
 			return nil, &SendError{cause: err, mayHaveRun: true}
 		}
+		// An answer that ends with an error closes its connection.
+		inspector.CheckTrailer(rs, func() {})
 		if rs.StatusCode < http.StatusOK {
 			continue
 		}
--- a/inspector/broken_test.go
+++ b/inspector/broken_test.go
@@ -122,3 +122,15 @@
 		})
 	}
 }
+
+func TestTransportMalformedTrailers(t *testing.T) {
+	for name, tt := range faker.RawTrailers() {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + tt.Text + "\r\n"
+			got, err := exchange(t, "body", faker.RawAnswer{Text: text, End: faker.RawHalfClosed})
+			if (err != nil) != tt.Malformed || err == nil && got != "whole" {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -7,7 +7,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MalformedError is the error of an answer whose head breaks the grammar of RFC 9110 and RFC 9112. It names the part that does.
+// MalformedError is the error of an answer whose head or trailer breaks the grammar of RFC 9110 and RFC 9112. It names the part that does.
 // Such an answer is none: neither its status nor its fields nor its body can be relied on, and the request may have run.
 type MalformedError string
 
@@ -38,6 +38,21 @@
 	encodingField = "transfer-encoding"
 )
 
+// CheckFields checks the fields of a head or a trailer that net/http has read, which takes names with blanks.
+func CheckFields(header http.Header) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformedName
+		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, func(char rune) bool { return char < ' ' && char != '\t' || char == 0x7f }) {
+				return malformedValue
+			}
+		}
+	}
+	return nil
+}
+
 // final reports whether a status is that of a final answer, and interim whether it is that of an answer which another one follows. No request
 // asks for another protocol, so no answer may switch to one. A status above 599 counts as one of 5xx (RFC 9110, 15).
 func final(status int) bool { return status >= http.StatusOK && status <= 999 }
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // Dial opens a connection to an address of the form host:port.
@@ -91,12 +92,24 @@
 
 // RoundTrip sends a request and returns its answer.
 func (he heads) RoundTrip(rq *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if co, ok := info.Conn.(*conn); ok {
 			co.begin()
+			used.Store(co)
 		}
 	}}
-	return he.next.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	answer, err := he.next.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(answer, func() {
+		if co := used.Load(); co != nil {
+			// The transport has kept the connection for the next request.
+			_ = co.Close()
+		}
+	})
+	return answer, nil
 }
 
 // CloseIdleConnections closes the idle connections of the transport.
