What another instance passes on is checked as the head of an answer

Cause: an instance that is cut off from the targets takes the heads of answers from another one, which may run an earlier version in a rolling replacement and passes on a status of 000, names with blanks, or a message without a head. These got no check at all.

The answer counts as lost, and it may have run; a message without a head says nothing about the target.

--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -38,6 +38,14 @@
 	encodingField = "transfer-encoding"
 )
 
+// CheckHead checks a status and fields that were read already, as another instance passes them on.
+func CheckHead(status int, header http.Header) error {
+	if !final(status) {
+		return malformedStatus
+	}
+	return CheckFields(header)
+}
+
 // CheckFields checks the fields of a head or a trailer that net/http has read, which takes names with blanks.
 func CheckFields(header http.Header) error {
 	for name, values := range header {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"lovagebank/balancer"
 	"lovagebank/exchanger"
 	"lovagebank/forwarder"
+	"lovagebank/inspector"
 	"lovagebank/wire"
 )
 
@@ -182,7 +183,25 @@
 		_ = stream.Close()
 		return nil, sendError(pe, fa)
 	}
-	return newResponse(pe, stream, end), nil
+	head := stream.Msg().GetHead()
+	header := decodeHeader(head.GetHeaders())
+	if err := checkHead(pe, head, header); err != nil {
+		end()
+		_ = stream.Close()
+		return nil, err
+	}
+	return newResponse(pe, stream, header, end), nil
+}
+
+// checkHead checks the head that an instance passes on. Instances of earlier versions pass on what is no head of an answer.
+func checkHead(pe Peer, head *wire.RelayHead, header http.Header) error {
+	if head == nil {
+		return forwarder.NewHopError(fmt.Errorf("through %s: %w", pe.Name, errHopBroken), true)
+	}
+	if err := inspector.CheckHead(int(head.GetStatus()), header); err != nil {
+		return forwarder.NewSendError(fmt.Errorf("through %s: %w", pe.Name, err), true)
+	}
+	return nil
 }
 
 // begin counts a send through an instance; the returned function ends it.
@@ -212,11 +231,11 @@
 	}
 }
 
-// newResponse returns the response that an instance passes on; its head has been received.
-func newResponse(pe Peer, stream Stream, end func()) *forwarder.Response {
+// newResponse returns the response that an instance passes on; its head has been received and checked.
+func newResponse(pe Peer, stream Stream, header http.Header, end func()) *forwarder.Response {
 	head := stream.Msg().GetHead()
 	return forwarder.NewResponse(forwarder.ResponseOptions{
-		Status: int(head.GetStatus()), Header: decodeHeader(head.GetHeaders()), Length: head.GetLength(), Unframed: head.GetUnframed(),
+		Status: int(head.GetStatus()), Header: header, Length: head.GetLength(), Unframed: head.GetUnframed(),
 		Via: pe.Name, Body: &bodyReader{peer: pe, stream: stream}, Abort: end,
 		Close: func(bool) {
 			end()
