Answers of other instances are read by the same rules

Cause: the exchanger read peers' answers through net/http alone.

Change: its transport is one of package inspector.

The peers of serve speak HTTP/2, whose heads and ends are not text: nothing was changed for them.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
+	"lovagebank/inspector"
 	"lovagebank/orderer"
 	"lovagebank/permitter"
 	"lovagebank/platform"
@@ -127,12 +128,12 @@
 		}
 		dial = dialer.DialContext
 	}
-	return &http.Transport{
-		DialContext:         dial,
+	return inspector.BoundHeads(&http.Transport{
+		DialContext:         inspector.WrapDial(inspector.Dial(dial), inspector.Budget{}),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
-	}
+	})
 }
 
 // Done returns a channel that is closed when Run has ended.
