The emulator plays answers that are none, and answers that come before their upload

Cause: the emulator's targets read each request to its end before they answered, its callers sent bodies of some bytes, and its broken answers all had sound heads. So neither its tests nor the soak could show the incident.

--- a/emulator/breaking.go
+++ b/emulator/breaking.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,27 @@
 	AnswerEnds
 )
 
+// The ends of answers that are none, or that come while their request is still being written. EndNoStatus answers have the status 000, and
+// EndNoStatusFirst ones a head with it before their own. EndBlankInName is a blank in the name of a field, EndBlankInEncoding one behind
+// that of the framing, so that net/http takes the chunks for the body. EndUploadReset answers at once with a part, without framing, and resets the
+// connection. EndUploadClosed answers in the same way with the whole, and closes the connection in order.
+const (
+	EndNoStatus AnswerEnd = AnswerEnds + 1 + iota
+	EndNoStatusFirst
+	EndBlankInName
+	EndBlankInEncoding
+	EndUploadReset
+	EndUploadClosed
+)
+
+// DamagedEnds returns the ends of answers that are none, and of those that come early.
+func DamagedEnds() []AnswerEnd {
+	return []AnswerEnd{EndNoStatus, EndNoStatusFirst, EndBlankInName, EndBlankInEncoding, EndUploadReset, EndUploadClosed}
+}
+
+// early reports whether an answer is sent before its request has been read.
+func (an AnswerEnd) early() bool { return an == EndUploadReset || an == EndUploadClosed }
+
 // EndAnswers makes the answers of a target end as given.
 func (ta *Target) EndAnswers(end AnswerEnd) {
 	ta.mu.Lock()
@@ -49,6 +71,16 @@
 	ta.answerDelay = delay
 }
 
+// readRequest reads the body of a request, unless its answer comes before that.
+func (ta *Target) readRequest(r *http.Request) {
+	ta.mu.Lock()
+	early := ta.answerEnd.early()
+	ta.mu.Unlock()
+	if !early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
 // awaitAnswer waits until the answer to a request is ready, or its caller has left.
 func (ta *Target) awaitAnswer(r *http.Request) {
 	ta.mu.Lock()
@@ -84,7 +116,7 @@
 	if resumed && end == EndAsText {
 		text, kind = "no such stream\n\n", "text/plain"
 	}
-	ra := rawAnswer{id: r.Header.Get("Request-Id"), kind: kind, text: text, cut: len(text)}
+	ra := rawAnswer{begin: "HTTP/1.1 200 OK\r\n", id: r.Header.Get("Request-Id"), kind: kind, text: text, cut: len(text), encoding: "Transfer-Encoding"}
 	switch end {
 	case EndInHead:
 		ra.cutHead = true
@@ -100,6 +132,16 @@
 		if ra.chunked = true; !resumed {
 			ra.cut = ta.betweenEvents(text, adapter, first)
 		}
+	case EndNoStatus:
+		ra.begin = "HTTP/1.1 000 None\r\n"
+	case EndNoStatusFirst:
+		ra.begin = "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n"
+	case EndBlankInName:
+		ra.begin += "Odd Name: x\r\n"
+	case EndBlankInEncoding:
+		ra.chunked, ra.encoding = true, "Transfer-Encoding "
+	case EndUploadReset:
+		ra.reset, ra.cut = true, ta.betweenEvents(text, adapter, first)
 	}
 	ra.send(w)
 	return true
@@ -115,7 +157,9 @@
 
 // rawAnswer is an answer as it is written to the connection.
 type rawAnswer struct {
-	id, kind, text string
+	// begin is the begin of the head, and encoding the name of the field that states chunks.
+	begin, encoding string
+	id, kind, text  string
 	// cut is the length of the text after which the answer breaks off, cutHead is set if that is within the head, and reset if the
 	// connection is reset.
 	cut     int
@@ -135,18 +179,22 @@
 	}
 	framing, body := "Connection: close\r\n", ra.text[:ra.cut]
 	if ra.chunked {
-		framing = "Transfer-Encoding: chunked\r\n"
+		framing = ra.encoding + ": chunked\r\n"
 		body = fmt.Sprintf("%x\r\n%s\r\n", ra.cut, body)
 		if ra.cut == len(ra.text) {
 			body += "0\r\n\r\n"
 		}
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: %s\r\n%s%s\r\n",
-		ra.id, ra.id, ra.kind, stated.String(), framing)
+	head := fmt.Sprintf("%sRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: %s\r\n%s%s\r\n",
+		ra.begin, ra.id, ra.id, ra.kind, stated.String(), framing)
 	if ra.cutHead {
 		head, body = head[:len(head)/2], ""
 	}
 	_, _ = conn.Write([]byte(head + body))
+	if hc, ok := conn.(interface{ CloseWrite() error }); ok && !ra.reset {
+		// Bytes that are unread would make the close a reset.
+		_ = hc.CloseWrite()
+	}
 	if lc, ok := conn.(interface{ SetLinger(seconds int) error }); ok && ra.reset {
 		_ = lc.SetLinger(0)
 	}
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -38,6 +38,8 @@
 	// brought its first event; empty for a new stream.
 	LastEvent string
 	Resumes   string
+	// UploadBytes is the least length of the request's body.
+	UploadBytes int
 	// Framed, if not nil, is set to whether the answer had a length or chunks.
 	Framed *bool
 }
@@ -45,7 +47,9 @@
 // Send sends the call to an instance and returns the status and the body of the response. If the connection breaks before
 // the end of the response, the status is 0, the error gives the cause, and the body is what has arrived.
 func (ca Call) Send(ctx context.Context, client *http.Client, address string) (status int, text string, err error) {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ca.Path, strings.NewReader("body of "+ca.ID))
+	text = "body of " + ca.ID
+	text += strings.Repeat(".", max(ca.UploadBytes-len(text), 0))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ca.Path, strings.NewReader(text))
 	if err != nil {
 		return 0, "", err
 	}
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -213,7 +213,7 @@
 
 func (ta *Target) run(w http.ResponseWriter, r *http.Request) {
 	arrival := ta.countArrival(r.Header.Get("Request-Id"))
-	_, _ = io.Copy(io.Discard, r.Body)
+	ta.readRequest(r)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if ta.reject(w) {
 		return
