Links of the soak keep the ends of connections while a request is written

Cause: the loopback proxy of emulator and soak closed both sides as soon as it could not write to one of them, and before it had passed on what the other side had sent.

Change: after a failed write it discards the rest, and the reads say how the connection has ended (inspector.Writer); an end in order is passed on before the close, which would be a reset where bytes of the request are unread.

--- a/faker/link.go
+++ b/faker/link.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lovagebank/inspector"
 )
 
 // linkChunkBytes is the maximum number of bytes that a link forwards at once. linkQueueChunks is the maximum number of
@@ -48,9 +50,10 @@
 	open     map[*linkConnection]bool
 }
 
-// linkConnection is a forwarded connection with its two sides.
+// linkConnection is a forwarded connection with its two sides, and the writers to them.
 type linkConnection struct {
-	client, target net.Conn
+	client, target             net.Conn
+	clientWriter, targetWriter *inspector.Writer
 	// frozen is closed when the connection is silenced, and done when it ends.
 	frozen, done          chan struct{}
 	freezeOnce, closeOnce sync.Once
@@ -219,7 +222,10 @@
 		_ = client.Close()
 		return
 	}
-	lc := &linkConnection{client: client, target: target, frozen: make(chan struct{}), done: make(chan struct{})}
+	lc := &linkConnection{
+		client: client, target: target, clientWriter: inspector.NewWriter(client), targetWriter: inspector.NewWriter(target),
+		frozen: make(chan struct{}), done: make(chan struct{}),
+	}
 	lk.mu.Lock()
 	lk.open[lc] = true
 	cut, reset = lk.cut, lk.reset
@@ -231,27 +237,38 @@
 		lc.close()
 	}
 	var pumps sync.WaitGroup
-	pumps.Go(func() { lk.pump(lc, client, target, requests) })
-	pumps.Go(func() { lk.pump(lc, target, client, answers) })
+	pumps.Go(func() { lk.pump(lc, requests) })
+	pumps.Go(func() { lk.pump(lc, answers) })
 	pumps.Wait()
 	lk.mu.Lock()
 	delete(lk.open, lc)
 	lk.mu.Unlock()
 }
 
-func (lc *linkConnection) close() {
-	lc.closeOnce.Do(func() {
-		close(lc.done)
-		_ = lc.client.Close()
-		_ = lc.target.Close()
+// close closes both sides of a connection.
+func (lc *linkConnection) close() { lc.end(func(net.Conn) {}) }
+
+// closeInOrder closes both sides of a connection so that each receives the end of the stream, even if some of its bytes have not been read.
+func (lc *linkConnection) closeInOrder() {
+	lc.end(func(connection net.Conn) {
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
 	})
 }
 
 // reset closes both sides of a connection with a TCP reset.
-func (lc *linkConnection) reset() {
-	resetConnection(lc.client)
-	resetConnection(lc.target)
-	lc.close()
+func (lc *linkConnection) reset() { lc.end(resetConnection) }
+
+// end closes both sides of a connection after a preparation.
+func (lc *linkConnection) end(prepare func(net.Conn)) {
+	lc.closeOnce.Do(func() {
+		close(lc.done)
+		for _, connection := range []net.Conn{lc.client, lc.target} {
+			prepare(connection)
+			_ = connection.Close()
+		}
+	})
 }
 
 // resetConnection makes the next Close of a connection send a TCP reset.
@@ -268,7 +285,11 @@
 }
 
 // pump forwards one direction of a connection. It forwards the end of the stream too, and a reset, unless the connection is frozen.
-func (lk *Link) pump(lc *linkConnection, from, to net.Conn, dir direction) {
+func (lk *Link) pump(lc *linkConnection, dir direction) {
+	from, back, to := lc.client, lc.clientWriter, lc.targetWriter
+	if dir == answers {
+		from, back, to = lc.target, lc.targetWriter, lc.clientWriter
+	}
 	queue := make(chan delayedChunk, linkQueueChunks)
 	var writer sync.WaitGroup
 	writer.Go(func() { lc.write(queue, to) })
@@ -288,7 +309,7 @@
 			}
 		}
 		if err != nil {
-			end = err
+			end = back.ReadError(err)
 			break
 		}
 	}
@@ -316,7 +337,7 @@
 		lc.reset()
 		return
 	}
-	lc.close()
+	lc.closeInOrder()
 }
 
 func (lk *Link) isDropping(dir direction) bool {
@@ -325,8 +346,10 @@
 	return lk.dropping[dir]
 }
 
-// write sends the chunks of one direction when they are due. Once the connection is frozen, it discards them.
-func (lc *linkConnection) write(queue <-chan delayedChunk, to net.Conn) {
+// write sends the chunks of one direction when they are due. Once the connection is frozen, or has failed, it discards them: how it has ended is
+// found by the reads from it, after what the other side has sent before.
+func (lc *linkConnection) write(queue <-chan delayedChunk, to *inspector.Writer) {
+	failed := false
 	for chunk := range queue {
 		select {
 		case <-time.After(time.Until(chunk.due)):
@@ -337,8 +360,10 @@
 			continue
 		default:
 		}
-		if _, err := to.Write(chunk.bytes); err != nil {
-			lc.close()
+		if failed {
+			continue
 		}
+		_, err := to.Write(chunk.bytes)
+		failed = err != nil
 	}
 }
--- a/faker/link_test.go
+++ b/faker/link_test.go
@@ -5,9 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
+
+	"lovagebank/inspector"
 )
 
 // echoServer starts a TCP server that echoes all data until the test ends, and returns its address.
@@ -77,3 +81,50 @@
 		t.Errorf("new connection after the end of the cut: %v", err)
 	}
 }
+
+// Guards against a link that turns the reset of a target into an end in order, or that loses a whole answer, while a request is being written.
+func TestLinkKeepsEndsWithinUploads(t *testing.T) {
+	const plays = 10
+	tests := map[string]struct {
+		end   RawEnd
+		whole bool
+	}{"reset": {RawReset, false}, "closed unread": {RawUnread, false}, "closed in order": {RawClosed, true}, "half closed": {RawHalfClosed, true}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			rs, err := NewRawServer(func(*http.Request) RawAnswer {
+				return RawAnswer{Text: "HTTP/1.1 200 OK\r\n\r\nanswer", End: tt.end}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rs.Close()
+			lk, err := NewLink("127.0.0.1:0", rs.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = lk.Close() }()
+			wrong := 0
+			for range plays {
+				client := &http.Client{Transport: inspector.BoundHeads(&http.Transport{
+					DialContext: inspector.WrapDial((&net.Dialer{}).DialContext, inspector.Budget{}),
+				})}
+				text := ""
+				answer, err := client.Post("http://"+lk.Address(), "text/plain", strings.NewReader(strings.Repeat("upload--", 1<<20)))
+				if err == nil {
+					var body []byte
+					body, err = io.ReadAll(answer.Body)
+					_ = answer.Body.Close()
+					text = string(body)
+				}
+				if (err == nil) != tt.whole || tt.whole && text != "answer" {
+					wrong++
+					t.Logf("got %q, %v", text, err)
+				}
+				client.CloseIdleConnections()
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d plays: looks whole is %t", wrong, plays, !tt.whole)
+			}
+		})
+	}
+}
