A link of the soak takes no more from a side whose other side has failed

Cause: after a failed write the link went on reading from the side that sends and discarded it, so that a long upload was written to its end in a millisecond and its sender was not writing any more when the reset reached it.

Change: the link stops there until the connection has ended, as a network would.

TestLinkKeepsEndsWithinUploads as before.

--- a/faker/link.go
+++ b/faker/link.go
@@ -346,10 +346,9 @@
 	return lk.dropping[dir]
 }
 
-// write sends the chunks of one direction when they are due. Once the connection is frozen, or has failed, it discards them: how it has ended is
-// found by the reads from it, after what the other side has sent before.
+// write sends the chunks of one direction when they are due. Once the connection is frozen, it discards them. Once a side has failed, it
+// takes no more: how that side has ended is found by the reads from it, after what it has sent before.
 func (lc *linkConnection) write(queue <-chan delayedChunk, to *inspector.Writer) {
-	failed := false
 	for chunk := range queue {
 		select {
 		case <-time.After(time.Until(chunk.due)):
@@ -360,10 +359,8 @@
 			continue
 		default:
 		}
-		if failed {
-			continue
+		if _, err := to.Write(chunk.bytes); err != nil {
+			<-lc.done
 		}
-		_, err := to.Write(chunk.bytes)
-		failed = err != nil
 	}
 }
