Tests of resets long after the answer's last byte, and of ends that have arrived

Cause: the tests reset connections at once or after a part of the upload, never after the answer had been read. And "closed in order" of the stand-in did not make sure that the end of the stream had arrived before the reset, which discards what has not.

Change: TestResetAfterTheLastByte resets once the reader has all bytes: the read waits, and only the write is in progress. The stand-in's close in order waits until the end has been acknowledged.

--- a/faker/rawserver.go
+++ b/faker/rawserver.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -32,9 +33,10 @@
 type RawAnswer struct {
 	// Upload is the number of bytes of the request's body that are read first.
 	Upload int64
-	// Text is then written unchanged, and End is how the connection ends after it.
-	Text string
-	End  RawEnd
+	// Text is then written unchanged, and End is how the connection ends after it, once Until is closed; nil for at once.
+	Text  string
+	Until <-chan struct{}
+	End   RawEnd
 }
 
 // RawServer is an HTTP server that writes given bytes in place of an answer to the first request on each connection.
@@ -90,6 +92,9 @@
 	if _, err := io.WriteString(tc, an.Text); err != nil {
 		return
 	}
+	if an.Until != nil {
+		<-an.Until
+	}
 	an.End.apply(tc)
 }
 
@@ -101,6 +106,7 @@
 		_, _ = io.Copy(io.Discard, tc)
 	case RawClosed:
 		_ = tc.CloseWrite()
+		awaitAcknowledged(tc)
 		_ = tc.SetLinger(0)
 	case RawReset:
 		_ = tc.SetLinger(0)
@@ -111,6 +117,23 @@
 	}
 }
 
+// ackInterval is the time between two looks at what the other side has acknowledged.
+const ackInterval = 100 * time.Microsecond
+
+// awaitAcknowledged waits until the other side has received all that was written, the end of the stream included. A reset discards what has
+// not arrived, so that nothing would tell the end from a part.
+func awaitAcknowledged(tc *net.TCPConn) {
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return
+	}
+	for waiting := 1; waiting > 0; time.Sleep(ackInterval) {
+		waiting = 0
+		// An error is that of a connection that has ended.
+		_ = raw.Control(func(fd uintptr) { waiting, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	}
+}
+
 // awaitUnread waits until bytes have arrived that are not read.
 func awaitUnread(tc *net.TCPConn) {
 	raw, err := tc.SyscallConn()
--- a/forwarder/brokenanswer_test.go
+++ b/forwarder/brokenanswer_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -68,6 +69,48 @@
 	}
 }
 
+// Guards against the same when the reset comes long after the answer's last byte, while nothing but the write is in progress: a body without a length is a
+// part then, however much of it has been read; one with a length is whole.
+func TestResetAfterTheLastByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
+	tests := map[string]struct {
+		text  string
+		end   faker.RawEnd
+		whole bool
+	}{
+		"no length, reset":           {head + "\r\nanswer", faker.RawReset, false},
+		"no length, closed unread":   {head + "\r\nanswer", faker.RawUnread, false},
+		"no length, closed in order": {head + "\r\nanswer", faker.RawClosed, true},
+		"a length":                   {head + "Content-Length: 6\r\n\r\nanswer", faker.RawReset, true},
+		"chunks":                     {head + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", faker.RawReset, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range resetPlays {
+				read := make(chan struct{})
+				rs := newRawTarget(t, faker.RawAnswer{Text: tt.text, Until: read, End: tt.end})
+				got, err := forwarder.New(forwarder.Options{}).Send(t.Context(), forwarder.Target{ID: "t", Address: rs.Address()}, &forwarder.Request{
+					Method: http.MethodPost, URI: "/", Host: "h", ID: "id-1", Body: []byte(longUpload), HasBody: true,
+					ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				text := make([]byte, len("answer"))
+				if _, err := io.ReadFull(got, text); err != nil {
+					t.Fatal(err)
+				}
+				close(read)
+				rest, err := io.ReadAll(got)
+				got.Close()
+				if (err == nil) != tt.whole || len(rest) > 0 {
+					t.Errorf("%q and %q, then %v", text, rest, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against answers whose head is malformed: their fields or their body reached the caller. Unusual heads that the protocol allows stay answers.
 func TestMalformedHeads(t *testing.T) {
 	const body = "twelve bytes"
--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -61,9 +61,13 @@
 	return nil
 }
 
-// final reports whether a status is that of a final answer, and interim whether it is that of an answer which another one follows. No request
-// asks for another protocol, so no answer may switch to one. A status above 599 counts as one of 5xx (RFC 9110, 15).
-func final(status int) bool { return status >= http.StatusOK && status <= 999 }
+// maxStatus is the highest status. One above 599 counts as one of 5xx (RFC 9110, 15).
+const maxStatus = 999
+
+// final reports whether a status is that of a final answer.
+func final(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// interim reports whether a status is that of an answer which another one follows. No request asks for another protocol, so no answer may switch to one.
 func interim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
