The emulator's answer behind a status of 000 is not the right one

Cause: the bytes behind the head with status 000 were the request's own answer, so a check of bodies could not tell that an instance had taken them for one: the soak did not catch a build whose status check is off. Change: they are another text.

--- a/emulator/breaking.go
+++ b/emulator/breaking.go
@@ -37,7 +37,7 @@
 )
 
 // The ends of answers that are none, or that come while their request is still being written. EndNoStatus answers have the status 000, and
-// EndNoStatusFirst ones a head with it before their own. EndBlankInName is a blank in the name of a field, EndBlankInEncoding one behind
+// the body of EndNoStatusFirst ones looks like a further answer. EndBlankInName is a blank in the name of a field, EndBlankInEncoding one behind
 // that of the framing, so that net/http takes the chunks for the body. EndUploadReset answers at once with a part, without framing, and resets the
 // connection. EndUploadClosed answers in the same way with the whole, and closes the connection in order.
 const (
@@ -49,6 +49,9 @@
 	EndUploadClosed
 )
 
+// notAnswer is the body of an answer within the body of another one.
+const notAnswer = "id: 1\ndata: none\n\n"
+
 // DamagedEnds returns the ends of answers that are none, and of those that come early.
 func DamagedEnds() []AnswerEnd {
 	return []AnswerEnd{EndNoStatus, EndNoStatusFirst, EndBlankInName, EndBlankInEncoding, EndUploadReset, EndUploadClosed}
@@ -135,7 +138,7 @@
 	case EndNoStatus:
 		ra.begin = "HTTP/1.1 000 None\r\n"
 	case EndNoStatusFirst:
-		ra.begin = "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n"
+		ra.begin, ra.text, ra.cut = "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n", notAnswer, len(notAnswer)
 	case EndBlankInName:
 		ra.begin += "Odd Name: x\r\n"
 	case EndBlankInEncoding:
