The soak plays answers that are none, and answers that come before their upload

Cause: its targets read each request before they answered, and no caller sent more than some bytes.

The kinds are drawn by themselves, so that the draws of kept seeds stay.

The link of before, and uploads that overlapped in an instance's memory, had let reset-unnoticed pass.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Length    time.Duration `long:"length" default:"12s" description:"time in which faults begin"`
 	StepsBack bool          `long:"steps-back" description:"have the store come back from older copies too"`
 	Places    bool          `long:"places" description:"have cold targets, regions and evacuations too"`
+	Damaged   bool          `long:"damaged-answers" description:"have targets send answers that are none, or too early, too"`
 	Folder    string        `long:"folder" default:"." description:"where the logs of runs with findings are kept"`
 	Break     string        `long:"break" description:"build with a deliberate fault, to see that it is caught; 'list' names them"`
 	Keep      bool          `long:"keep" description:"keep the logs of runs without findings too"`
@@ -124,7 +125,8 @@
 		return nil, err
 	}
 	so := soaker.New(soaker.Options{
-		Seed: seed, FaultPeriod: op.Length, Instances: op.Instances, StoreRollbacks: op.StepsBack, Places: op.Places, Program: program, Folder: seedFolder,
+		Seed: seed, FaultPeriod: op.Length, Instances: op.Instances, StoreRollbacks: op.StepsBack, Places: op.Places,
+		DamagedAnswers: op.Damaged, Program: program, Folder: seedFolder,
 		Progress: func(line string) {
 			if op.Verbose {
 				fmt.Printf("%s seed %d: %s\n", time.Now().Format(time.TimeOnly), seed, line)
--- a/soaker/breakages.go
+++ b/soaker/breakages.go
@@ -79,6 +79,18 @@
 		name: "break-closed-in-order", file: "listener/conn.go", promise: wholePromise,
 		old: "{ co.setLinger(0) }", new: "{ co.setLinger(-1) }",
 	},
+	{
+		name: "reset-unnoticed", file: "forwarder/limited_reader.go", promise: wholePromise,
+		old: "return count, lr.writer.ReadError(err)", new: "return count, err",
+	},
+	{
+		name: "status-unchecked", file: "inspector/syntax.go", promise: wholePromise,
+		old: "!final(sy.status) && !interim(sy.status)", new: "sy.status >= 100 && !final(sy.status) && !interim(sy.status)",
+	},
+	{
+		name: "name-unchecked", file: "inspector/syntax.go", promise: wholePromise,
+		old: "if !httpguts.IsTokenRune(rune(char)) {", new: "if char != ' ' && !httpguts.IsTokenRune(rune(char)) {",
+	},
 	{
 		name: "anything-joined", file: "acceptor/rest.go", promise: wholePromise,
 		old: "return !ex.headSent || newStreamHead(rs) == ex.streamHead", new: "return !ex.headSent || newStreamHead(rs) != streamHead{}",
--- a/soaker/brokenanswer.go
+++ b/soaker/brokenanswer.go
@@ -47,14 +47,7 @@
 // the end concerns the rest of a stream that has broken off.
 func (so *Soaker) breakAnswers(fa Fault) {
 	end := emulator.AnswerEnd(1 + fa.Subject%(int(emulator.AnswerEnds)-1))
-	var engines, applications []string
-	for _, id := range so.fleet.TargetIDs() {
-		if strings.HasPrefix(id, "engine-") {
-			engines = append(engines, id)
-		} else {
-			applications = append(applications, id)
-		}
-	}
+	engines, applications := so.targets()
 	at := fa.Subject / int(emulator.AnswerEnds)
 	struck := []string{engines[at%len(engines)]}
 	switch end {
@@ -80,6 +73,18 @@
 	so.callers.tell(ctx, fa.Subject)
 }
 
+// targets returns the IDs of the engines and of the applications.
+func (so *Soaker) targets() (engines, applications []string) {
+	for _, id := range so.fleet.TargetIDs() {
+		if strings.HasPrefix(id, "engine-") {
+			engines = append(engines, id)
+		} else {
+			applications = append(applications, id)
+		}
+	}
+	return engines, applications
+}
+
 // tell asks for streams that may not be resumed until the context ends, in both versions of HTTP, and records the answers.
 func (ca *callers) tell(ctx context.Context, subject int) {
 	ticker := time.NewTicker(tellInterval)
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -48,6 +48,9 @@
 	// KindBrokenAnswer is a time in which answers of targets break off, or have no framing. PlanBrokenAnswers draws it separately
 	// from the other kinds.
 	KindBrokenAnswer Kind = "broken-answers"
+	// KindDamagedAnswer is a time in which answers of targets are none, or come before their request has been read.
+	// PlanDamagedAnswers draws it separately from the other kinds.
+	KindDamagedAnswer Kind = "damaged-answers"
 	// KindUneven gives engines unequal speeds. PlanUneven draws it separately from the other kinds.
 	KindUneven Kind = "uneven"
 )
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -51,6 +51,9 @@
 	StoreRollbacks bool
 	// Places selects a deployment with cold targets and regions, and adds evacuations and targets that become cold.
 	Places bool
+	// DamagedAnswers adds answers that are none, or that come before their request has been read, and callers with long
+	// bodies.
+	DamagedAnswers bool
 	// Program is the path of the lovagebank binary. Folder is the path of the folder for settings and logs.
 	Program string
 	Folder  string
@@ -70,6 +73,9 @@
 	plan = append(plan, PlanReach(op.Seed, op.FaultPeriod)...)
 	plan = append(plan, PlanMisuse(op.Seed, op.FaultPeriod)...)
 	plan = append(plan, PlanBrokenAnswers(op.Seed, op.FaultPeriod)...)
+	if op.DamagedAnswers {
+		plan = append(plan, PlanDamagedAnswers(op.Seed, op.FaultPeriod)...)
+	}
 	plan = append(plan, PlanUneven(op.Seed, op.FaultPeriod)...)
 	if op.StoreRollbacks {
 		plan = append(plan, PlanRollbacks(op.Seed, op.FaultPeriod)...)
@@ -275,6 +281,8 @@
 		so.misuse(fa)
 	case KindBrokenAnswer:
 		so.breakAnswers(fa)
+	case KindDamagedAnswer:
+		so.damageAnswers(fa)
 	case KindKeyChange:
 		so.changeKey()
 	case KindLinkDelay, KindLinkReset, KindLinkSilent, KindCutRequests, KindCutAnswers:
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"lovagebank/emulator"
 )
 
 func TestPlanDependsOnSeedOnly(t *testing.T) {
@@ -55,6 +57,20 @@
 	}
 }
 
+func TestDamagedAnswersDependOnSeedOnly(t *testing.T) {
+	one, again, other := PlanDamagedAnswers(7, time.Minute), PlanDamagedAnswers(7, time.Minute), PlanDamagedAnswers(8, time.Minute)
+	if !slices.Equal(one, again) || slices.Equal(one, other) {
+		t.Errorf("drew %v, again %v, another seed %v", one, again, other)
+	}
+	ends := make(map[int]bool)
+	for _, fa := range PlanDamagedAnswers(5603, 6*time.Second) {
+		ends[fa.Subject%len(emulator.DamagedEnds())] = true
+	}
+	if len(ends) != len(emulator.DamagedEnds()) {
+		t.Errorf("the seed of CI plays %d of %d kinds", len(ends), len(emulator.DamagedEnds()))
+	}
+}
+
 func TestMisuseDependsOnSeedOnly(t *testing.T) {
 	one, again := PlanMisuse(7, time.Minute), PlanMisuse(7, time.Minute)
 	if !slices.Equal(one, again) || len(one) < 4 {
@@ -178,14 +194,17 @@
 		period    time.Duration
 		instances int
 		places    bool
+		damaged   bool
 	}{
-		"first": {1, 5 * time.Second, 3, false},
+		"first": {1, 5 * time.Second, 3, false, false},
 		// Evacuations, cold targets and regions, which other runs do not have.
-		"places": {2000, 6 * time.Second, 4, true},
+		"places": {2000, 6 * time.Second, 4, true, false},
 		// A target named its rate limit with 19 characters, and the instances took it for malformed.
-		"rate-limit-of-many-digits": {701, 12 * time.Second, 4, false},
+		"rate-limit-of-many-digits": {701, 12 * time.Second, 4, false, false},
 		// Broken answers of a target that named a rate limit lacked it, so that the limit lapsed while it was still expected to bind.
-		"broken-answers-amid-a-rate-limit": {3047, 12 * time.Second, 4, false},
+		"broken-answers-amid-a-rate-limit": {3047, 12 * time.Second, 4, false, false},
+		// Each kind of damaged answer once.
+		"damaged-answers": {5603, 6 * time.Second, 3, false, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -194,7 +213,8 @@
 				t.Fatal(err)
 			}
 			re, err := New(Options{
-				Seed: tt.seed, FaultPeriod: tt.period, Instances: tt.instances, Places: tt.places, Program: program, Folder: seedFolder,
+				Seed: tt.seed, FaultPeriod: tt.period, Instances: tt.instances, Places: tt.places, DamagedAnswers: tt.damaged,
+				Program: program, Folder: seedFolder,
 			}).Run(t.Context())
 			if err != nil {
 				t.Fatal(err)
