Comments of the new code wrapped at 120 columns, long conditions split

Cause: lines of over 130 columns stop a reader. Change: wrapping; the errors that do not break a connection stand in a list, the name of the field of encodings has a function. No change of behaviour.

--- a/acceptor/brokenanswer_test.go
+++ b/acceptor/brokenanswer_test.go
@@ -30,8 +30,8 @@
 	return rs
 }
 
-// Guards against answers that are none: their status, fields or body reached the caller, or changed what the target is believed to be. Like lost
-// ones, they are asked for again only where the request may be repeated.
+// Guards against answers that are none: their status, fields or body reached the caller, or changed what the target is
+// believed to be. Like lost ones, they are asked for again only where the request may be repeated.
 func TestMalformedAnswersReachNoCaller(t *testing.T) {
 	const fields = "Request-Id: id-1\r\nResponse-Seal: seal\r\nServer-Leaving: 1\r\nNot-Executed: 1\r\nServer-Limit: 1"
 	for name, head := range faker.RawHeads(len("hidden")) {
@@ -63,7 +63,8 @@
 	}
 }
 
-// Guards against a part of an answer that its caller took for the whole, as the target reset the connection while the upload was being written.
+// Guards against a part of an answer that its caller took for the whole, as the target reset the connection while the
+// upload was being written.
 func TestResetWithinUploadReachesNoCaller(t *testing.T) {
 	const plays = 5
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: seal\r\n"
--- a/emulator/breaking.go
+++ b/emulator/breaking.go
@@ -36,10 +36,11 @@
 	AnswerEnds
 )
 
-// The ends of answers that are none, or that come while their request is still being written. EndNoStatus answers have the status 000, and
-// the body of EndNoStatusFirst ones looks like a further answer. EndBlankInName is a blank in the name of a field, EndBlankInEncoding one behind
-// that of the framing, so that net/http takes the chunks for the body. EndUploadReset answers at once with a part, without framing, and resets the
-// connection. EndUploadClosed answers in the same way with the whole, and closes the connection in order.
+// The ends of answers that are none, or that come while their request is still being written. EndNoStatus answers have
+// the status 000, and the body of EndNoStatusFirst ones looks like a further answer. EndBlankInName is a blank in the
+// name of a field, EndBlankInEncoding one behind that of the framing, so that net/http takes the chunks for the body.
+// EndUploadReset answers at once with a part, without framing, and resets the connection. EndUploadClosed answers in
+// the same way with the whole, and closes the connection in order.
 const (
 	EndNoStatus AnswerEnd = AnswerEnds + 1 + iota
 	EndNoStatusFirst
@@ -119,7 +120,10 @@
 	if resumed && end == EndAsText {
 		text, kind = "no such stream\n\n", "text/plain"
 	}
-	ra := rawAnswer{begin: "HTTP/1.1 200 OK\r\n", id: r.Header.Get("Request-Id"), kind: kind, text: text, cut: len(text), encoding: "Transfer-Encoding"}
+	ra := rawAnswer{
+		begin: "HTTP/1.1 200 OK\r\n", encoding: "Transfer-Encoding",
+		id: r.Header.Get("Request-Id"), kind: kind, text: text, cut: len(text),
+	}
 	switch end {
 	case EndInHead:
 		ra.cutHead = true
--- a/emulator/brokenanswer_test.go
+++ b/emulator/brokenanswer_test.go
@@ -11,8 +11,8 @@
 	"lovagebank/emulator"
 )
 
-// Guards against answers that are none, and parts of answers that come while their request is being written: all targets of a fleet send
-// them, and no caller may take one for an answer. Whole answers that come as early are served.
+// Guards against answers that are none, and parts of answers that come while their request is being written: all
+// targets of a fleet send them, and no caller may take one for an answer. Whole answers that come as early are served.
 func TestDamagedAnswersReachNoCaller(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
--- a/exchanger/brokenanswer_test.go
+++ b/exchanger/brokenanswer_test.go
@@ -9,7 +9,8 @@
 	"lovagebank/orderer"
 )
 
-// Guards against a peer's answer that counts although its head is malformed: an empty message says that the adapter has been loaded.
+// Guards against a peer's answer that counts although its head is malformed: an empty message says that the adapter has
+// been loaded.
 func TestMalformedAnswersOfPeers(t *testing.T) {
 	for name, head := range faker.RawHeads(0) {
 		t.Run(name, func(t *testing.T) {
--- a/faker/link.go
+++ b/faker/link.go
@@ -248,7 +248,8 @@
 // close closes both sides of a connection.
 func (lc *linkConnection) close() { lc.end(func(net.Conn) {}) }
 
-// closeInOrder closes both sides of a connection so that each receives the end of the stream, even if some of its bytes have not been read.
+// closeInOrder closes both sides of a connection so that each receives the end of the stream, even if some of its bytes
+// have not been read.
 func (lc *linkConnection) closeInOrder() {
 	lc.end(func(connection net.Conn) {
 		if tcp, ok := connection.(*net.TCPConn); ok {
@@ -346,8 +347,9 @@
 	return lk.dropping[dir]
 }
 
-// write sends the chunks of one direction when they are due. Once the connection is frozen, it discards them. Once a side has failed, it
-// takes no more: how that side has ended is found by the reads from it, after what it has sent before.
+// write sends the chunks of one direction when they are due. Once the connection is frozen, it discards them. Once a
+// side has failed, it takes no more: how that side has ended is found by the reads from it, after what it has sent
+// before.
 func (lc *linkConnection) write(queue <-chan delayedChunk, to *inspector.Writer) {
 	for chunk := range queue {
 		select {
--- a/faker/link_test.go
+++ b/faker/link_test.go
@@ -82,7 +82,8 @@
 	}
 }
 
-// Guards against a link that turns the reset of a target into an end in order, or that loses a whole answer, while a request is being written.
+// Guards against a link that turns the reset of a target into an end in order, or that loses a whole answer, while a
+// request is being written.
 func TestLinkKeepsEndsWithinUploads(t *testing.T) {
 	const plays = 10
 	tests := map[string]struct {
--- a/faker/rawserver.go
+++ b/faker/rawserver.go
@@ -20,8 +20,8 @@
 // The ends of connections. RawOpen leaves the connection open until the client closes it.
 const (
 	RawOpen RawEnd = iota
-	// RawHalfClosed closes the sending side and reads on; RawClosed closes both sides in that order and resets the connection on what still
-	// arrives.
+	// RawHalfClosed closes the sending side and reads on; RawClosed closes both sides in that order and resets the
+	// connection on what still arrives.
 	RawHalfClosed
 	RawClosed
 	// RawReset resets the connection, and RawUnread closes it with bytes of the request unread, which resets it too.
@@ -120,8 +120,8 @@
 // ackInterval is the time between two looks at what the other side has acknowledged.
 const ackInterval = 100 * time.Microsecond
 
-// awaitAcknowledged waits until the other side has received all that was written, the end of the stream included. A reset discards what has
-// not arrived, so that nothing would tell the end from a part.
+// awaitAcknowledged waits until the other side has received all that was written, the end of the stream included. A
+// reset discards what has not arrived, so that nothing would tell the end from a part.
 func awaitAcknowledged(tc *net.TCPConn) {
 	raw, err := tc.SyscallConn()
 	if err != nil {
@@ -165,8 +165,8 @@
 	return rh.Text + field + end + end
 }
 
-// RawHeads returns heads by name: malformed ones, and unusual ones that RFC 9110 and RFC 9112 allow. Each states a body of length bytes in the
-// way that its name says; a malformed one may state another.
+// RawHeads returns heads by name: malformed ones, and unusual ones that RFC 9110 and RFC 9112 allow. Each states a body
+// of length bytes in the way that its name says; a malformed one may state another.
 func RawHeads(length int) map[string]RawHead {
 	size := strconv.Itoa(length)
 	ok := "HTTP/1.1 200 OK\r\n"
--- a/forwarder/brokenanswer_test.go
+++ b/forwarder/brokenanswer_test.go
@@ -27,8 +27,8 @@
 	return rs
 }
 
-// Guards against a part of an answer that its caller took for the whole: the target reset the connection while the upload was being written,
-// the write learned of it, and the read was told that the answer had ended in order.
+// Guards against a part of an answer that its caller took for the whole: the target reset the connection while the
+// upload was being written, the write learned of it, and the read was told that the answer had ended in order.
 func TestResetWithinUpload(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
 	const eventHead = head + "Content-Type: text/event-stream\r\n"
@@ -69,8 +69,8 @@
 	}
 }
 
-// Guards against the same when the reset comes long after the answer's last byte, while nothing but the write is in progress: a body without a length is a
-// part then, however much of it has been read; one with a length is whole.
+// Guards against the same when the reset comes long after the answer's last byte, while nothing but the write is in
+// progress: a body without a length is a part then, however much of it has been read; one with a length is whole.
 func TestResetAfterTheLastByte(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
 	tests := map[string]struct {
@@ -111,7 +111,8 @@
 	}
 }
 
-// Guards against answers whose head is malformed: their fields or their body reached the caller. Unusual heads that the protocol allows stay answers.
+// Guards against answers whose head is malformed: their fields or their body reached the caller. Unusual heads that the
+// protocol allows stay answers.
 func TestMalformedHeads(t *testing.T) {
 	const body = "twelve bytes"
 	for name, head := range faker.RawHeads(len(body)) {
--- a/inspector/broken_test.go
+++ b/inspector/broken_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// Guards against answers whose head or trailer is malformed: net/http takes statuses from 000, names with blanks, and chunks in HTTP/1.0 for a
-// body. Unusual heads that the protocol allows stay answers.
+// Guards against answers whose head or trailer is malformed: net/http takes statuses from 000, names with blanks, and
+// chunks in HTTP/1.0 for a body. Unusual heads that the protocol allows stay answers.
 func TestTransportMalformedHeads(t *testing.T) {
 	const body = "twelve bytes"
 	for name, head := range faker.RawHeads(len(body)) {
--- a/inspector/cause.go
+++ b/inspector/cause.go
@@ -36,7 +36,8 @@
 		return CauseReset
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return CauseTruncated
-	case errors.Is(err, ErrHeadTooLong), errors.Is(err, ErrBodyTooLong), errors.Is(err, ErrNoMemory), errors.Is(err, ErrTooManyElements):
+	case errors.Is(err, ErrHeadTooLong), errors.Is(err, ErrBodyTooLong), errors.Is(err, ErrTooManyElements),
+		errors.Is(err, ErrNoMemory):
 		return CauseOversized
 	default:
 		return CauseOther
--- a/inspector/head.go
+++ b/inspector/head.go
@@ -1,7 +1,8 @@
-// Package inspector stands between a connection and whoever reads answers from it, those of targets, of the store and of other instances.
-// It bounds what the answers hold in memory before they are whole: a faulty sender may send bytes without end, in a head or in a body. What
-// is held is counted, not the bytes alone, as net/http keeps each field of a head at some hundred bytes. The sum over all answers of a process
-// is bounded by a budget. It also decides what the head of an answer is, and whether a connection has ended in order or broken.
+// Package inspector stands between a connection and whoever reads answers from it, those of targets, of the store and
+// of other instances. It bounds what the answers hold in memory before they are whole: a faulty sender may send bytes
+// without end, in a head or in a body. What is held is counted, not the bytes alone, as net/http keeps each field of a
+// head at some hundred bytes. The sum over all answers of a process is bounded by a budget. It also decides what the
+// head of an answer is, and whether a connection has ended in order or broken.
 package inspector
 
 import (
@@ -70,8 +71,8 @@
 // Inside reports whether a head has begun and not ended.
 func (he *Head) Inside() bool { return he.inside }
 
-// Add counts received bytes up to the end of the head. It returns ErrHeadTooLong or ErrNoMemory if they exceed a limit, and a MalformedError
-// at the end of a line that is none of a head.
+// Add counts received bytes up to the end of the head. It returns ErrHeadTooLong or ErrNoMemory if they exceed a limit,
+// and a MalformedError at the end of a line that is none of a head.
 func (he *Head) Add(received []byte) error {
 	for _, char := range received {
 		if !he.inside {
--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -7,8 +7,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MalformedError is the error of an answer whose head or trailer breaks the grammar of RFC 9110 and RFC 9112. It names the part that does.
-// Such an answer is none: neither its status nor its fields nor its body can be relied on, and the request may have run.
+// MalformedError is the error of an answer whose head or trailer breaks the grammar of RFC 9110 and RFC 9112. It names
+// the part that does. Such an answer is none: neither its status nor its fields nor its body can be relied on, and the
+// request may have run.
 type MalformedError string
 
 // The parts of an answer that may be malformed.
@@ -30,8 +31,8 @@
 const (
 	// statusDigits is the number of digits of a status code.
 	statusDigits = 3
-	// versionForm is the form of the version in a status line, with 0 for any digit. oldVersion knows no transfer encodings, and net/http
-	// takes the encoded bytes for the body.
+	// versionForm is the form of the version in a status line, with 0 for any digit. oldVersion knows no transfer
+	// encodings, and net/http takes the encoded bytes for the body.
 	versionForm = "HTTP/0.0"
 	oldVersion  = "HTTP/1.0"
 	// encodingField is the name of the field that oldVersion may not have, in lower case.
@@ -67,7 +68,8 @@
 // final reports whether a status is that of a final answer.
 func final(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
-// interim reports whether a status is that of an answer which another one follows. No request asks for another protocol, so no answer may switch to one.
+// interim reports whether a status is that of an answer which another one follows. No request asks for another
+// protocol, so no answer may switch to one.
 func interim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -78,6 +80,8 @@
 // linePart is the part of a line that a byte belongs to.
 type linePart uint8
 
+// The parts of a status line, and after them those of a field line. partGap is the blanks before the status, partBegin
+// the first byte of a line.
 const (
 	partVersion linePart = iota
 	partGap
@@ -88,8 +92,8 @@
 	partValue
 )
 
-// syntax checks the lines of a head byte by byte. What is malformed is reported at the end of its line, so that lines without end are
-// reported as too long.
+// syntax checks the lines of a head byte by byte. What is malformed is reported at the end of its line, so that lines
+// without end are reported as too long.
 type syntax struct {
 	part linePart
 	// length is the number of bytes of the line so far, and returned is true after a carriage return.
@@ -205,11 +209,15 @@
 	if sy.named == 0 {
 		sy.fail(malformedName)
 	}
-	if sy.named == len(encodingField) && string(sy.version[:]) <= oldVersion && strings.EqualFold(string(sy.name[:]), encodingField) {
+	if sy.namesEncoding() && string(sy.version[:]) <= oldVersion {
 		sy.fail(malformedEncoding)
 	}
 }
 
+func (sy *syntax) namesEncoding() bool {
+	return sy.named == len(encodingField) && strings.EqualFold(string(sy.name[:]), encodingField)
+}
+
 // endLine checks the end of a line. It reports whether the line has ended the head, and begins the next line.
 func (sy *syntax) endLine() (ended bool, err error) {
 	switch {
--- a/inspector/trailer.go
+++ b/inspector/trailer.go
@@ -14,7 +14,8 @@
 	broke func()
 }
 
-// CheckTrailer makes the body of an answer fail at its end with a MalformedError if its trailer is malformed. broke is called then.
+// CheckTrailer makes the body of an answer fail at its end with a MalformedError if its trailer is malformed. broke is
+// called then.
 func CheckTrailer(answer *http.Response, broke func()) {
 	if len(answer.TransferEncoding) > 0 {
 		answer.Body = trailedBody{answer.Body, answer, broke}
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -22,8 +22,8 @@
 	begun bool
 }
 
-// WrapDial returns a function that opens connections whose answers are inspected, for the DialContext of an http.Transport that BoundHeads
-// wraps.
+// WrapDial returns a function that opens connections whose answers are inspected, for the DialContext of an
+// http.Transport that BoundHeads wraps.
 func WrapDial(dial Dial, bu Budget) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		co, err := dial(ctx, network, address)
@@ -56,9 +56,9 @@
 	return co.head.Add(received)
 }
 
-// Write writes to the connection. A request that has begun to arrive may have been answered before the connection failed. An http.Transport
-// would close the connection on the error of a write, and with it that answer, or return that error in place of the one that the reads found;
-// so it is left to the reads how the request ends.
+// Write writes to the connection. A request that has begun to arrive may have been answered before the connection
+// failed. An http.Transport would close the connection on the error of a write, and with it that answer, or return that
+// error in place of the one that the reads found; so it is left to the reads how the request ends.
 func (co *conn) Write(data []byte) (int, error) {
 	count, err := co.writer.Write(data)
 	if co.begins(count) && err != nil {
--- a/inspector/writer.go
+++ b/inspector/writer.go
@@ -6,17 +6,20 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// ErrConnectionBroke means that a connection broke while a request was written, so that the end of what can be read is not the end of an answer.
+// ErrConnectionBroke means that a connection broke while a request was written, so that the end of what can be read is
+// not the end of an answer.
 var ErrConnectionBroke = errors.New("the connection broke within the request")
 
-// Writer writes to a connection and keeps how that failed for whoever reads from it. The kernel reports the error of a broken connection once:
-// to the write or the read that comes first. If that is a write, the reads after it return what has arrived and then io.EOF, as if the other
-// side had ended the connection in order (tcp(7), SO_ERROR). One goroutine may write while another one reads.
+// Writer writes to a connection and keeps how that failed for whoever reads from it. The kernel reports the error of a
+// broken connection once: to the write or the read that comes first. If that is a write, the reads after it return what
+// has arrived and then io.EOF, as if the other side had ended the connection in order (tcp(7), SO_ERROR). One goroutine
+// may write while another one reads.
 type Writer struct {
 	conn net.Conn
 
@@ -58,16 +61,18 @@
 	}
 }
 
-// breaks reports whether a failed write means that the connection broke before its end was received. After that end, the kernel reports EPIPE,
-// also for a reset. The other errors come from this side.
+// harmless are the errors of writes that do not mean that the connection broke before its end was received. The kernel
+// reports EPIPE after that end, also for a reset. The others come from this side.
+var harmless = []error{syscall.EPIPE, os.ErrDeadlineExceeded, net.ErrClosed, io.ErrClosedPipe}
+
+// breaks reports whether a failed write means that the connection broke before its end was received.
 func breaks(err error) bool {
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) &&
-		!errors.Is(err, io.ErrClosedPipe)
+	return err != nil && !slices.ContainsFunc(harmless, func(cause error) bool { return errors.Is(err, cause) })
 }
 
-// ReadError returns the error of a read that has returned err: ErrConnectionBroke in place of io.EOF if the connection did not end in order. A write that
-// goes on is ended first, as it may have taken the connection's error and not returned yet; what is left of the request is of no use to the
-// other side, which cannot answer any more.
+// ReadError returns the error of a read that has returned err: ErrConnectionBroke in place of io.EOF if the connection
+// did not end in order. A write that goes on is ended first, as it may have taken the connection's error and not
+// returned yet; what is left of the request is of no use to the other side, which cannot answer any more.
 func (wr *Writer) ReadError(err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
--- a/inspector/writer_test.go
+++ b/inspector/writer_test.go
@@ -31,7 +31,8 @@
 	return nil
 }
 
-// Guards against the end of a connection that its reader sees before the writer has returned the connection's error, or after that.
+// Guards against the end of a connection that its reader sees before the writer has returned the connection's error, or
+// after that.
 func TestWriterTellsHowAConnectionEnded(t *testing.T) {
 	failed := func(err error) error { return fmt.Errorf("write: %w", err) }
 	tests := map[string]struct {
--- a/invoker/brokenanswer_test.go
+++ b/invoker/brokenanswer_test.go
@@ -11,7 +11,8 @@
 	"lovagebank/wire"
 )
 
-// invokeRaw sends a request to a target that answers with raw bytes. It returns what reached the caller and the target, and the cause of a break.
+// invokeRaw sends a request to a target that answers with raw bytes. It returns what reached the caller and the target,
+// and the cause of a break.
 func invokeRaw(t *testing.T, rq *requester.Request, answer faker.RawAnswer) (ra *recordedAnswer, requests int64, cause inspector.Cause, err error) {
 	t.Helper()
 	rs, err := faker.NewRawServer(func(*http.Request) faker.RawAnswer { return answer })
@@ -62,7 +63,8 @@
 	}
 }
 
-// Guards against a part of a service's answer that is passed on as the whole, as the connection was reset while the upload was being written.
+// Guards against a part of a service's answer that is passed on as the whole, as the connection was reset while the
+// upload was being written.
 func TestResetWithinUpload(t *testing.T) {
 	const plays = 20
 	long := newChat(func(fields *requester.Fields) {
