What net/http returns is checked once more

Cause: a connection of net/http looks at bytes as a head from the moment in which a request takes it. Bytes that arrive on a kept connection at that moment were read before; net/http may take them for the request's answer, and no one had checked their head. Change: the transport checks status and fields of what it returns by the same rules, and closes the connection if they are none. Measured: TestTransportChecksWhatItReturns, red without the change in its 3 malformed cases. The moment itself was not played.

--- a/inspector/broken_test.go
+++ b/inspector/broken_test.go
@@ -102,6 +102,42 @@
 	}
 }
 
+// roundTrip is a transport that reads answers on connections of its own.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (rt roundTrip) RoundTrip(rq *http.Request) (*http.Response, error) { return rt(rq) }
+
+// Guards against a head that no connection has looked at, as its bytes came before the request had one.
+func TestTransportChecksWhatItReturns(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		name   string
+		fails  bool
+	}{
+		"sound": {200, "Odd", false}, "status 000": {0, "Odd", true}, "another protocol": {101, "Odd", true},
+		"a blank in a name": {200, "Odd Name", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			next := roundTrip(func(*http.Request) (*http.Response, error) {
+				header := http.Header{tt.name: {"x"}}
+				return &http.Response{StatusCode: tt.status, Header: header, Body: http.NoBody}, nil
+			})
+			rq, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://127.0.0.1:1", http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer, err := inspector.BoundHeads(next).RoundTrip(rq)
+			if (err != nil) != tt.fails {
+				t.Errorf("got %v", err)
+			}
+			if err == nil {
+				_ = answer.Body.Close()
+			}
+		})
+	}
+}
+
 // Guards against a head that is judged by the parts in which it arrives.
 func TestHeadsInParts(t *testing.T) {
 	for name, head := range faker.RawHeads(0) {
--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -39,7 +39,7 @@
 	encodingField = "transfer-encoding"
 )
 
-// CheckHead checks a status and fields that were read already, as another instance passes them on.
+// CheckHead checks a status and fields that were read already, by net/http or by another instance.
 func CheckHead(status int, header http.Header) error {
 	if !final(status) {
 		return malformedStatus
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -90,7 +90,8 @@
 // BoundHeads returns a transport that sends requests through one whose connections WrapDial opens.
 func BoundHeads(next http.RoundTripper) http.RoundTripper { return heads{next: next} }
 
-// RoundTrip sends a request and returns its answer.
+// RoundTrip sends a request and returns its answer. The head is checked once more: bytes that arrive on a kept connection
+// as the request takes it have passed before the connection knew that an answer is to come.
 func (he heads) RoundTrip(rq *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -99,16 +100,22 @@
 			used.Store(co)
 		}
 	}}
+	// discard closes the connection, which the transport may have kept for the next request.
+	discard := func() {
+		if co := used.Load(); co != nil {
+			_ = co.Close()
+		}
+	}
 	answer, err := he.next.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	CheckTrailer(answer, func() {
-		if co := used.Load(); co != nil {
-			// The transport has kept the connection for the next request.
-			_ = co.Close()
-		}
-	})
+	if err := CheckHead(answer.StatusCode, answer.Header); err != nil {
+		discard()
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	CheckTrailer(answer, discard)
 	return answer, nil
 }
 
