--- a/relayer/brokenanswer_test.go
+++ b/relayer/brokenanswer_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"testing"
 
 	"lovagebank/balancer"
+	"lovagebank/faker"
 	"lovagebank/forwarder"
 	"lovagebank/relayer"
 	"lovagebank/wire"
@@ -64,3 +66,46 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that another instance passes on as the whole, as its connection was reset while it
+// wrote the upload.
+func TestResetWithinUploadIsPassedOn(t *testing.T) {
+	const plays = 10
+	upload := make([]byte, 16<<20)
+	tests := map[string]struct {
+		end   faker.RawEnd
+		whole bool
+	}{"reset": {faker.RawReset, false}, "closed unread": {faker.RawUnread, false}, "closed in order": {faker.RawClosed, true}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			rs, err := faker.NewRawServer(func(*http.Request) faker.RawAnswer {
+				return faker.RawAnswer{Text: "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\nanswer", End: tt.end}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rs.Close()
+			wrong := 0
+			for range plays {
+				fl := newFleet("a", "b")
+				fl.forward = func(ctx context.Context) (*forwarder.Response, error) {
+					return forwarder.New(forwarder.Options{}).Send(ctx, forwarder.Target{ID: "t", Address: rs.Address()}, &forwarder.Request{
+						Method: http.MethodPost, URI: "/", Host: "h", ID: "r", Body: upload, HasBody: true,
+						ResponseID: func(header http.Header) string { return header.Get("Request-Id") },
+					})
+				}
+				answer, err := fl.relayers["a"].Send(t.Context(), balancer.Start{Target: "t"}, &forwarder.Request{ID: "r"})
+				if err == nil {
+					_, err = io.ReadAll(answer)
+					answer.Close()
+				}
+				if (err == nil) != tt.whole {
+					wrong++
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d of %d plays: looks whole is %t", wrong, plays, !tt.whole)
+			}
+		})
+	}
+}
