A length or an encoding behind a blank continues no other field

The answer then had neither, and its caller got the bytes of the chunks, or all up to the end of the connection, as the body.

Cause: continuation lines are obsolete but allowed, and net/http joins them to the value before. A sender in trouble whose lines are shifted by a blank looks the same.

Fix: a continuation line whose first word is the name of a framing field, with a colon behind it, makes the head malformed (RFC 9112, 5.2 lets a gateway refuse any answer with continuation lines). Other continuation lines, also ones that hold such a name further on, and a length on the line after its name stay sound.

--- a/inspector/syntax.go
+++ b/inspector/syntax.go
@@ -19,6 +19,7 @@
 	malformedReason         MalformedError = "reason phrase"
 	malformedLine           MalformedError = "field line without a colon"
 	malformedFold           MalformedError = "continuation line without a field"
+	malformedFraming        MalformedError = "blank before the name of a framing field"
 	malformedName           MalformedError = "field name"
 	malformedValue          MalformedError = "field value"
 	malformedCarriageReturn MalformedError = "carriage return within a line"
@@ -35,8 +36,10 @@
 	// encodings, and net/http takes the encoded bytes for the body.
 	versionForm = "HTTP/0.0"
 	oldVersion  = "HTTP/1.0"
-	// encodingField is the name of the field that oldVersion may not have, in lower case.
+	// encodingField and lengthField are the names of the fields that state where a body ends, in lower case. oldVersion
+	// may not have the first one.
 	encodingField = "transfer-encoding"
+	lengthField   = "content-length"
 )
 
 // CheckHead checks a status and fields that were read already, by net/http or by another instance.
@@ -81,7 +84,7 @@
 type linePart uint8
 
 // The parts of a status line, and after them those of a field line. partGap is the blanks before the status, partBegin
-// the first byte of a line.
+// the first byte of a line, and partFold the first word of a continuation line.
 const (
 	partVersion linePart = iota
 	partGap
@@ -89,6 +92,7 @@
 	partReason
 	partBegin
 	partName
+	partFold
 	partValue
 )
 
@@ -135,6 +139,8 @@
 		sy.beginField(char)
 	case partName:
 		sy.addName(char)
+	case partFold:
+		sy.addFold(char)
 	case partValue:
 		sy.addText(char, malformedValue)
 	}
@@ -179,15 +185,32 @@
 }
 
 func (sy *syntax) beginField(char byte) {
-	if char == ' ' || char == '\t' {
-		if !sy.fields {
-			sy.fail(malformedFold)
-		}
-		sy.part = partValue
+	sy.part, sy.named = partName, 0
+	if !blank(char) {
+		sy.addName(char)
 		return
 	}
-	sy.part, sy.named = partName, 0
-	sy.addName(char)
+	sy.part = partFold
+	if !sy.fields {
+		sy.fail(malformedFold)
+	}
+}
+
+func blank(char byte) bool { return char == ' ' || char == '\t' }
+
+// addFold checks the first word of a continuation line. The sender of a framing field behind a blank has not meant to
+// continue a value, and the body would end elsewhere. RFC 9112, 5.2 lets any message with such lines be refused.
+func (sy *syntax) addFold(char byte) {
+	switch {
+	case blank(char):
+	case char == ':' && (sy.names(lengthField) || sy.names(encodingField)):
+		sy.fail(malformedFraming)
+	case httpguts.IsTokenRune(rune(char)):
+		sy.keepName(char)
+	default:
+		sy.part = partValue
+		sy.addText(char, malformedValue)
+	}
 }
 
 func (sy *syntax) addName(char byte) {
@@ -198,26 +221,32 @@
 	if !httpguts.IsTokenRune(rune(char)) {
 		sy.fail(malformedName)
 	}
+	sy.keepName(char)
+}
+
+// keepName keeps a byte of a name, as far as framing fields need it.
+func (sy *syntax) keepName(char byte) {
 	if sy.named < len(sy.name) {
 		sy.name[sy.named] = char
 	}
 	sy.named++
 }
 
+// names reports whether the name is the given one, which is no longer than encodingField.
+func (sy *syntax) names(field string) bool {
+	return sy.named == len(field) && strings.EqualFold(string(sy.name[:sy.named]), field)
+}
+
 func (sy *syntax) endName() {
 	sy.part = partValue
 	if sy.named == 0 {
 		sy.fail(malformedName)
 	}
-	if sy.namesEncoding() && string(sy.version[:]) <= oldVersion {
+	if sy.names(encodingField) && string(sy.version[:]) <= oldVersion {
 		sy.fail(malformedEncoding)
 	}
 }
 
-func (sy *syntax) namesEncoding() bool {
-	return sy.named == len(encodingField) && strings.EqualFold(string(sy.name[:]), encodingField)
-}
-
 // endLine checks the end of a line. It reports whether the line has ended the head, and begins the next line.
 func (sy *syntax) endLine() (ended bool, err error) {
 	switch {
